--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,534 @@
+//! Submissions, polls and cancellations. Every node serves them by itself.
+//!
+//! A job's `j/` record is the one place that says whether it is open, done or
+//! cancelled, and it changes once. What has ended may be answered from memory
+//! for ever. Anything else is compared with the store after the request came
+//! in, because another node may just have told the user of its end.
+
+use crate::calls::{CallError, Ctx, Waiter};
+use crate::store::{self, CancelledJob, JobMark, Mark, OpenJob};
+use crate::{Answer, Config, Micros, MILLISECOND, RequestId, SECOND};
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::state::{self, StateCall, StateReply, Txn};
+use dillcleat_wire::user::{JobSpec, JobState, JobStatus, Kind, is_job_id, parse_submission};
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+/// How long a submission may be tried; its user gives up on it after 5 s.
+const CREATE_TIME: Micros = 4 * SECOND;
+/// Look-ups, submissions and cancellations that may be under way at once.
+const MAX_UNDER_WAY: usize = 256;
+/// Compare-only transactions that may be under way at once. More than one, so
+/// that a single slow answer does not hold up every poll.
+const MAX_CHECKS: usize = 3;
+/// Requests that may wait for their comparison.
+const MAX_WAITING: usize = 2000;
+
+/// What to do once a job's record is known.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    /// Tell its state.
+    Tell(RequestId),
+    /// A submission that cannot be taken, unless the job is known already.
+    Refuse { request: RequestId, answer: Answer },
+    Cancel { request: RequestId, since: Micros },
+}
+
+impl Ask {
+    fn request(&self) -> RequestId {
+        match self {
+            Ask::Tell(request) | Ask::Refuse { request, .. } | Ask::Cancel { request, .. } => {
+                *request
+            }
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub enum Step {
+    Lookup { id: String },
+    Check { jobs: Vec<(String, u64)> },
+    Create { request: RequestId, job: Rc<OpenJob>, since: Micros },
+    Cancel { id: String, request: RequestId, since: Micros },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    mark: JobMark,
+    version: u64,
+}
+
+/// Jobs whose record this node has seen. Bounded; the oldest are forgotten
+/// first and simply read again when somebody asks.
+#[derive(Debug)]
+struct Cache {
+    jobs: HashMap<String, Known>,
+    order: VecDeque<String>,
+    limit: usize,
+}
+
+impl Cache {
+    fn put(&mut self, id: &str, known: Known) {
+        if let Some(old) = self.jobs.get_mut(id) {
+            // An ended job stays ended, whatever a late answer says.
+            if old.mark.s == Mark::Open {
+                *old = known;
+            }
+            return;
+        }
+        self.jobs.insert(id.to_string(), known);
+        self.order.push_back(id.to_string());
+        while self.order.len() > self.limit {
+            if let Some(oldest) = self.order.pop_front() {
+                self.jobs.remove(&oldest);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Admission {
+    cache: Cache,
+    /// Look-ups under way, by job, with everybody who waits for them.
+    lookups: HashMap<String, Vec<Ask>>,
+    /// Asks that wait for the next comparison.
+    waiting: Vec<(String, Ask)>,
+    checking: HashMap<String, Vec<Ask>>,
+    checks: usize,
+    under_way: usize,
+    /// The leader's word on how far jobs are, for display.
+    pub progress: HashMap<String, (u32, u32)>,
+}
+
+/// Why a job can never run here; None if it can.
+pub fn unfit(config: &Config, types: &[MachineType], spec: &JobSpec) -> Option<&'static str> {
+    let Some(team) = config.team(&spec.team) else {
+        return Some("unknown team");
+    };
+    let team = &config.teams[team];
+    let fits = |t: &MachineType| {
+        spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+            && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+            && t.cpus >= spec.cpus
+            && t.gpus >= spec.gpus
+            && t.memory_gb >= spec.memory_gb
+    };
+    if !types.iter().any(fits) {
+        return Some("a task fits no allowed machine type");
+    }
+    let at_once = match spec.kind {
+        Kind::Batch => 1.0,
+        Kind::Service => f64::from(spec.tasks),
+    };
+    // A limit of 0 means that there is none.
+    let over = |need: f64, max: f64| max > 0.0 && need * at_once > max + 1e-9;
+    if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+        return Some("the job needs more than its team's limit");
+    }
+    if spec.one_zone && spec.spread && spec.tasks > 1 {
+        return Some("one zone and a spread over zones exclude each other");
+    }
+    None
+}
+
+impl Admission {
+    pub fn new(config: &Config) -> Self {
+        Admission {
+            cache: Cache {
+                jobs: HashMap::new(),
+                order: VecDeque::new(),
+                // An entry takes some 200 bytes: at most an eighth of the memory.
+                limit: (config.memory_mb * 1e6 / 8.0 / 200.0) as usize,
+            },
+            lookups: HashMap::new(),
+            waiting: Vec::new(),
+            checking: HashMap::new(),
+            checks: 0,
+            under_way: 0,
+            progress: HashMap::new(),
+        }
+    }
+
+    /// The leader of this process has stored a job's end.
+    pub fn ended(&mut self, id: &str, mark: JobMark) {
+        self.cache.put(id, Known { mark, version: 0 });
+        self.progress.remove(id);
+    }
+
+    fn status(&self, id: &str, mark: JobMark) -> JobStatus {
+        let (done, running) = self.progress.get(id).copied().unwrap_or((0, 0));
+        let (state, done, running) = match mark.s {
+            Mark::Done => (JobState::Done, mark.n, 0),
+            Mark::Cancelled => (JobState::Cancelled, done, 0),
+            Mark::Open if running > 0 => (JobState::Running, done, running),
+            Mark::Open => (JobState::Queued, done, 0),
+        };
+        JobStatus {
+            id: id.to_string(),
+            state,
+            done: Some(done),
+            running: Some(running),
+        }
+    }
+
+    pub fn submit(
+        &mut self,
+        ctx: &mut Ctx,
+        request: RequestId,
+        body: &[u8],
+        types: Option<&[MachineType]>,
+    ) {
+        let submission = parse_submission(body);
+        let Some(id) = submission.id else {
+            let cause = submission
+                .spec
+                .err()
+                .map_or_else(|| "ref is not in its form".into(), |e| e.to_string());
+            return ctx.answer(request, Answer::refusal(400, cause));
+        };
+        if self.cache.jobs.contains_key(&id) {
+            return self.ask(ctx, id, Ask::Tell(request));
+        }
+        // Whatever is wrong with the content, a known job is answered as known.
+        let refuse = |status, cause: String| Ask::Refuse {
+            request,
+            answer: Answer::refusal(status, cause),
+        };
+        let spec = match submission.spec {
+            Ok(spec) => spec,
+            Err(e) => return self.ask(ctx, id, refuse(400, e.to_string())),
+        };
+        let Some(types) = types else {
+            let answer = Answer::later("the machine types are not known yet");
+            return self.ask(ctx, id, Ask::Refuse { request, answer });
+        };
+        if let Some(cause) = unfit(ctx.config, types, &spec) {
+            return self.ask(ctx, id, refuse(422, cause.into()));
+        }
+        let job = OpenJob {
+            spec: *spec,
+            at: ctx.now.wall,
+            chunk: ctx.config.chunk_tasks(),
+        };
+        if state::json_size(&state::value(&job)) > ctx.config.value_bytes {
+            return self.ask(ctx, id, refuse(400, "the job's description is too long".into()));
+        }
+        if self.under_way >= MAX_UNDER_WAY {
+            return ctx.answer(request, Answer::later("too many requests"));
+        }
+        self.under_way += 1;
+        self.create(ctx, request, Rc::new(job), ctx.now.steady);
+    }
+
+    fn create(&self, ctx: &mut Ctx, request: RequestId, job: Rc<OpenJob>, since: Micros) {
+        let id = &job.spec.id;
+        let mark = JobMark {
+            s: Mark::Open,
+            n: job.spec.tasks,
+        };
+        let txn = Txn::default()
+            .compare(store::job_key(id), 0)
+            .put(store::job_key(id), &mark)
+            .put(store::open_key(id), &*job);
+        let step = Step::Create { request, job, since };
+        ctx.state(StateCall::Txn(txn), Waiter::Admission(step));
+    }
+
+    pub fn poll(&mut self, ctx: &mut Ctx, request: RequestId, id: String) {
+        if !is_job_id(&id) {
+            return ctx.answer(request, Answer::refusal(404, "no such job"));
+        }
+        self.ask(ctx, id, Ask::Tell(request));
+    }
+
+    pub fn cancel(&mut self, ctx: &mut Ctx, request: RequestId, id: String) {
+        if !is_job_id(&id) {
+            return ctx.answer(request, Answer::refusal(404, "no such job"));
+        }
+        let since = ctx.now.steady;
+        self.ask(ctx, id, Ask::Cancel { request, since });
+    }
+
+    /// Settles an ask by memory, a comparison or a look-up, whichever is enough.
+    fn ask(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
+        match self.cache.jobs.get(&id).copied() {
+            Some(known) if known.mark.s != Mark::Open => self.settle(ctx, &id, Some(known), ask),
+            // The transaction that cancels compares by itself.
+            Some(known) if matches!(ask, Ask::Cancel { .. }) => {
+                self.settle(ctx, &id, Some(known), ask);
+            }
+            Some(_) => {
+                if self.waiting.len() >= MAX_WAITING {
+                    return ctx.answer(ask.request(), Answer::later("too many requests"));
+                }
+                self.waiting.push((id, ask));
+                self.check(ctx);
+            }
+            None => self.lookup(ctx, id, ask),
+        }
+    }
+
+    fn lookup(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
+        // A look-up under way may have read before this request came in, but
+        // then nobody can have been told more than this answer by now: what it
+        // finds is kept only if open, and an open record is compared first.
+        if self.under_way >= MAX_UNDER_WAY {
+            return ctx.answer(ask.request(), Answer::later("too many requests"));
+        }
+        self.under_way += 1;
+        let call = StateCall::Get {
+            key: store::job_key(&id),
+        };
+        let asks = self.lookups.entry(id.clone()).or_default();
+        asks.push(ask);
+        ctx.state(call, Waiter::Admission(Step::Lookup { id }));
+    }
+
+    fn check(&mut self, ctx: &mut Ctx) {
+        if self.waiting.is_empty() || self.checks >= MAX_CHECKS {
+            return;
+        }
+        let mut jobs: Vec<(String, u64)> = Vec::new();
+        let mut txn = Txn::default();
+        let limit = ctx.config.txn_ops * 4;
+        let mut later = Vec::new();
+        for (id, ask) in std::mem::take(&mut self.waiting) {
+            let Some(known) = self.cache.jobs.get(&id).copied() else {
+                self.lookup(ctx, id, ask);
+                continue;
+            };
+            if known.mark.s != Mark::Open {
+                self.settle(ctx, &id, Some(known), ask);
+                continue;
+            }
+            // One comparison at a time per job keeps the accounts simple.
+            let own = jobs.iter().any(|(j, _)| *j == id);
+            if !own && (jobs.len() >= limit || self.checking.contains_key(&id)) {
+                later.push((id, ask));
+                continue;
+            }
+            if !own {
+                txn = txn.compare(store::job_key(&id), known.version);
+                jobs.push((id.clone(), known.version));
+            }
+            self.checking.entry(id).or_default().push(ask);
+        }
+        self.waiting = later;
+        if !jobs.is_empty() {
+            self.checks += 1;
+            ctx.state(StateCall::Txn(txn), Waiter::Admission(Step::Check { jobs }));
+        }
+    }
+
+    /// Answers an ask with what the store has said of its job.
+    fn settle(&mut self, ctx: &mut Ctx, id: &str, known: Option<Known>, ask: Ask) {
+        match (known, ask) {
+            (None, Ask::Refuse { request, answer }) => {
+                if answer.status != 503 {
+                    log::info!("refused {id}: {}", answer.status);
+                }
+                ctx.answer(request, answer);
+            }
+            (None, ask) => ctx.answer(ask.request(), Answer::refusal(404, "no such job")),
+            (Some(known), Ask::Cancel { request, since }) if known.mark.s == Mark::Open => {
+                let txn = Txn::default()
+                    .compare(store::job_key(id), known.version)
+                    .put(
+                        store::job_key(id),
+                        &JobMark {
+                            s: Mark::Cancelled,
+                            n: known.mark.n,
+                        },
+                    )
+                    .put(store::cancelled_key(id), &CancelledJob { at: ctx.now.wall });
+                let step = Step::Cancel {
+                    id: id.to_string(),
+                    request,
+                    since,
+                };
+                ctx.state(StateCall::Txn(txn), Waiter::Admission(step));
+            }
+            (Some(known), ask) => {
+                let status = self.status(id, known.mark);
+                ctx.answer(ask.request(), Answer::body(200, &status));
+            }
+        }
+    }
+
+    pub fn reply(&mut self, ctx: &mut Ctx, step: Step, reply: Result<StateReply, CallError>) {
+        match step {
+            Step::Lookup { id } => {
+                self.under_way -= 1;
+                // Each look-up answers the oldest ask of its job, so that none
+                // is answered by a read that began before the ask.
+                let ask = match self.lookups.get_mut(&id) {
+                    Some(asks) if !asks.is_empty() => asks.remove(0),
+                    _ => return,
+                };
+                if self.lookups.get(&id).is_some_and(Vec::is_empty) {
+                    self.lookups.remove(&id);
+                }
+                self.looked_up(ctx, &id, ask, reply);
+            }
+            Step::Check { jobs } => {
+                self.checks -= 1;
+                for (id, version) in jobs {
+                    let asks = self.checking.remove(&id).unwrap_or_default();
+                    match &reply {
+                        Ok(StateReply::Committed { .. }) => {
+                            let known = self.cache.jobs.get(&id).copied();
+                            for ask in asks {
+                                match known {
+                                    Some(known) => self.settle(ctx, &id, Some(known), ask),
+                                    None => self.lookup(ctx, id.clone(), ask),
+                                }
+                            }
+                        }
+                        Ok(StateReply::Conflict { failed, .. }) => {
+                            let changed = failed.contains(&store::job_key(&id));
+                            if changed && self.cache.jobs.get(&id).is_some_and(|k| k.version == version)
+                            {
+                                self.cache.jobs.remove(&id);
+                                self.cache.order.retain(|o| *o != id);
+                            }
+                            for ask in asks {
+                                // The others were equal at that same moment.
+                                match self.cache.jobs.get(&id).copied() {
+                                    Some(known) if !changed => {
+                                        self.settle(ctx, &id, Some(known), ask);
+                                    }
+                                    _ => self.lookup(ctx, id.clone(), ask),
+                                }
+                            }
+                        }
+                        _ => {
+                            for ask in asks {
+                                ctx.answer(ask.request(), Answer::later("the state is out of reach"));
+                            }
+                        }
+                    }
+                }
+                self.check(ctx);
+            }
+            Step::Create { request, job, since } => self.created(ctx, request, job, since, reply),
+            Step::Cancel { id, request, since } => self.cancelled(ctx, id, request, since, reply),
+        }
+    }
+
+    fn looked_up(
+        &mut self,
+        ctx: &mut Ctx,
+        id: &str,
+        ask: Ask,
+        reply: Result<StateReply, CallError>,
+    ) {
+        match reply {
+            Ok(StateReply::Found(row)) => match row.read::<JobMark>() {
+                Some(mark) => {
+                    let known = Known {
+                        mark,
+                        version: row.version,
+                    };
+                    self.cache.put(id, known);
+                    self.settle(ctx, id, Some(known), ask);
+                }
+                None => {
+                    log::error!("{}: not a job's record", row.key);
+                    ctx.answer(ask.request(), Answer::later("the job's record is unreadable"));
+                }
+            },
+            Ok(StateReply::Absent { .. }) => self.settle(ctx, id, None, ask),
+            _ => ctx.answer(ask.request(), Answer::later("the state is out of reach")),
+        }
+    }
+
+    fn created(
+        &mut self,
+        ctx: &mut Ctx,
+        request: RequestId,
+        job: Rc<OpenJob>,
+        since: Micros,
+        reply: Result<StateReply, CallError>,
+    ) {
+        let id = job.spec.id.clone();
+        match reply {
+            Ok(StateReply::Committed { revision }) => {
+                self.under_way -= 1;
+                let mark = JobMark {
+                    s: Mark::Open,
+                    n: job.spec.tasks,
+                };
+                self.cache.put(
+                    &id,
+                    Known {
+                        mark,
+                        version: revision,
+                    },
+                );
+                log::info!("accepted {id}: {} tasks of {}", job.spec.tasks, job.spec.class);
+                let status = JobStatus {
+                    id,
+                    state: JobState::Queued,
+                    done: None,
+                    running: None,
+                };
+                ctx.answer(request, Answer::body(201, &status));
+            }
+            // It exists, perhaps by an earlier try of ours whose answer was lost.
+            Ok(StateReply::Conflict { .. }) => {
+                self.under_way -= 1;
+                self.ask(ctx, id, Ask::Tell(request));
+            }
+            // It may yet be carried out. The same transaction again settles
+            // it: it either commits or finds the record.
+            Err(_) if ctx.now.steady < since + CREATE_TIME => {
+                self.create(ctx, request, job, since);
+            }
+            Ok(StateReply::Malformed) => {
+                self.under_way -= 1;
+                log::error!("the state service calls the record of {id} malformed");
+                ctx.answer(request, Answer::refusal(400, "the job cannot be stored"));
+            }
+            _ => {
+                self.under_way -= 1;
+                ctx.answer(request, Answer::later("the state is out of reach"));
+            }
+        }
+    }
+
+    fn cancelled(
+        &mut self,
+        ctx: &mut Ctx,
+        id: String,
+        request: RequestId,
+        since: Micros,
+        reply: Result<StateReply, CallError>,
+    ) {
+        match reply {
+            Ok(StateReply::Committed { .. }) => {
+                let n = self.cache.jobs.get(&id).map_or(0, |k| k.mark.n);
+                let mark = JobMark {
+                    s: Mark::Cancelled,
+                    n,
+                };
+                self.cache.put(&id, Known { mark, version: 0 });
+                log::info!("cancelled {id}");
+                let status = self.status(&id, mark);
+                ctx.answer(request, Answer::body(200, &status));
+            }
+            // Its end came first, or an earlier try was carried out: read which.
+            Ok(StateReply::Conflict { .. }) => self.lookup(ctx, id, Ask::Cancel { request, since }),
+            Err(_) if ctx.now.steady < since + CREATE_TIME => {
+                self.lookup(ctx, id, Ask::Cancel { request, since });
+            }
+            _ => ctx.answer(request, Answer::later("the state is out of reach")),
+        }
+    }
+
+    pub fn tick(&mut self, ctx: &mut Ctx) {
+        self.check(ctx);
+    }
+
+    /// How often the core wants to be woken while polls wait.
+    pub const TICK: Micros = 20 * MILLISECOND;
+}
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,123 @@
+//! What the platform and the operator set.
+
+use crate::{Micros, SECOND, micros};
+use dillcleat_wire::platform::{Platform, Team, one_line};
+use serde::Deserialize;
+
+/// The operator's own settings; every one has a default.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tuning {
+    /// Training tasks of a job (the paper's t).
+    pub training_tasks: u32,
+    /// Share of the fleet's CPUs that training tasks may take (the paper's T).
+    pub training_share: f64,
+    /// Longest time between two scheduling passes, in seconds.
+    pub pass_s: f64,
+    /// First guess of a task's run time, in seconds, before anything is learned.
+    pub first_guess_s: f64,
+    /// Time-to-live of the leader's lease, in seconds.
+    pub lead_ttl_s: f64,
+    /// Idle time after which a machine is returned, in seconds.
+    pub idle_s: f64,
+    /// Pause after a rental was refused for want of machines, in seconds.
+    pub refused_pause_s: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            training_tasks: 2,
+            training_share: 0.3,
+            pass_s: 1.0,
+            first_guess_s: 60.0,
+            lead_ttl_s: 4.0,
+            idle_s: 20.0,
+            refused_pause_s: 15.0,
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct TuningError(String);
+
+impl Tuning {
+    pub fn parse(text: &str) -> Result<Tuning, TuningError> {
+        let t: Tuning = toml::from_str(text).map_err(|e| TuningError(one_line(&e.to_string())))?;
+        for (key, v, low, high) in [
+            ("training_share", t.training_share, 0.0, 1.0),
+            ("pass_s", t.pass_s, 0.02, 60.0),
+            ("first_guess_s", t.first_guess_s, 0.1, 86400.0),
+            ("lead_ttl_s", t.lead_ttl_s, 0.5, 60.0),
+            ("idle_s", t.idle_s, 0.0, 86400.0),
+            ("refused_pause_s", t.refused_pause_s, 0.5, 3600.0),
+        ] {
+            if !v.is_finite() || v < low || v > high {
+                return Err(TuningError(format!(
+                    "{key}: must be from {low} to {high}, is {v}"
+                )));
+            }
+        }
+        Ok(t)
+    }
+}
+
+/// Everything a node is told at its start.
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub member: String,
+    pub siblings: Vec<String>,
+    pub teams: Vec<Team>,
+    pub report: Micros,
+    pub lease: Micros,
+    pub cancel: Micros,
+    pub clock_error: Micros,
+    pub state_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag: Micros,
+    pub memory_mb: f64,
+    pub tuning: Tuning,
+}
+
+impl Config {
+    pub fn new(p: &Platform, tuning: Tuning) -> Config {
+        let c = &p.cluster;
+        Config {
+            member: p.member.clone(),
+            siblings: p.siblings.iter().map(|s| s.member.clone()).collect(),
+            teams: c.teams.clone(),
+            report: micros(c.workers.report_s),
+            lease: micros(c.workers.lease_s),
+            cancel: micros(c.workers.cancel_s),
+            clock_error: micros(c.clock_error_ms / 1e3),
+            state_rps: c.state.rps,
+            value_bytes: (c.state.value_kb * 1024.0) as usize,
+            txn_ops: c.state.txn_ops as usize,
+            cloud_rps: c.cloud.rps,
+            list_lag: micros(c.cloud.list_lag_s),
+            memory_mb: c.quota.mem_mb,
+            tuning,
+        }
+    }
+
+    pub fn team(&self, name: &str) -> Option<usize> {
+        self.teams.iter().position(|t| t.name == name)
+    }
+
+    /// How long after its last sure sight of the cancellations a leader may
+    /// still answer reports. Whoever cancels elsewhere promises the task's end
+    /// within `cancel`; a worker that hears nothing more ends it after `lease`.
+    pub fn blind_limit(&self) -> Micros {
+        let margin = (self.cancel / 10).max(SECOND);
+        self.cancel.saturating_sub(self.lease + margin)
+    }
+
+    /// Tasks per stored chunk, so that a chunk's record fits a value even with
+    /// every task placed. A placed task takes some 60 bytes in JSON.
+    pub fn chunk_tasks(&self) -> u32 {
+        ((self.value_bytes / 80).clamp(8, 256)) as u32
+    }
+}
--- /dev/null
+++ b/crates/core/src/leadership.rs
@@ -0,0 +1,330 @@
+//! Who leads, and in which term.
+//!
+//! `s/lead` is bound to the leader's lease and goes with it. `s/term` lasts
+//! and grows with every election; each write of a leader compares its version,
+//! so whatever an earlier leader still has under way fails. The lease only
+//! decides when somebody else tries: safety rests on the term alone.
+
+use crate::calls::{CallError, Ctx, Waiter};
+use crate::store::{self, Lead, Term, Types};
+use crate::{MILLISECOND, Micros, SECOND, micros};
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::state::{Event, StateCall, StateReply, Txn};
+use std::rc::Rc;
+
+const RETRY: Micros = 250 * MILLISECOND;
+const WATCH_MS: u64 = 5_000;
+
+#[derive(Debug, Clone)]
+pub enum Step {
+    Read,
+    EndOwn,
+    NewLease,
+    Take { lease: u64, term: u64 },
+    Extend { sent: Micros },
+    Watch,
+    Drop,
+}
+
+/// A change in who leads, for the node to act upon.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    Elected { term: u64, term_version: u64 },
+    Deposed,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Nothing is known yet; read at the given time.
+    Reading { at: Micros },
+    Waiting,
+    /// A call is under way whose answer decides what is next.
+    Busy,
+    Leading { lease: u64, term: u64 },
+}
+
+#[derive(Debug)]
+pub struct Leadership {
+    phase: Phase,
+    watching: bool,
+    revision: u64,
+    pub lead: Option<Lead>,
+    term: u64,
+    term_version: u64,
+    pub types: Option<Rc<Vec<MachineType>>>,
+    extend_at: Micros,
+    /// Not to be elected before: this node could not reach the workers.
+    abstain_until: Micros,
+}
+
+impl Leadership {
+    pub fn new() -> Self {
+        Leadership {
+            phase: Phase::Reading { at: 0 },
+            watching: false,
+            revision: 0,
+            lead: None,
+            term: 0,
+            term_version: 0,
+            types: None,
+            extend_at: 0,
+            abstain_until: 0,
+        }
+    }
+
+    /// The term in which this node leads.
+    pub fn leading(&self) -> Option<u64> {
+        match self.phase {
+            Phase::Leading { term, .. } => Some(term),
+            _ => None,
+        }
+    }
+
+    /// The highest term seen.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    pub fn tick(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.steady;
+        match self.phase {
+            Phase::Reading { at } if now >= at => {
+                self.phase = Phase::Busy;
+                let call = StateCall::List {
+                    prefix: store::SHARED.into(),
+                    after: None,
+                };
+                ctx.state(call, Waiter::Leadership(Step::Read));
+            }
+            Phase::Waiting => self.consider(ctx),
+            Phase::Leading { lease, .. } if now >= self.extend_at => {
+                self.extend_at = now + micros(ctx.config.tuning.lead_ttl_s) / 4;
+                let step = Step::Extend { sent: now };
+                ctx.state(StateCall::Extend { lease }, Waiter::Leadership(step));
+            }
+            _ => {}
+        }
+        if !self.watching && matches!(self.phase, Phase::Waiting | Phase::Leading { .. }) {
+            self.watching = true;
+            let call = StateCall::Watch {
+                prefix: store::SHARED.into(),
+                after: self.revision,
+                hold_ms: WATCH_MS,
+            };
+            ctx.state(call, Waiter::Leadership(Step::Watch));
+        }
+    }
+
+    /// Tries to be elected if nobody leads.
+    fn consider(&mut self, ctx: &mut Ctx) {
+        if self.lead.is_some() || ctx.now.steady < self.abstain_until {
+            return;
+        }
+        self.phase = Phase::Busy;
+        let ttl_ms = micros(ctx.config.tuning.lead_ttl_s) / 1000;
+        ctx.state(
+            StateCall::NewLease { ttl_ms },
+            Waiter::Leadership(Step::NewLease),
+        );
+    }
+
+    /// Gives the lead up and lets go of the lease, so that another can follow
+    /// at once. `abstain` keeps this node out of the next elections.
+    pub fn step_down(&mut self, ctx: &mut Ctx, why: &str, abstain: Micros) -> Option<Change> {
+        let Phase::Leading { lease, term } = self.phase else {
+            return None;
+        };
+        log::info!("stepping down from term {term}: {why}");
+        self.abstain_until = ctx.now.steady + abstain;
+        self.reread(ctx, RETRY);
+        ctx.state(
+            StateCall::EndLease { lease },
+            Waiter::Leadership(Step::Drop),
+        );
+        Some(Change::Deposed)
+    }
+
+    fn reread(&mut self, ctx: &Ctx, pause: Micros) {
+        self.phase = Phase::Reading {
+            at: ctx.now.steady + pause,
+        };
+    }
+
+    pub fn reply(
+        &mut self,
+        ctx: &mut Ctx,
+        step: Step,
+        reply: Result<StateReply, CallError>,
+    ) -> Option<Change> {
+        match (step, reply) {
+            (Step::Read, Ok(StateReply::Page(page))) => {
+                self.revision = page.revision;
+                self.lead = None;
+                for row in &page.rows {
+                    match row.key.as_str() {
+                        store::LEAD => self.lead = row.read(),
+                        store::TERM => {
+                            if let Some(t) = row.read::<Term>() {
+                                (self.term, self.term_version) = (t.term, row.version);
+                            }
+                        }
+                        store::TYPES => self.types = row.read::<Types>().map(|t| Rc::new(t.types)),
+                        _ => {}
+                    }
+                }
+                match &self.lead {
+                    // Left over from before this process started: nobody acts
+                    // on it any more, so nobody has to wait for it either.
+                    Some(lead) if lead.member == ctx.config.member => {
+                        let lease = lead.lease;
+                        log::info!("ending this member's earlier lease {lease}");
+                        self.phase = Phase::Busy;
+                        ctx.state(
+                            StateCall::EndLease { lease },
+                            Waiter::Leadership(Step::EndOwn),
+                        );
+                    }
+                    _ => {
+                        self.phase = Phase::Waiting;
+                        self.consider(ctx);
+                    }
+                }
+                None
+            }
+            (Step::EndOwn, Ok(StateReply::Extended | StateReply::LeaseGone)) => {
+                self.reread(ctx, 0);
+                None
+            }
+            (Step::NewLease, Ok(StateReply::Lease { lease })) => {
+                let term = self.term + 1;
+                let lead = Lead {
+                    member: ctx.config.member.clone(),
+                    lease,
+                    term,
+                };
+                let txn = Txn::default()
+                    .compare(store::LEAD, 0)
+                    .compare(store::TERM, self.term_version)
+                    .put(store::TERM, &Term { term })
+                    .put_leased(store::LEAD, &lead, lease);
+                ctx.state(
+                    StateCall::Txn(txn),
+                    Waiter::Leadership(Step::Take { lease, term }),
+                );
+                None
+            }
+            (Step::Take { lease, term }, Ok(StateReply::Committed { revision })) => {
+                self.phase = Phase::Leading { lease, term };
+                self.term = term;
+                self.term_version = revision;
+                self.lead = Some(Lead {
+                    member: ctx.config.member.clone(),
+                    lease,
+                    term,
+                });
+                self.extend_at = ctx.now.steady + micros(ctx.config.tuning.lead_ttl_s) / 4;
+                log::info!("leading in term {term}");
+                Some(Change::Elected {
+                    term,
+                    term_version: revision,
+                })
+            }
+            (Step::Take { lease, .. }, reply) => {
+                // Lost the race, or unknown: a lease that is let go settles
+                // it, since the key cannot be set with an ended lease.
+                log::info!("not elected: {reply:?}");
+                ctx.state(
+                    StateCall::EndLease { lease },
+                    Waiter::Leadership(Step::Drop),
+                );
+                self.reread(ctx, RETRY);
+                None
+            }
+            (Step::Read | Step::EndOwn | Step::NewLease, _) => {
+                self.reread(ctx, RETRY);
+                None
+            }
+            (Step::Extend { .. }, Ok(StateReply::LeaseGone)) => {
+                self.step_down(ctx, "the lease has ended", 0)
+            }
+            (Step::Extend { sent }, Err(_) | Ok(StateReply::TooMany | StateReply::Unavailable)) => {
+                // Try again soon: after an outage the lease has its full time.
+                self.extend_at = self.extend_at.min(sent + micros(0.4).max(RETRY));
+                None
+            }
+            (Step::Extend { .. } | Step::Drop, _) => None,
+            (Step::Watch, reply) => {
+                self.watching = false;
+                self.watched(ctx, reply)
+            }
+        }
+    }
+
+    fn watched(&mut self, ctx: &mut Ctx, reply: Result<StateReply, CallError>) -> Option<Change> {
+        let Ok(StateReply::Changes(changes)) = reply else {
+            if self.phase == Phase::Waiting {
+                self.reread(ctx, RETRY);
+            } else if matches!(reply, Ok(StateReply::TooOld)) {
+                return self.step_down(ctx, "lost sight of the state", 0);
+            }
+            return None;
+        };
+        self.revision = self.revision.max(changes.revision);
+        let mut change = None;
+        for event in changes.events {
+            match event {
+                Event::Put {
+                    key,
+                    value,
+                    version,
+                } => match key.as_str() {
+                    store::LEAD => self.lead = dillcleat_wire::state::read(&value),
+                    store::TERM => {
+                        if let Some(t) = dillcleat_wire::state::read::<Term>(&value)
+                            && version > self.term_version
+                        {
+                            (self.term, self.term_version) = (t.term, version);
+                        }
+                    }
+                    store::TYPES => {
+                        if let Some(t) = dillcleat_wire::state::read::<Types>(&value) {
+                            self.types = Some(Rc::new(t.types));
+                        }
+                    }
+                    _ => {}
+                },
+                Event::Delete { key, .. } if key == store::LEAD => self.lead = None,
+                Event::Delete { .. } => {}
+            }
+        }
+        if let Phase::Leading { term, .. } = self.phase
+            && self.term > term
+        {
+            change = self.step_down(ctx, "a later term has begun", 0);
+        }
+        change
+    }
+
+    /// This node's leader has new machine types, stored already.
+    pub fn set_types(&mut self, types: Rc<Vec<MachineType>>) {
+        self.types = Some(types);
+    }
+
+    /// Somebody has shown a higher term than the one this node leads in.
+    pub fn outdated(&mut self, ctx: &mut Ctx, term: u64) -> Option<Change> {
+        match self.phase {
+            Phase::Leading { term: own, .. } if term > own => {
+                self.step_down(ctx, "a higher term was shown", 0)
+            }
+            _ => None,
+        }
+    }
+
+    pub const ABSTAIN: Micros = 20 * SECOND;
+}
+
+impl Default for Leadership {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,322 @@
+//! A controller: what users, workers, siblings, the cloud and the state
+//! service say goes in, what follows from it comes out.
+
+use crate::admission::Admission;
+use crate::calls::{Calls, Ctx, Waiter};
+use crate::leader::{Leader, Note, Step as LeaderStep};
+use crate::leadership::{Change, Leadership};
+use crate::{Answer, Config, Input, MILLISECOND, Micros, Now, Output, RequestId, SECOND};
+use dillcleat_mesh::Message;
+use dillcleat_wire::state::StateReply;
+use dillcleat_wire::user::{Route, route};
+use dillcleat_wire::worker::{Elsewhere, Report};
+use std::collections::HashMap;
+
+const BEAT: Micros = 500 * MILLISECOND;
+/// Progress that a node keeps for display.
+const MAX_PROGRESS: usize = 20_000;
+
+#[derive(Debug)]
+struct Sibling {
+    heard: Micros,
+    served: bool,
+}
+
+#[derive(Debug)]
+pub struct Node {
+    config: Config,
+    calls: Calls,
+    admission: Admission,
+    leadership: Leadership,
+    leader: Option<Leader>,
+    siblings: HashMap<String, Sibling>,
+    /// When the state service last answered this node.
+    served_at: Option<Micros>,
+    beat_at: Micros,
+}
+
+impl Node {
+    pub fn new(config: Config) -> Node {
+        Node {
+            calls: Calls::default(),
+            admission: Admission::new(&config),
+            leadership: Leadership::new(),
+            leader: None,
+            siblings: HashMap::new(),
+            served_at: None,
+            beat_at: 0,
+            config,
+        }
+    }
+
+    /// The term in which this node leads.
+    pub fn leading(&self) -> Option<u64> {
+        self.leadership.leading()
+    }
+
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        let mut ctx = Ctx {
+            now,
+            config: &self.config,
+            out: &mut out,
+            calls: &mut self.calls,
+        };
+        let mut change = None;
+        match input {
+            Input::Tick => {
+                self.leadership.tick(&mut ctx);
+                self.admission.tick(&mut ctx);
+                if let Some(leader) = &mut self.leader {
+                    leader.tick(&mut ctx);
+                }
+                if now.steady >= self.beat_at {
+                    self.beat_at = now.steady + BEAT;
+                    self.beat(&mut out, now);
+                }
+            }
+            Input::Request {
+                id,
+                method,
+                target,
+                body,
+            } => self.request(now, &mut out, id, &method, &target, &body),
+            Input::State { id, reply } => {
+                if matches!(&reply, Ok(r) if *r != StateReply::Unavailable) {
+                    self.served_at = Some(now.steady);
+                }
+                match ctx.calls.close(id) {
+                    Some((Waiter::Admission(step), _)) => {
+                        self.admission.reply(&mut ctx, step, reply);
+                    }
+                    Some((Waiter::Leadership(step), _)) => {
+                        change = self.leadership.reply(&mut ctx, step, reply);
+                    }
+                    Some((Waiter::Leader { term, step }, sent)) => {
+                        if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
+                            leader.reply(&mut ctx, step, sent, reply);
+                            leader.tick(&mut ctx);
+                        }
+                    }
+                    Some((Waiter::Nobody, _)) | None => {}
+                }
+            }
+            Input::Cloud { id, reply } => {
+                if let Some((Waiter::Leader { term, step }, _)) = ctx.calls.close(id)
+                    && let Some(leader) = self.leader.as_mut().filter(|l| l.term == term)
+                    && let LeaderStep::Cloud(errand) = step
+                {
+                    leader.cloud_reply(&mut ctx, errand, reply);
+                    leader.tick(&mut ctx);
+                }
+            }
+            Input::Orders { id, reply } => {
+                if let Some((Waiter::Leader { term, step }, _)) = ctx.calls.close(id)
+                    && let Some(leader) = self.leader.as_mut().filter(|l| l.term == term)
+                    && let LeaderStep::Push { machine } = step
+                {
+                    leader.orders_reply(&mut ctx, id, &machine, reply);
+                    leader.tick(&mut ctx);
+                }
+            }
+            Input::Mesh { from, message } => self.mesh(now, &mut out, from, message),
+        }
+        self.follow(now, &mut out, change);
+        self.notes(now, &mut out);
+        out
+    }
+
+    fn follow(&mut self, now: Now, out: &mut Vec<Output>, change: Option<Change>) {
+        let mut ctx = Ctx {
+            now,
+            config: &self.config,
+            out,
+            calls: &mut self.calls,
+        };
+        match change {
+            Some(Change::Elected { term, term_version }) => {
+                let types = self.leadership.types.clone();
+                self.leader = Some(Leader::new(&mut ctx, term, term_version, types));
+                self.beat_at = now.steady;
+            }
+            Some(Change::Deposed) => self.leader = None,
+            None => {}
+        }
+    }
+
+    fn notes(&mut self, now: Now, out: &mut Vec<Output>) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let mut change = None;
+        for note in leader.take_notes() {
+            let mut ctx = Ctx {
+                now,
+                config: &self.config,
+                out,
+                calls: &mut self.calls,
+            };
+            match note {
+                Note::Ended(id, mark) => self.admission.ended(&id, mark),
+                Note::Types(types) => self.leadership.set_types(types),
+                Note::Outdated => {
+                    change = self
+                        .leadership
+                        .step_down(&mut ctx, "its writes are out of date", 0)
+                        .or(change);
+                }
+                Note::Higher(term) => {
+                    change = self.leadership.outdated(&mut ctx, term).or(change);
+                }
+                Note::Deaf => {
+                    change = self
+                        .leadership
+                        .step_down(&mut ctx, "no worker is heard", Leadership::ABSTAIN)
+                        .or(change);
+                }
+            }
+        }
+        self.follow(now, out, change);
+    }
+
+    fn request(
+        &mut self,
+        now: Now,
+        out: &mut Vec<Output>,
+        id: RequestId,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) {
+        let mut ctx = Ctx {
+            now,
+            config: &self.config,
+            out,
+            calls: &mut self.calls,
+        };
+        match route(method, target) {
+            Route::Submit => {
+                let types = self.leadership.types.clone();
+                let types = types.as_deref().map(Vec::as_slice);
+                self.admission.submit(&mut ctx, id, body, types);
+            }
+            Route::Poll(job) => self.admission.poll(&mut ctx, id, job),
+            Route::Cancel(job) => self.admission.cancel(&mut ctx, id, job),
+            Route::Health => {
+                let answer = if self.healthy(now) {
+                    Answer {
+                        status: 200,
+                        body: Vec::new(),
+                        retry_after: None,
+                    }
+                } else {
+                    Answer::later("not able to take requests")
+                };
+                out.push(Output::Answer { id, answer });
+            }
+            Route::Report => {
+                let answer = self.report(now, out, body);
+                out.push(Output::Answer { id, answer });
+            }
+            Route::NotFound => ctx.answer(id, Answer::refusal(404, "no such path")),
+            Route::WrongMethod => ctx.answer(id, Answer::refusal(405, "wrong method")),
+        }
+    }
+
+    /// In a common outage nodes stay up and say so to each request. A node
+    /// that alone is refused leaves the users to its siblings.
+    fn healthy(&self, now: Now) -> bool {
+        let Some(served) = self.served_at else {
+            return false;
+        };
+        if self.leadership.types.is_none() {
+            return false;
+        }
+        let alone = self
+            .siblings
+            .values()
+            .any(|s| s.served && now.steady < s.heard + 2 * SECOND);
+        now.steady < served + 3 * SECOND || !alone
+    }
+
+    fn report(&mut self, now: Now, out: &mut Vec<Output>, body: &[u8]) -> Answer {
+        let report = match dillcleat_wire::decode::<Report>(body) {
+            Ok(r) => r,
+            Err(e) => {
+                log::error!("a report is not one: {e}");
+                return Answer::refusal(400, e.to_string());
+            }
+        };
+        let mut ctx = Ctx {
+            now,
+            config: &self.config,
+            out,
+            calls: &mut self.calls,
+        };
+        if let Some(leader) = &mut self.leader {
+            let answer = leader.checkin(&mut ctx, &report);
+            leader.tick(&mut ctx);
+            return answer;
+        }
+        let report_to = self
+            .leadership
+            .lead
+            .as_ref()
+            .map(|l| l.member.clone())
+            .filter(|m| *m != self.config.member);
+        Answer::body(421, &Elsewhere { report_to })
+    }
+
+    fn served(&self, now: Now) -> bool {
+        self.served_at.is_some_and(|at| now.steady < at + 3 * SECOND)
+    }
+
+    fn beat(&mut self, out: &mut Vec<Output>, now: Now) {
+        out.push(Output::Mesh {
+            message: Message::Beat {
+                term: self.leadership.term(),
+                leads: self.leader.is_some(),
+                served: self.served(now),
+            },
+        });
+        if let Some(leader) = &mut self.leader {
+            let progress = leader.progress();
+            for p in &progress {
+                self.admission
+                    .progress
+                    .insert(p.job.clone(), (p.done, p.running));
+            }
+            if !progress.is_empty() {
+                out.push(Output::Mesh {
+                    message: Message::Progress(progress),
+                });
+            }
+        }
+    }
+
+    fn mesh(&mut self, now: Now, out: &mut Vec<Output>, from: String, message: Message) {
+        match message {
+            Message::Hello { .. } => {}
+            Message::Beat { term, served, .. } => {
+                let heard = now.steady;
+                self.siblings.insert(from, Sibling { heard, served });
+                let mut ctx = Ctx {
+                    now,
+                    config: &self.config,
+                    out,
+                    calls: &mut self.calls,
+                };
+                let change = self.leadership.outdated(&mut ctx, term);
+                self.follow(now, out, change);
+            }
+            Message::Progress(jobs) => {
+                if self.admission.progress.len() > MAX_PROGRESS {
+                    self.admission.progress.clear();
+                }
+                for p in jobs {
+                    self.admission.progress.insert(p.job, (p.done, p.running));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/store.rs
@@ -0,0 +1,133 @@
+//! What is kept in the state service, and under which keys.
+//!
+//! - `s/lead`: the leader, bound to its lease; `s/term`: the durable, growing
+//!   term; `s/types`: the machine types as last heard from the cloud.
+//! - `j/JOB`: whether a job is open, done or cancelled. Kept for ever; changes
+//!   exactly once, when the job ends.
+//! - `q/o/JOB`: an open job's description, written together with `j/JOB` (so
+//!   both have one version) and dropped when the job has ended;
+//!   `q/c/JOB`: it is cancelled and its tasks have yet to be seen gone.
+//! - `t/JOB/CHUNK`: where the tasks of an unfinished job may be.
+//! - `m/MACHINE`: the address of a machine that has reported.
+//!
+//! A new leader so reads what is unfinished only, however many jobs have ended.
+
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::user::{JobSpec, JobState};
+use serde::{Deserialize, Serialize};
+
+pub const SHARED: &str = "s/";
+pub const LEAD: &str = "s/lead";
+pub const TERM: &str = "s/term";
+pub const TYPES: &str = "s/types";
+pub const QUEUE: &str = "q/";
+pub const OPEN: &str = "q/o/";
+pub const CANCELLED: &str = "q/c/";
+pub const TASKS: &str = "t/";
+pub const MACHINES: &str = "m/";
+
+pub fn job_key(id: &str) -> String {
+    format!("j/{id}")
+}
+
+pub fn open_key(id: &str) -> String {
+    format!("{OPEN}{id}")
+}
+
+pub fn cancelled_key(id: &str) -> String {
+    format!("{CANCELLED}{id}")
+}
+
+pub fn chunk_key(id: &str, chunk: u32) -> String {
+    format!("{TASKS}{id}/{chunk:05}")
+}
+
+pub fn machine_key(name: &str) -> String {
+    format!("{MACHINES}{name}")
+}
+
+/// The job and number of a chunk's key.
+pub fn parse_chunk_key(key: &str) -> Option<(&str, u32)> {
+    let (id, chunk) = key.strip_prefix(TASKS)?.rsplit_once('/')?;
+    Some((id, chunk.parse().ok()?))
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lead {
+    pub member: String,
+    pub lease: u64,
+    pub term: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Term {
+    pub term: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Mark {
+    #[serde(rename = "o")]
+    Open,
+    #[serde(rename = "d")]
+    Done,
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+impl Mark {
+    /// What users are told of an ended job.
+    pub fn ended(self) -> Option<JobState> {
+        match self {
+            Mark::Open => None,
+            Mark::Done => Some(JobState::Done),
+            Mark::Cancelled => Some(JobState::Cancelled),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobMark {
+    pub s: Mark,
+    /// The job's number of tasks.
+    pub n: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OpenJob {
+    pub spec: JobSpec,
+    /// Time of day of the submission, in microseconds.
+    pub at: u64,
+    /// Tasks per chunk. Fixed with the job, so that a later change of the
+    /// settings does not move tasks between chunks.
+    pub chunk: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelledJob {
+    /// Time of day of the cancellation, in microseconds.
+    pub at: u64,
+}
+
+/// The tasks of one chunk. What is in no list waits and was never placed.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Placed tasks: number, attempt, machine, session.
+    pub p: Vec<(u32, u64, String, u64)>,
+    /// Waiting tasks that were placed before: number, last attempt.
+    pub w: Vec<(u32, u64)>,
+    /// Done tasks, as ranges from..=to.
+    pub d: Vec<(u32, u32)>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub addr: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Types {
+    pub types: Vec<MachineType>,
+}
--- /dev/null
+++ b/crates/core/src/workers.rs
@@ -0,0 +1,393 @@
+//! What may be on each machine.
+//!
+//! A placed task occupies its slot until there is proof that it is gone: a
+//! newer report under this term's seal that shows it exited, or absent with no
+//! launch that could still be carried out; a later session; or the machine's
+//! end. Silence proves nothing.
+
+use crate::sched::Room;
+use crate::{CallId, Micros, micros};
+use dillcleat_wire::TaskName;
+use dillcleat_wire::worker::{Command, Report, TaskState, Why};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// The job and number of a placed task.
+pub type TaskKey = (Rc<str>, u32);
+
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub attempt: u64,
+    pub session: u64,
+    pub room: Room,
+    /// The placement is in the store; before that nothing is sent.
+    pub stored: bool,
+    /// Its job is cancelled: it is to be stopped, and never launched.
+    pub cancelled: bool,
+    pub seen: Option<TaskState>,
+    pub running_since: Option<Micros>,
+    /// The whole run was watched, so its time may be learned from.
+    pub watched: bool,
+    /// The report whose answer last held its launch.
+    launched_in: Option<(u64, u64)>,
+}
+
+/// A launch that was sent and not answered may be carried out minutes later.
+pub type Launch = (TaskName, u64);
+
+#[derive(Debug)]
+pub struct Push {
+    pub id: CallId,
+    launches: Vec<Launch>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A report that the worker sent by itself, one at a time.
+    Checkin,
+    /// The answer to orders.
+    Orders,
+}
+
+/// What a report has changed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SlotEvent {
+    Running(TaskKey),
+    Exited {
+        task: TaskKey,
+        attempt: u64,
+        why: Why,
+        ran: Option<Micros>,
+    },
+    /// Gone without a result: a later session, or absent by proof.
+    Lost { task: TaskKey, attempt: u64, why: &'static str },
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub addr: Option<String>,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    /// It has reported under this term's seal.
+    pub ready: bool,
+    /// It has reported at all, so it is up.
+    pub up: bool,
+    /// Known from this leader's own rental, so it counts as capacity to come.
+    pub expected: bool,
+    pub known_since: Micros,
+    pub heard_at: Micros,
+    pub gone_by: Option<Micros>,
+    /// Being returned: takes no more tasks.
+    pub leaving: bool,
+    /// Takes no more tasks and is returned when empty.
+    pub condemned: bool,
+    pub blocked_until: Micros,
+    pub slots: BTreeMap<TaskKey, Slot>,
+    /// Exited tasks of the latest report.
+    pub exited: Vec<(TaskName, u64)>,
+    /// Tasks of the latest report that nobody placed there.
+    pub strays: Vec<(TaskName, u64)>,
+    pub push: Option<Push>,
+    pub push_after: Micros,
+    pub wants_push: bool,
+    /// Launches that may still be carried out in this session.
+    unanswered: BTreeSet<Launch>,
+    pub images: Vec<String>,
+    pub empty_since: Micros,
+    pub error_jobs: BTreeSet<String>,
+    pub recorded: bool,
+}
+
+impl Machine {
+    pub fn new(name: &str, machine_type: &str, zone: &str, spot: bool, now: Micros) -> Self {
+        Machine {
+            name: name.into(),
+            addr: None,
+            machine_type: machine_type.into(),
+            zone: zone.into(),
+            spot,
+            session: 1,
+            seq: 0,
+            ready: false,
+            up: false,
+            expected: false,
+            known_since: now,
+            heard_at: now,
+            gone_by: None,
+            leaving: false,
+            condemned: false,
+            blocked_until: 0,
+            slots: BTreeMap::new(),
+            exited: Vec::new(),
+            strays: Vec::new(),
+            push: None,
+            push_after: 0,
+            wants_push: false,
+            unanswered: BTreeSet::new(),
+            images: Vec::new(),
+            empty_since: now,
+            error_jobs: BTreeSet::new(),
+            recorded: false,
+        }
+    }
+
+    pub fn place(&mut self, task: TaskKey, slot: Slot, image: &str) {
+        self.slots.insert(task, slot);
+        self.images.retain(|i| i != image);
+        self.images.push(image.to_string());
+        // The worker keeps what it used most recently; how many fit is not
+        // known, so only a handful is counted on.
+        if self.images.len() > 8 {
+            self.images.remove(0);
+        }
+    }
+
+    pub fn slot(attempt: u64, session: u64, room: Room, stored: bool) -> Slot {
+        Slot {
+            attempt,
+            session,
+            room,
+            stored,
+            cancelled: false,
+            seen: None,
+            running_since: None,
+            watched: !stored,
+            launched_in: None,
+        }
+    }
+
+    pub fn free(&self, total: Room) -> Room {
+        let mut free = total;
+        for slot in self.slots.values() {
+            free.take(&slot.room);
+        }
+        free
+    }
+
+    /// May take a new task.
+    pub fn open(&self, now: Micros) -> bool {
+        self.ready
+            && !self.leaving
+            && !self.condemned
+            && self.gone_by.is_none()
+            && self.strays.is_empty()
+            && now >= self.blocked_until
+    }
+
+    /// Removes a slot by proof from outside, such as the machine's end.
+    pub fn drain(&mut self, why: &'static str) -> Vec<SlotEvent> {
+        std::mem::take(&mut self.slots)
+            .into_iter()
+            .map(|(task, slot)| SlotEvent::Lost {
+                task,
+                attempt: slot.attempt,
+                why,
+            })
+            .collect()
+    }
+
+    fn in_push(&self, launch: &Launch) -> bool {
+        self.push.as_ref().is_some_and(|p| p.launches.contains(launch))
+    }
+
+    /// Takes a report in. Nothing but a newer one changes anything.
+    pub fn report(&mut self, r: &Report, source: Source, term: u64, now: Micros) -> Vec<SlotEvent> {
+        let mut events = Vec::new();
+        if self.up && (r.session, r.seq) <= (self.session, self.seq) {
+            return events;
+        }
+        if r.session > self.session || !self.up {
+            // Everything of earlier sessions is killed and forgotten, and
+            // orders for them are refused.
+            self.unanswered.clear();
+            let old: Vec<TaskKey> = self
+                .slots
+                .iter()
+                .filter(|(_, s)| s.session < r.session)
+                .map(|(k, _)| k.clone())
+                .collect();
+            for task in old {
+                if let Some(slot) = self.slots.remove(&task) {
+                    events.push(SlotEvent::Lost {
+                        task,
+                        attempt: slot.attempt,
+                        why: "a later session has begun",
+                    });
+                }
+            }
+        }
+        self.up = true;
+        self.session = r.session;
+        self.seq = r.seq;
+        self.heard_at = now;
+        if !r.addr.is_empty() {
+            self.addr = Some(r.addr.clone());
+        }
+        self.gone_by = r
+            .notice_s
+            .filter(|s| s.is_finite())
+            .map(|s| now + micros(s));
+        if r.token != term {
+            // Commands of an earlier leader may still be carried out: the list
+            // is no proof yet.
+            return events;
+        }
+        self.ready = true;
+        self.exited.clear();
+        self.strays.clear();
+        let mut present = BTreeSet::new();
+        for t in &r.tasks {
+            let key: TaskKey = (Rc::from(t.task.job.as_str()), t.task.index);
+            let launch = (t.task.clone(), t.attempt);
+            let own = self.slots.get(&key).is_some_and(|s| s.attempt == t.attempt);
+            if t.state == TaskState::Exited {
+                self.exited.push(launch);
+                if own && let Some(slot) = self.slots.remove(&key) {
+                    events.push(SlotEvent::Exited {
+                        task: key,
+                        attempt: t.attempt,
+                        why: t.why.unwrap_or(Why::Other),
+                        ran: slot
+                            .running_since
+                            .filter(|_| slot.watched)
+                            .map(|since| now.saturating_sub(since)),
+                    });
+                }
+            } else if own {
+                if let Some(slot) = self.slots.get_mut(&key) {
+                    if t.state == TaskState::Running && slot.seen != Some(TaskState::Running) {
+                        slot.running_since = Some(now);
+                        events.push(SlotEvent::Running(key.clone()));
+                    }
+                    slot.seen = Some(t.state);
+                }
+                present.insert(key);
+            } else {
+                self.strays.push(launch);
+            }
+        }
+        // Absent: proof only if no launch can still be carried out. A launch in
+        // an answer is dropped or done by the time of the next check-in, since
+        // a worker has one under way at a time.
+        let gone: Vec<TaskKey> = self
+            .slots
+            .iter()
+            .filter(|(key, s)| {
+                let launch = (name(key), s.attempt);
+                !present.contains(*key)
+                    && s.stored
+                    && (s.cancelled || s.seen.is_some())
+                    && !self.unanswered.contains(&launch)
+                    && !self.in_push(&launch)
+                    && s.launched_in.is_none_or(|at| {
+                        source == Source::Checkin && (r.session, r.seq) > at
+                    })
+            })
+            .map(|(k, _)| k.clone())
+            .collect();
+        for task in gone {
+            if let Some(slot) = self.slots.remove(&task) {
+                events.push(SlotEvent::Lost {
+                    task,
+                    attempt: slot.attempt,
+                    why: "absent from a newer report",
+                });
+            }
+        }
+        if !self.slots.is_empty() {
+            self.empty_since = now;
+        }
+        events
+    }
+
+    /// The commands that the machine needs, worked out anew each time, so that
+    /// a lost message needs no account of its own. `settled` tells whether the
+    /// end of an exited attempt is in the store.
+    pub fn commands(&self, settled: impl Fn(&TaskName, u64) -> bool) -> Vec<Command> {
+        let mut commands = Vec::new();
+        for (task, attempt) in &self.exited {
+            let launch = (task.clone(), *attempt);
+            // After a reap the worker would start a late launch of the same
+            // attempt again, so it keeps what may still be launched.
+            if settled(task, *attempt) && !self.unanswered.contains(&launch) && !self.in_push(&launch)
+            {
+                commands.push(Command::Forget {
+                    task: task.clone(),
+                    attempt: *attempt,
+                });
+            }
+        }
+        for (task, attempt) in &self.strays {
+            commands.push(Command::Stop {
+                task: task.clone(),
+                attempt: *attempt,
+                grace_s: 0,
+            });
+        }
+        for (key, slot) in &self.slots {
+            if slot.session != self.session || !slot.stored {
+                continue;
+            }
+            if slot.cancelled {
+                if slot.seen.is_some() {
+                    commands.push(Command::Stop {
+                        task: name(key),
+                        attempt: slot.attempt,
+                        grace_s: 0,
+                    });
+                }
+            } else if slot.seen.is_none() && !self.in_push(&(name(key), slot.attempt)) {
+                commands.push(Command::Start {
+                    task: name(key),
+                    attempt: slot.attempt,
+                });
+            }
+        }
+        commands
+    }
+
+    /// Notes which launches went out in the answer to the latest report.
+    pub fn answered_with(&mut self, commands: &[Command]) {
+        let at = (self.session, self.seq);
+        for c in commands {
+            if let Command::Start { task, attempt } = c
+                && let Some(slot) = self.slots.get_mut(&(Rc::from(task.job.as_str()), task.index))
+                && slot.attempt == *attempt
+            {
+                slot.launched_in = Some(at);
+            }
+        }
+    }
+
+    pub fn pushed(&mut self, id: CallId, commands: &[Command]) {
+        let launches = commands
+            .iter()
+            .filter_map(|c| match c {
+                Command::Start { task, attempt } => Some((task.clone(), *attempt)),
+                _ => None,
+            })
+            .collect();
+        self.push = Some(Push { id, launches });
+    }
+
+    /// Ends the push under way. Without an answer its launches may still come.
+    pub fn push_ended(&mut self, id: CallId, unanswered: bool) {
+        if self.push.as_ref().is_some_and(|p| p.id == id)
+            && let Some(push) = self.push.take()
+            && unanswered
+        {
+            self.unanswered.extend(push.launches);
+        }
+    }
+}
+
+pub fn name(key: &TaskKey) -> TaskName {
+    TaskName {
+        job: key.0.to_string(),
+        index: key.1,
+    }
+}
--- /dev/null
+++ b/crates/dillcleat/src/cli.rs
@@ -0,0 +1,284 @@
+//! The command line.
+
+use crate::{http, serve};
+use clap::{Parser, Subcommand};
+use dillcleat_core::{Config, Tuning};
+use dillcleat_wire::platform::Platform;
+use dillcleat_wire::user::{self, JobSpec, JobStatus, Kind, Priority, Refusal};
+use smol::Timer;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// How long a command of a person is tried.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+#[derive(Parser)]
+#[command(name = "dillcleat", version, about = "A cluster scheduler: three controllers, rented machines, one small state service", arg_required_else_help = true)]
+pub struct Cli {
+    /// Serve as a controller with the platform's settings file
+    #[arg(long, value_name = "FILE", conflicts_with = "command")]
+    config: Option<PathBuf>,
+    /// The operator's own settings (TOML); also DILLCLEAT_TUNING
+    #[arg(long, value_name = "FILE", global = true)]
+    tuning: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check a settings file (and --tuning) without opening a socket
+    Check {
+        /// The platform's settings file
+        file: PathBuf,
+    },
+    /// Submit a job
+    Submit(Box<Submit>),
+    /// Show how a job is
+    Status {
+        /// A controller's or load balancer's address, IP:PORT
+        #[arg(long, value_name = "ADDR")]
+        server: String,
+        /// The job's id, such as req-000412
+        job: String,
+    },
+    /// Cancel a job
+    Abort {
+        /// A controller's or load balancer's address, IP:PORT
+        #[arg(long, value_name = "ADDR")]
+        server: String,
+        /// The job's id, such as req-000412
+        job: String,
+    },
+}
+
+#[derive(Parser)]
+struct Submit {
+    /// A controller's or load balancer's address, IP:PORT
+    #[arg(long, value_name = "ADDR")]
+    server: String,
+    /// The job's id, such as req-000412
+    job: String,
+    /// Class of jobs that it belongs to
+    #[arg(long)]
+    class: String,
+    /// Team whose guarantee and limit apply
+    #[arg(long)]
+    team: String,
+    /// Run replicas until the job is cancelled instead of tasks to completion
+    #[arg(long)]
+    service: bool,
+    /// production, high, normal or best-effort
+    #[arg(long, default_value = "normal", value_parser = parse_priority)]
+    priority: Priority,
+    /// Number of tasks
+    #[arg(long, default_value_t = 1)]
+    tasks: u32,
+    /// CPUs of each task
+    #[arg(long, default_value_t = 1.0)]
+    cpus: f64,
+    /// GPUs of each task
+    #[arg(long, default_value_t = 0.0)]
+    gpus: f64,
+    /// Memory of each task, in GB
+    #[arg(long, default_value_t = 1.0)]
+    memory_gb: f64,
+    /// Image that each task needs
+    #[arg(long)]
+    image: String,
+    /// Size of the image, in GB
+    #[arg(long, default_value_t = 0.0)]
+    image_gb: f64,
+    /// An allowed machine type; may be given several times
+    #[arg(long = "type", value_name = "TYPE")]
+    types: Vec<String>,
+    /// The only allowed zone
+    #[arg(long)]
+    zone: Option<String>,
+    /// Run all tasks in one zone
+    #[arg(long)]
+    one_zone: bool,
+    /// Have at most half of the tasks in one zone
+    #[arg(long)]
+    spread: bool,
+    /// Allow spot machines
+    #[arg(long)]
+    spot: bool,
+    /// Estimated run time of a task, in seconds
+    #[arg(long, default_value_t = 0.0)]
+    estimate_s: f64,
+    /// When the job should be complete, in seconds from now
+    #[arg(long)]
+    deadline_s: Option<f64>,
+}
+
+fn parse_priority(s: &str) -> Result<Priority, String> {
+    match s {
+        "production" => Ok(Priority::Production),
+        "high" => Ok(Priority::High),
+        "normal" => Ok(Priority::Normal),
+        "best-effort" | "best_effort" => Ok(Priority::BestEffort),
+        _ => Err("must be production, high, normal or best-effort".into()),
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum CliError {
+    #[error("{0}: {1}")]
+    Settings(String, String),
+    #[error("cannot listen on {0}: {1}")]
+    Listen(String, std::io::Error),
+    #[error("{0}")]
+    Usage(String),
+    #[error("{0}")]
+    Refused(String),
+    #[error("no answer from {0} in {secs} s", secs = PATIENCE.as_secs())]
+    NoAnswer(String),
+}
+
+impl CliError {
+    /// 2: what was given is wrong; 1: it was right and did not work.
+    pub fn code(&self) -> u8 {
+        match self {
+            CliError::Settings(..) | CliError::Usage(_) => 2,
+            CliError::Listen(..) | CliError::Refused(_) | CliError::NoAnswer(_) => 1,
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String, CliError> {
+    std::fs::read_to_string(path)
+        .map_err(|e| CliError::Settings(path.display().to_string(), e.to_string()))
+}
+
+fn settings(file: &Path, tuning: Option<&Path>) -> Result<(Platform, Config), CliError> {
+    let platform = Platform::parse(&read(file)?)
+        .map_err(|e| CliError::Settings(file.display().to_string(), e.to_string()))?;
+    let from_env = std::env::var_os("DILLCLEAT_TUNING").map(PathBuf::from);
+    let tuning = match tuning.map(Path::to_path_buf).or(from_env) {
+        None => Tuning::default(),
+        Some(path) => Tuning::parse(&read(&path)?)
+            .map_err(|e| CliError::Settings(path.display().to_string(), e.to_string()))?,
+    };
+    let config = Config::new(&platform, tuning);
+    Ok((platform, config))
+}
+
+impl Cli {
+    pub fn run(self) -> Result<(), CliError> {
+        let tuning = self.tuning.as_deref();
+        match (self.config, self.command) {
+            (Some(file), None) => {
+                let (platform, config) = settings(&file, tuning)?;
+                serve::run(&platform, config)
+            }
+            (None, Some(Command::Check { file })) => {
+                let (platform, _) = settings(&file, tuning)?;
+                println!("{}: settings of {} are good", file.display(), platform.member);
+                Ok(())
+            }
+            (None, Some(Command::Submit(s))) => s.run(),
+            (None, Some(Command::Status { server, job })) => {
+                let path = user::poll_path(checked_id(&job)?);
+                show(&ask(&server, "GET", &path, &[])?)
+            }
+            (None, Some(Command::Abort { server, job })) => {
+                let path = user::cancel_path(checked_id(&job)?);
+                show(&ask(&server, "POST", &path, &[])?)
+            }
+            _ => Err(CliError::Usage(
+                "give --config FILE to serve, or a command; see --help".into(),
+            )),
+        }
+    }
+}
+
+fn checked_id(job: &str) -> Result<&str, CliError> {
+    if user::is_job_id(job) {
+        Ok(job)
+    } else {
+        Err(CliError::Usage(format!(
+            "{job:?} is not a job id; ids look like req-000412"
+        )))
+    }
+}
+
+impl Submit {
+    fn run(self) -> Result<(), CliError> {
+        let spec = JobSpec {
+            id: checked_id(&self.job)?.to_string(),
+            class: self.class,
+            team: self.team,
+            kind: if self.service {
+                Kind::Service
+            } else {
+                Kind::Batch
+            },
+            priority: self.priority,
+            tasks: self.tasks,
+            cpus: self.cpus,
+            gpus: self.gpus,
+            memory_gb: self.memory_gb,
+            image: self.image,
+            image_gb: self.image_gb,
+            types: (!self.types.is_empty()).then_some(self.types),
+            zone: self.zone,
+            one_zone: self.one_zone,
+            spread: self.spread,
+            spot: self.spot,
+            estimate_s: self.estimate_s,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: self.deadline_s,
+        };
+        let body = dillcleat_wire::encode(&spec);
+        show(&ask(&self.server, "POST", user::JOBS_PATH, &body)?)
+    }
+}
+
+/// Asks until there is a final answer, as any client does.
+fn ask(server: &str, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, CliError> {
+    if server.parse::<std::net::SocketAddr>().is_err() {
+        return Err(CliError::Usage(format!(
+            "--server must be IP:PORT, is {server:?}"
+        )));
+    }
+    smol::block_on(async {
+        let pool = http::Pool::new(1);
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            let reply = pool
+                .call(server, method, path, body, Duration::from_secs(5))
+                .await;
+            match reply {
+                Ok((200 | 201, body)) => return Ok(body),
+                Ok((status @ (400 | 404 | 405 | 413 | 422), body)) => {
+                    let cause = dillcleat_wire::decode::<Refusal>(&body)
+                        .map_or_else(|_| format!("status {status}"), |r| r.error);
+                    return Err(CliError::Refused(cause));
+                }
+                _ => {
+                    Timer::after(Duration::from_secs(1)).await;
+                }
+            }
+        }
+        Err(CliError::NoAnswer(server.to_string()))
+    })
+}
+
+fn show(body: &[u8]) -> Result<(), CliError> {
+    let status: JobStatus =
+        dillcleat_wire::decode(body).map_err(|e| CliError::Refused(e.to_string()))?;
+    let state = match status.state {
+        user::JobState::Queued => "pending",
+        user::JobState::Running => "running",
+        user::JobState::Done => "done",
+        user::JobState::Cancelled => "aborted",
+    };
+    let mut line = format!("{} {state}", status.id);
+    if let (Some(done), Some(running)) = (status.done, status.running) {
+        line += &format!(", {done} tasks done, {running} running");
+    }
+    println!("{line}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/dillcleat/src/http.rs
@@ -0,0 +1,314 @@
+//! HTTP/1.1 as the protocols use it: small bodies, no pipelining, connections
+//! kept open. Parsing of heads is `httparse`'s.
+
+use dillcleat_core::{Answer, CallError};
+use dillcleat_wire::BODY_LIMIT;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use smol::Timer;
+use smol::net::TcpStream;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Bound of a request's head.
+const HEAD_LIMIT: usize = 8 * 1024;
+const MAX_HEADERS: usize = 48;
+/// Bound of an answer's body. Watches have no limit of their own; the store
+/// keeps 10,000 changes.
+const REPLY_LIMIT: usize = 16 * 1024 * 1024;
+/// How long a connection may take to get a whole request across.
+const REQUEST_TIME: Duration = Duration::from_secs(5);
+/// How long a connection may idle between two requests.
+const IDLE_TIME: Duration = Duration::from_secs(40);
+/// How long an unused connection of ours is kept.
+const KEEP: Duration = Duration::from_secs(20);
+
+#[derive(Debug)]
+pub struct Request {
+    pub method: String,
+    pub target: String,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+/// Why no request came of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bad {
+    /// Closed, timed out or broken: nothing to answer.
+    Gone,
+    /// Not HTTP, or its head is past the bound.
+    Malformed,
+    TooLarge,
+}
+
+async fn within<T>(
+    time: Duration,
+    work: impl Future<Output = std::io::Result<T>>,
+) -> std::io::Result<T> {
+    work.or(async {
+        Timer::after(time).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    })
+    .await
+}
+
+struct Head {
+    len: usize,
+    body: usize,
+    close: bool,
+}
+
+fn body_headers(headers: &[httparse::Header]) -> Option<(usize, bool)> {
+    let mut body = 0;
+    let mut close = false;
+    for h in headers {
+        let value = std::str::from_utf8(h.value).ok()?.trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            body = value.parse().ok()?;
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            // Nobody in these protocols sends chunks.
+            return None;
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            close = value.eq_ignore_ascii_case("close");
+        }
+    }
+    Some((body, close))
+}
+
+/// The server's side of a connection.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    pub fn new(stream: TcpStream) -> Self {
+        Connection {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    async fn fill(&mut self) -> std::io::Result<()> {
+        let mut chunk = [0u8; 4096];
+        match self.stream.read(&mut chunk).await? {
+            0 => Err(std::io::ErrorKind::UnexpectedEof.into()),
+            n => {
+                self.buffer.extend_from_slice(&chunk[..n]);
+                Ok(())
+            }
+        }
+    }
+
+    /// Waits for the next request.
+    pub async fn request(&mut self) -> Result<Request, Bad> {
+        if self.buffer.is_empty() {
+            within(IDLE_TIME, self.fill()).await.map_err(|_| Bad::Gone)?;
+        }
+        async { Ok(self.read_request().await) }
+            .or(async {
+                Timer::after(REQUEST_TIME).await;
+                Err(Bad::Gone)
+            })
+            .await?
+    }
+
+    async fn read_request(&mut self) -> Result<Request, Bad> {
+        let (head, method, target) = loop {
+            let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+            let mut r = httparse::Request::new(&mut headers);
+            match r.parse(&self.buffer) {
+                Ok(httparse::Status::Complete(len)) => {
+                    let (body, close) = body_headers(r.headers).ok_or(Bad::Malformed)?;
+                    let head = Head { len, body, close };
+                    let method = r.method.unwrap_or_default().to_string();
+                    break (head, method, r.path.unwrap_or_default().to_string());
+                }
+                Ok(httparse::Status::Partial) if self.buffer.len() < HEAD_LIMIT => {}
+                _ => return Err(Bad::Malformed),
+            }
+            self.fill().await.map_err(|_| Bad::Gone)?;
+        };
+        if head.len > HEAD_LIMIT {
+            return Err(Bad::Malformed);
+        }
+        if head.body > BODY_LIMIT {
+            return Err(Bad::TooLarge);
+        }
+        while self.buffer.len() < head.len + head.body {
+            self.fill().await.map_err(|_| Bad::Gone)?;
+        }
+        let rest = self.buffer.split_off(head.len + head.body);
+        let body = self.buffer.split_off(head.len);
+        self.buffer = rest;
+        Ok(Request {
+            method,
+            target,
+            body,
+            close: head.close,
+        })
+    }
+
+    pub async fn answer(&mut self, answer: &Answer, close: bool) -> std::io::Result<()> {
+        let mut head = format!(
+            "HTTP/1.1 {} {}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n",
+            answer.status,
+            reason(answer.status),
+            answer.body.len()
+        );
+        if let Some(s) = answer.retry_after {
+            head += &format!("Retry-After: {s}\r\n");
+        }
+        if close {
+            head += "Connection: close\r\n";
+        }
+        head += "\r\n";
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&answer.body);
+        within(REQUEST_TIME, self.stream.write_all(&bytes)).await
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+/// Connections of ours to other services, kept open between calls.
+#[derive(Clone)]
+pub struct Pool {
+    idle: Rc<RefCell<HashMap<String, Vec<(TcpStream, std::time::Instant)>>>>,
+    per_address: usize,
+}
+
+impl Pool {
+    pub fn new(per_address: usize) -> Self {
+        Pool {
+            idle: Rc::new(RefCell::new(HashMap::new())),
+            per_address,
+        }
+    }
+
+    /// Closes what has not been used for a while.
+    pub fn sweep(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for streams in idle.values_mut() {
+            streams.retain(|(_, since)| since.elapsed() < KEEP);
+        }
+        idle.retain(|_, s| !s.is_empty());
+    }
+
+    fn take(&self, addr: &str) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let streams = idle.get_mut(addr)?;
+        while let Some((stream, since)) = streams.pop() {
+            if since.elapsed() < KEEP {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    /// One request and its answer: status and body.
+    pub async fn call(
+        &self,
+        addr: &str,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        time: Duration,
+    ) -> Result<(u16, Vec<u8>), CallError> {
+        let sent = std::cell::Cell::new(false);
+        let work = async {
+            let mut stream = match self.take(addr) {
+                Some(stream) => stream,
+                None => {
+                    let stream = TcpStream::connect(addr)
+                        .await
+                        .map_err(|_| CallError::NotSent)?;
+                    // Small messages that must not wait for each other.
+                    let _ = stream.set_nodelay(true);
+                    stream
+                }
+            };
+            sent.set(true);
+            let mut bytes = format!(
+                "{method} {target} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            )
+            .into_bytes();
+            bytes.extend_from_slice(body);
+            stream
+                .write_all(&bytes)
+                .await
+                .map_err(|_| CallError::NoAnswer)?;
+            let (status, body, keep) = read_reply(&mut stream)
+                .await
+                .ok_or(CallError::NoAnswer)?;
+            if keep {
+                let mut idle = self.idle.borrow_mut();
+                let streams = idle.entry(addr.to_string()).or_default();
+                if streams.len() < self.per_address {
+                    streams.push((stream, std::time::Instant::now()));
+                }
+            }
+            Ok((status, body))
+        };
+        work.or(async {
+            Timer::after(time).await;
+            // A connection that did not come about never will.
+            Err(if sent.get() {
+                CallError::NoAnswer
+            } else {
+                CallError::NotSent
+            })
+        })
+        .await
+    }
+}
+
+async fn read_reply(stream: &mut TcpStream) -> Option<(u16, Vec<u8>, bool)> {
+    let mut buffer = Vec::new();
+    let mut chunk = [0u8; 8192];
+    let (head, status) = loop {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut r = httparse::Response::new(&mut headers);
+        match r.parse(&buffer) {
+            Ok(httparse::Status::Complete(len)) => {
+                let (body, close) = body_headers(r.headers)?;
+                break (Head { len, body, close }, r.code?);
+            }
+            Ok(httparse::Status::Partial) if buffer.len() < HEAD_LIMIT => {}
+            _ => return None,
+        }
+        match stream.read(&mut chunk).await {
+            Ok(n) if n > 0 => buffer.extend_from_slice(&chunk[..n]),
+            _ => return None,
+        }
+    };
+    if head.body > REPLY_LIMIT {
+        return None;
+    }
+    while buffer.len() < head.len + head.body {
+        match stream.read(&mut chunk).await {
+            Ok(n) if n > 0 => buffer.extend_from_slice(&chunk[..n]),
+            _ => return None,
+        }
+    }
+    let clean = buffer.len() == head.len + head.body;
+    let mut body = buffer.split_off(head.len);
+    body.truncate(head.body);
+    Some((status, body, clean && !head.close))
+}
--- /dev/null
+++ b/crates/dillcleat/src/main.rs
@@ -0,0 +1,27 @@
+//! dillcleat: a cluster scheduler.
+
+mod cli;
+mod http;
+mod mesh;
+mod serve;
+
+use clap::Parser;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let cli = cli::Cli::parse();
+    env_logger::Builder::new()
+        .parse_filters(&std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into()))
+        .format(|out, r| {
+            use std::io::Write;
+            writeln!(out, "{} {}", r.level().as_str().to_lowercase(), r.args())
+        })
+        .init();
+    match cli.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("dillcleat: {e}");
+            ExitCode::from(e.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/dillcleat/src/serve.rs
@@ -0,0 +1,322 @@
+//! The controller process: sockets around a [`Node`], on one thread.
+
+use crate::cli::CliError;
+use crate::http::{Bad, Connection, Pool};
+use crate::mesh;
+use dillcleat_core::{
+    Answer, CallError, CallId, Config, Input, Micros, Node, Now, Output, RequestId,
+};
+use dillcleat_mesh::Message;
+use dillcleat_wire::cloud::CloudCall;
+use dillcleat_wire::platform::Platform;
+use dillcleat_wire::state::StateCall;
+use dillcleat_wire::worker::{COMMANDS_PATH, Orders};
+use smol::channel::{Receiver, Sender};
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const TICK: Duration = Duration::from_millis(50);
+/// Inputs that may wait for the core.
+const MAX_INPUTS: usize = 4096;
+/// Messages that may wait for a sibling.
+const MAX_MESSAGES: usize = 256;
+/// Frames that a sibling's connection may have open.
+const MAX_SIBLING_CONNECTIONS: u32 = 16;
+
+struct Shared {
+    inputs: Sender<Input>,
+    answers: RefCell<HashMap<RequestId, Sender<Answer>>>,
+    next_request: Cell<u64>,
+    clients: Cell<u32>,
+    max_clients: u32,
+    siblings_open: Cell<u32>,
+    state: Pool,
+    cloud: Pool,
+    workers: Pool,
+    state_addr: String,
+    cloud_addr: String,
+}
+
+type Executor = Rc<LocalExecutor<'static>>;
+
+pub fn run(platform: &Platform, config: Config) -> Result<(), CliError> {
+    let ex: Executor = Rc::new(LocalExecutor::new());
+    smol::block_on(ex.clone().run(serve(ex, platform, config)))
+}
+
+async fn bind(addr: &str) -> Result<TcpListener, CliError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| CliError::Listen(addr.to_string(), e))
+}
+
+async fn serve(ex: Executor, platform: &Platform, config: Config) -> Result<(), CliError> {
+    let clients = bind(&platform.client_listen).await?;
+    let siblings = bind(&platform.mesh_addr).await?;
+    let (inputs, core_inputs) = smol::channel::bounded(MAX_INPUTS);
+    let max = platform.cluster.quota.max_connections;
+    let shared = Rc::new(Shared {
+        inputs,
+        answers: RefCell::default(),
+        next_request: Cell::new(0),
+        clients: Cell::new(0),
+        // The rest is for the state service, the cloud, workers and siblings.
+        max_clients: max - (max / 4).max(24),
+        siblings_open: Cell::new(0),
+        state: Pool::new(8),
+        cloud: Pool::new(2),
+        workers: Pool::new(1),
+        state_addr: platform.endpoints.state.clone(),
+        cloud_addr: platform.endpoints.cloud.clone(),
+    });
+    let mut speakers = Vec::new();
+    for s in &platform.siblings {
+        let (tx, rx) = smol::channel::bounded(MAX_MESSAGES);
+        speakers.push(tx);
+        ex.spawn(mesh::speak(config.member.clone(), s.peer_addr.clone(), rx))
+            .detach();
+    }
+    let names: Rc<[String]> = config.siblings.clone().into();
+    ex.spawn(accept_clients(ex.clone(), shared.clone(), clients))
+        .detach();
+    ex.spawn(accept_siblings(ex.clone(), shared.clone(), siblings, names))
+        .detach();
+    ex.spawn(tick(shared.clone())).detach();
+    log::info!("{} serves on {}", config.member, platform.client_listen);
+    core(ex, shared, config, core_inputs, speakers).await;
+    Ok(())
+}
+
+async fn tick(shared: Rc<Shared>) {
+    let mut n = 0u32;
+    loop {
+        // A full queue holds later ticks back, not the process.
+        if shared.inputs.send(Input::Tick).await.is_err() {
+            return;
+        }
+        n = n.wrapping_add(1);
+        if n.is_multiple_of(100) {
+            shared.workers.sweep();
+            shared.state.sweep();
+            shared.cloud.sweep();
+        }
+        Timer::after(TICK).await;
+    }
+}
+
+async fn core(
+    ex: Executor,
+    shared: Rc<Shared>,
+    config: Config,
+    inputs: Receiver<Input>,
+    speakers: Vec<Sender<Message>>,
+) {
+    let mut node = Node::new(config);
+    let start = Instant::now();
+    while let Ok(input) = inputs.recv().await {
+        let now = Now {
+            // Zero would look like "never" to what compares times.
+            steady: start.elapsed().as_micros() as Micros + 1_000_000_000,
+            wall: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_micros() as Micros),
+        };
+        for output in node.handle(now, input) {
+            carry_out(&ex, &shared, &speakers, output);
+        }
+    }
+}
+
+fn carry_out(ex: &Executor, shared: &Rc<Shared>, speakers: &[Sender<Message>], output: Output) {
+    match output {
+        Output::Answer { id, answer } => {
+            if let Some(tx) = shared.answers.borrow_mut().remove(&id) {
+                // The client may have gone meanwhile.
+                let _ = tx.try_send(answer);
+            }
+        }
+        Output::State { id, call, timeout } => {
+            ex.spawn(state_call(shared.clone(), id, call, timeout))
+                .detach();
+        }
+        Output::Cloud { id, call, timeout } => {
+            ex.spawn(cloud_call(shared.clone(), id, call, timeout))
+                .detach();
+        }
+        Output::Orders {
+            id,
+            addr,
+            orders,
+            timeout,
+        } => {
+            ex.spawn(orders_call(shared.clone(), id, addr, orders, timeout))
+                .detach();
+        }
+        Output::Mesh { message } => {
+            for s in speakers {
+                // A sibling that does not keep up misses hints only.
+                let _ = s.try_send(message.clone());
+            }
+        }
+    }
+}
+
+async fn state_call(shared: Rc<Shared>, id: CallId, call: StateCall, timeout: Micros) {
+    let (method, target, body) = call.request();
+    let time = Duration::from_micros(timeout);
+    let reply = shared
+        .state
+        .call(&shared.state_addr, method, &target, &body, time)
+        .await
+        .and_then(|(status, body)| {
+            call.reply(status, &body).map_err(|e| {
+                log::error!("the state service answers {method} {target} with nonsense: {e}");
+                CallError::NoAnswer
+            })
+        });
+    log::debug!("state {method} {target}: {}", outcome(&reply));
+    let _ = shared.inputs.send(Input::State { id, reply }).await;
+}
+
+fn outcome<T>(reply: &Result<T, CallError>) -> String {
+    match reply {
+        Ok(_) => "answered".into(),
+        Err(e) => e.to_string(),
+    }
+}
+
+async fn cloud_call(shared: Rc<Shared>, id: CallId, call: CloudCall, timeout: Micros) {
+    let (method, target, body) = call.request();
+    let time = Duration::from_micros(timeout);
+    let reply = shared
+        .cloud
+        .call(&shared.cloud_addr, method, &target, &body, time)
+        .await
+        .and_then(|(status, body)| {
+            call.reply(status, &body).map_err(|e| {
+                log::error!("the cloud answers {method} {target} with nonsense: {e}");
+                CallError::NoAnswer
+            })
+        });
+    log::debug!("cloud {method} {target}: {}", outcome(&reply));
+    let _ = shared.inputs.send(Input::Cloud { id, reply }).await;
+}
+
+async fn orders_call(
+    shared: Rc<Shared>,
+    id: CallId,
+    addr: String,
+    orders: Orders,
+    timeout: Micros,
+) {
+    let body = dillcleat_wire::encode(&orders);
+    let time = Duration::from_micros(timeout);
+    let reply = shared
+        .workers
+        .call(&addr, "POST", COMMANDS_PATH, &body, time)
+        .await;
+    log::debug!("orders to {addr}: {}", outcome(&reply));
+    let _ = shared.inputs.send(Input::Orders { id, reply }).await;
+}
+
+/// Counts a connection for as long as it lives.
+struct Counted<F: Fn(&Shared) -> &Cell<u32>>(Rc<Shared>, F);
+
+impl<F: Fn(&Shared) -> &Cell<u32>> Counted<F> {
+    fn new(shared: &Rc<Shared>, of: F) -> Self {
+        of(shared).set(of(shared).get() + 1);
+        Counted(shared.clone(), of)
+    }
+}
+
+impl<F: Fn(&Shared) -> &Cell<u32>> Drop for Counted<F> {
+    fn drop(&mut self) {
+        let cell = (self.1)(&self.0);
+        cell.set(cell.get() - 1);
+    }
+}
+
+async fn accept_clients(ex: Executor, shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            // Beyond the bound the connection is closed at once: the load
+            // balancer and the workers go to another node.
+            Ok((stream, _)) if shared.clients.get() < shared.max_clients => {
+                ex.spawn(client(shared.clone(), stream)).detach();
+            }
+            Ok(_) => log::debug!("too many connections"),
+            Err(e) => {
+                log::error!("cannot accept a connection: {e}");
+                Timer::after(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn client(shared: Rc<Shared>, stream: TcpStream) {
+    let _counted = Counted::new(&shared, |s| &s.clients);
+    let _ = stream.set_nodelay(true);
+    let mut connection = Connection::new(stream);
+    loop {
+        let request = match connection.request().await {
+            Ok(r) => r,
+            Err(Bad::Gone) => return,
+            Err(bad) => {
+                let answer = match bad {
+                    Bad::TooLarge => Answer::refusal(413, "the body is too large"),
+                    _ => Answer::refusal(400, "malformed request"),
+                };
+                let _ = connection.answer(&answer, true).await;
+                return;
+            }
+        };
+        let id = RequestId(shared.next_request.get());
+        shared.next_request.set(id.0 + 1);
+        let (tx, rx) = smol::channel::bounded(1);
+        shared.answers.borrow_mut().insert(id, tx);
+        let input = Input::Request {
+            id,
+            method: request.method,
+            target: request.target,
+            body: request.body,
+        };
+        if shared.inputs.send(input).await.is_err() {
+            return;
+        }
+        let Ok(answer) = rx.recv().await else {
+            return;
+        };
+        if connection.answer(&answer, request.close).await.is_err() || request.close {
+            return;
+        }
+    }
+}
+
+async fn accept_siblings(
+    ex: Executor,
+    shared: Rc<Shared>,
+    listener: TcpListener,
+    names: Rc<[String]>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if shared.siblings_open.get() < MAX_SIBLING_CONNECTIONS => {
+                let (shared, names) = (shared.clone(), names.clone());
+                ex.spawn(async move {
+                    let _counted = Counted::new(&shared, |s| &s.siblings_open);
+                    mesh::listen(stream, &names, shared.inputs.clone()).await;
+                })
+                .detach();
+            }
+            Ok(_) => log::error!("too many sibling connections"),
+            Err(e) => {
+                log::error!("cannot accept a sibling: {e}");
+                Timer::after(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/cloud.rs
@@ -0,0 +1,168 @@
+//! The cloud that rents machines.
+
+use crate::{BodyError, decode, encode};
+use serde::{Deserialize, Serialize};
+
+/// The most machines one rental request may ask for.
+pub const MAX_RENT: u32 = 50;
+/// The most machines one deletion may name.
+pub const MAX_DELETE: usize = 100;
+/// The most rows of one page of the machine list.
+pub const LIST_PAGE: u32 = 500;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    pub name: String,
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
+    #[serde(rename = "accelerators", default)]
+    pub gpus: f64,
+    #[serde(rename = "ram_gb")]
+    pub memory_gb: f64,
+    #[serde(default)]
+    pub cache_gb: f64,
+    #[serde(rename = "pull_gb_per_s", default)]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "rate")]
+    pub price: f64,
+    #[serde(rename = "low_price", default)]
+    pub spot_price: Option<f64>,
+    #[serde(default)]
+    pub boot_s: f64,
+    #[serde(rename = "rooms")]
+    pub zones: Vec<String>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineTypes {
+    #[serde(rename = "formats")]
+    pub types: Vec<MachineType>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rent {
+    #[serde(rename = "hire_note")]
+    pub request: String,
+    #[serde(rename = "format")]
+    pub machine_type: String,
+    #[serde(rename = "room")]
+    pub zone: String,
+    #[serde(rename = "remainders")]
+    pub spot: bool,
+    pub count: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Names {
+    #[serde(rename = "shelves")]
+    pub machines: Vec<String>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Condition {
+    #[serde(rename = "starting")]
+    Booting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ListedMachine {
+    #[serde(rename = "ref")]
+    pub name: String,
+    #[serde(default)]
+    pub addr: Option<String>,
+    #[serde(rename = "format")]
+    pub machine_type: String,
+    #[serde(rename = "room")]
+    pub zone: String,
+    #[serde(rename = "remainders")]
+    pub spot: bool,
+    #[serde(rename = "condition")]
+    pub condition: Condition,
+    #[serde(rename = "held_s", default)]
+    pub age_s: f64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineList {
+    #[serde(rename = "shelves")]
+    pub machines: Vec<ListedMachine>,
+    #[serde(default)]
+    pub more: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudCall {
+    Types,
+    Rent(Rent),
+    Delete(Vec<String>),
+    List { after: Option<String> },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum CloudReply {
+    Types(Vec<MachineType>),
+    Rented(Vec<String>),
+    NoCapacity,
+    Deleted,
+    Listed(MachineList),
+    /// Not executed: too many calls, or the interface is in trouble.
+    Refused { status: u16 },
+    /// The request itself was at fault.
+    Malformed,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: Option<String>,
+}
+
+impl CloudCall {
+    /// Method, target and body of the request.
+    pub fn request(&self) -> (&'static str, String, Vec<u8>) {
+        match self {
+            CloudCall::Types => ("GET", "/flavors".into(), Vec::new()),
+            CloudCall::Rent(rent) => ("POST", "/hosts".into(), encode(rent)),
+            CloudCall::Delete(names) => (
+                "POST",
+                "/hosts/delete".into(),
+                encode(&Names {
+                    machines: names.clone(),
+                }),
+            ),
+            CloudCall::List { after } => {
+                let from = after.as_ref().map_or(String::new(), |a| format!("from={a}&"));
+                ("GET", format!("/hosts?{from}most={LIST_PAGE}"), Vec::new())
+            }
+        }
+    }
+
+    /// Reads the answer. Nonsense is an error and counts as no answer.
+    pub fn reply(&self, status: u16, body: &[u8]) -> Result<CloudReply, BodyError> {
+        match (status, self) {
+            (200, CloudCall::Types) => Ok(CloudReply::Types(decode::<MachineTypes>(body)?.types)),
+            (200, CloudCall::Rent(_)) => Ok(CloudReply::Rented(decode::<Names>(body)?.machines)),
+            (200, CloudCall::Delete(_)) => Ok(CloudReply::Deleted),
+            (200, CloudCall::List { .. }) => Ok(CloudReply::Listed(decode(body)?)),
+            (503, CloudCall::Rent(_)) => {
+                let full = decode::<ErrorBody>(body)
+                    .ok()
+                    .and_then(|e| e.error)
+                    .is_some_and(|e| e == "no capacity");
+                Ok(if full {
+                    CloudReply::NoCapacity
+                } else {
+                    CloudReply::Refused { status }
+                })
+            }
+            (400 | 404, _) => Ok(CloudReply::Malformed),
+            (429 | 503, _) => Ok(CloudReply::Refused { status }),
+            (other, _) => Err(BodyError::Malformed(format!("unexpected status {other}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/platform.rs
@@ -0,0 +1,181 @@
+//! The settings file that the platform hands over.
+
+use serde::Deserialize;
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    pub member: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    pub client_listen: String,
+    pub mesh_addr: String,
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    pub endpoints: Endpoints,
+    pub cluster: Cluster,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Sibling {
+    pub member: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    pub peer_addr: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    pub cloud: String,
+    pub state: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Cluster {
+    pub size: u32,
+    pub zones: Vec<String>,
+    pub clock_error_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub quota: Quota,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<String>,
+    pub within_s: Option<f64>,
+    pub share: Option<f64>,
+    pub times: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: u32,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Quota {
+    pub cpu_share: f64,
+    pub mem_mb: f64,
+    pub max_connections: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct PlatformError(pub String);
+
+impl Platform {
+    /// Reads the file's text. Unknown fields are ignored; what is missing or
+    /// out of range is named.
+    pub fn parse(text: &str) -> Result<Platform, PlatformError> {
+        let p: Platform =
+            toml::from_str(text).map_err(|e| PlatformError(one_line(&e.to_string())))?;
+        let c = &p.cluster;
+        let checks = [
+            ("cluster.workers.report_s", c.workers.report_s, 0.01, 3600.0),
+            ("cluster.workers.lease_s", c.workers.lease_s, 0.1, 86400.0),
+            ("cluster.workers.cancel_s", c.workers.cancel_s, 0.1, 86400.0),
+            ("cluster.clock_error_ms", c.clock_error_ms, 0.0, 3.6e6),
+            ("cluster.state.rps", c.state.rps, 1.0, 1e9),
+            ("cluster.state.write_rps", c.state.write_rps, 1.0, 1e9),
+            ("cluster.state.value_kb", c.state.value_kb, 1.0, 1e6),
+            ("cluster.cloud.rps", c.cloud.rps, 0.01, 1e9),
+            ("cluster.cloud.list_lag_s", c.cloud.list_lag_s, 0.0, 86400.0),
+            ("cluster.quota.mem_mb", c.quota.mem_mb, 8.0, 1e9),
+        ];
+        for (key, v, low, high) in checks {
+            if !v.is_finite() || v < low || v > high {
+                return Err(PlatformError(format!(
+                    "{key}: must be from {low} to {high}, is {v}"
+                )));
+            }
+        }
+        if c.state.txn_ops < 8 {
+            return Err(PlatformError(format!(
+                "cluster.state.txn_ops: must be at least 8, is {}",
+                c.state.txn_ops
+            )));
+        }
+        if c.quota.max_connections < 32 {
+            return Err(PlatformError(format!(
+                "cluster.quota.max_connections: must be at least 32, is {}",
+                c.quota.max_connections
+            )));
+        }
+        if c.workers.cancel_s <= c.workers.lease_s {
+            return Err(PlatformError(
+                "cluster.workers.cancel_s: must be above lease_s".into(),
+            ));
+        }
+        for team in &c.teams {
+            for (key, v) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !v.is_finite() || v < 0.0 {
+                    return Err(PlatformError(format!(
+                        "cluster.teams.{}.{key}: must not be negative, is {v}",
+                        team.name
+                    )));
+                }
+            }
+        }
+        for (key, addr) in [
+            ("client_listen", &p.client_listen),
+            ("mesh_addr", &p.mesh_addr),
+            ("endpoints.cloud", &p.endpoints.cloud),
+            ("endpoints.state", &p.endpoints.state),
+        ]
+        .into_iter()
+        .chain(p.siblings.iter().map(|s| ("siblings.peer_addr", &s.peer_addr)))
+        {
+            if addr.parse::<std::net::SocketAddr>().is_err() {
+                return Err(PlatformError(format!(
+                    "{key}: must be IP:PORT, is {addr:?}"
+                )));
+            }
+        }
+        Ok(p)
+    }
+}
+
+/// A parser's message folded into one line.
+pub fn one_line(message: &str) -> String {
+    message.split_whitespace().collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/crates/wire/src/state.rs
@@ -0,0 +1,323 @@
+//! The state service: keys with versions, transactions, leases, watches.
+
+use crate::{BodyError, decode, encode};
+pub use rmpv::Value;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// The most rows of one page of a listing.
+pub const LIST_PAGE: u32 = 1000;
+/// The bound of a whole transaction, in the JSON form.
+pub const TXN_BYTES: usize = 64 * 1024;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    #[serde(rename = "k")]
+    pub key: String,
+    #[serde(rename = "v")]
+    pub value: Value,
+    #[serde(rename = "entry_no")]
+    pub version: u64,
+    #[serde(rename = "loan", default)]
+    pub lease: Option<u64>,
+}
+
+impl Row {
+    /// The row's value as a typed record; None if it is not one.
+    pub fn read<T: DeserializeOwned>(&self) -> Option<T> {
+        read(&self.value)
+    }
+}
+
+/// A stored value as a typed record; None if it is not one.
+pub fn read<T: DeserializeOwned>(value: &Value) -> Option<T> {
+    rmpv::ext::from_value(value.clone()).ok()
+}
+
+/// A typed record as a value to store: a map with text keys.
+pub fn value<T: Serialize>(record: &T) -> Value {
+    rmp_serde::to_vec_named(record)
+        .ok()
+        .and_then(|bytes| rmpv::decode::read_value(&mut bytes.as_slice()).ok())
+        .unwrap_or(Value::Nil)
+}
+
+/// The size a value has in the JSON form, in which the limits are counted.
+pub fn json_size(value: &Value) -> usize {
+    match value {
+        Value::Nil | Value::Boolean(true) => 4,
+        Value::Boolean(false) => 5,
+        Value::Integer(n) => n.to_string().len(),
+        Value::F32(x) => x.to_string().len() + 2,
+        Value::F64(x) => x.to_string().len() + 2,
+        // Anything that JSON would escape counts as the longest escape.
+        Value::String(s) => {
+            2 + s.as_str().map_or(0, |s| {
+                s.chars()
+                    .map(|c| match c {
+                        ' '..='~' if c != '"' && c != '\\' => 1,
+                        _ => 12,
+                    })
+                    .sum()
+            })
+        }
+        Value::Array(items) => 2 + items.iter().map(|i| json_size(i) + 1).sum::<usize>(),
+        Value::Map(items) => {
+            2 + items
+                .iter()
+                .map(|(k, v)| json_size(k) + json_size(v) + 2)
+                .sum::<usize>()
+        }
+        Value::Binary(b) => 2 + 4 * b.len(),
+        Value::Ext(_, b) => 2 + 4 * b.len(),
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Compare {
+    #[serde(rename = "k")]
+    pub key: String,
+    #[serde(rename = "entry_no")]
+    pub version: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Change {
+    Put {
+        #[serde(rename = "set")]
+        key: String,
+        #[serde(rename = "v")]
+        value: Value,
+        #[serde(rename = "loan", default, skip_serializing_if = "Option::is_none")]
+        lease: Option<u64>,
+    },
+    Delete {
+        #[serde(rename = "drop")]
+        key: String,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Txn {
+    #[serde(rename = "when")]
+    pub compare: Vec<Compare>,
+    #[serde(rename = "then", default, skip_serializing_if = "Vec::is_empty")]
+    pub then: Vec<Change>,
+}
+
+impl Txn {
+    pub fn compare(mut self, key: impl Into<String>, version: u64) -> Self {
+        self.compare.push(Compare {
+            key: key.into(),
+            version,
+        });
+        self
+    }
+
+    pub fn put<T: Serialize>(mut self, key: impl Into<String>, record: &T) -> Self {
+        self.then.push(Change::Put {
+            key: key.into(),
+            value: value(record),
+            lease: None,
+        });
+        self
+    }
+
+    pub fn put_leased<T: Serialize>(mut self, key: &str, record: &T, lease: u64) -> Self {
+        self.then.push(Change::Put {
+            key: key.into(),
+            value: value(record),
+            lease: Some(lease),
+        });
+        self
+    }
+
+    pub fn delete(mut self, key: impl Into<String>) -> Self {
+        self.then.push(Change::Delete { key: key.into() });
+        self
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    #[serde(rename = "rows")]
+    pub rows: Vec<Row>,
+    #[serde(default)]
+    pub more: bool,
+    #[serde(rename = "ledger_no")]
+    pub revision: u64,
+}
+
+/// One change seen by a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Event {
+    Put {
+        #[serde(rename = "set")]
+        key: String,
+        #[serde(rename = "v")]
+        value: Value,
+        #[serde(rename = "entry_no")]
+        version: u64,
+    },
+    Delete {
+        #[serde(rename = "drop")]
+        key: String,
+        #[serde(rename = "entry_no")]
+        version: u64,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Changes {
+    #[serde(rename = "ledger_no")]
+    pub revision: u64,
+    #[serde(default)]
+    pub events: Vec<Event>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum StateCall {
+    Get { key: String },
+    List { prefix: String, after: Option<String> },
+    Txn(Txn),
+    NewLease { ttl_ms: u64 },
+    Extend { lease: u64 },
+    EndLease { lease: u64 },
+    Watch { prefix: String, after: u64, hold_ms: u64 },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum StateReply {
+    Found(Row),
+    /// No such key; the revision at which that was so.
+    Absent { revision: u64 },
+    Page(Page),
+    Committed { revision: u64 },
+    Conflict { failed: Vec<String>, revision: u64 },
+    Lease { lease: u64 },
+    /// The lease has ended, or is no such lease.
+    LeaseGone,
+    Extended,
+    Changes(Changes),
+    /// The watch starts too far back.
+    TooOld,
+    /// Not executed: over a limit.
+    TooMany,
+    /// Not executed: an outage, or this node alone is refused.
+    Unavailable,
+    /// The request itself was at fault.
+    Malformed,
+}
+
+#[derive(Deserialize)]
+struct Revision {
+    #[serde(rename = "ledger_no", default)]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    failed: Vec<String>,
+    #[serde(rename = "ledger_no", default)]
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct Ttl {
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Loan {
+    #[serde(rename = "loan")]
+    lease: u64,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: Option<String>,
+}
+
+impl StateCall {
+    /// Method, target and body of the request.
+    pub fn request(&self) -> (&'static str, String, Vec<u8>) {
+        match self {
+            StateCall::Get { key } => ("GET", format!("/kv/{key}"), Vec::new()),
+            StateCall::List { prefix, after } => {
+                let from = after.as_ref().map_or(String::new(), |a| format!("&from={a}"));
+                (
+                    "GET",
+                    format!("/kv?under={prefix}{from}&most={LIST_PAGE}"),
+                    Vec::new(),
+                )
+            }
+            StateCall::Txn(txn) => ("POST", "/txn".into(), encode(txn)),
+            StateCall::NewLease { ttl_ms } => {
+                ("POST", "/holds".into(), encode(&Ttl { ttl_ms: *ttl_ms }))
+            }
+            StateCall::Extend { lease } => ("POST", format!("/holds/{lease}/extend"), Vec::new()),
+            StateCall::EndLease { lease } => ("DELETE", format!("/holds/{lease}"), Vec::new()),
+            StateCall::Watch {
+                prefix,
+                after,
+                hold_ms,
+            } => (
+                "GET",
+                format!("/changes?under={prefix}&from={after}&hold_ms={hold_ms}"),
+                Vec::new(),
+            ),
+        }
+    }
+
+    /// Reads the answer. Nonsense is an error and counts as no answer.
+    pub fn reply(&self, status: u16, body: &[u8]) -> Result<StateReply, BodyError> {
+        match (status, self) {
+            (429, _) => return Ok(StateReply::TooMany),
+            (503, _) => return Ok(StateReply::Unavailable),
+            (400, StateCall::Txn(_)) => {
+                let lease = decode::<ErrorBody>(body)
+                    .ok()
+                    .and_then(|e| e.error)
+                    .is_some_and(|e| e == "no such lease");
+                return Ok(if lease {
+                    StateReply::LeaseGone
+                } else {
+                    StateReply::Malformed
+                });
+            }
+            (400, _) => return Ok(StateReply::Malformed),
+            _ => {}
+        }
+        match (status, self) {
+            (200, StateCall::Get { .. }) => Ok(StateReply::Found(decode(body)?)),
+            (404, StateCall::Get { .. }) => Ok(StateReply::Absent {
+                revision: decode::<Revision>(body)?.revision,
+            }),
+            (200, StateCall::List { .. }) => Ok(StateReply::Page(decode(body)?)),
+            (200, StateCall::Txn(_)) => Ok(StateReply::Committed {
+                revision: decode::<Revision>(body)?.revision,
+            }),
+            (409, StateCall::Txn(_)) => {
+                let f: Failed = decode(body)?;
+                Ok(StateReply::Conflict {
+                    failed: f.failed,
+                    revision: f.revision,
+                })
+            }
+            (200, StateCall::NewLease { .. }) => Ok(StateReply::Lease {
+                lease: decode::<Loan>(body)?.lease,
+            }),
+            (200, StateCall::Extend { .. } | StateCall::EndLease { .. }) => {
+                Ok(StateReply::Extended)
+            }
+            (404, StateCall::Extend { .. } | StateCall::EndLease { .. }) => {
+                Ok(StateReply::LeaseGone)
+            }
+            (200, StateCall::Watch { .. }) => Ok(StateReply::Changes(decode(body)?)),
+            (410, StateCall::Watch { .. }) => Ok(StateReply::TooOld),
+            (other, _) => Err(BodyError::Malformed(format!("unexpected status {other}"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/worker.rs
@@ -0,0 +1,132 @@
+//! Workers: their reports and the commands they take.
+
+use crate::TaskName;
+use serde::{Deserialize, Serialize};
+
+pub const REPORT_PATH: &str = "/checkin";
+pub const COMMANDS_PATH: &str = "/orders";
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    #[serde(rename = "pulling")]
+    Fetching,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "flushing")]
+    Saving,
+    #[serde(rename = "ended")]
+    Exited,
+    /// Anything this version does not know; the task counts as present.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Why {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "no_room")]
+    NoRoom,
+    #[serde(rename = "in_use")]
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TaskReport {
+    #[serde(rename = "leaf")]
+    pub task: TaskName,
+    #[serde(rename = "printing")]
+    pub attempt: u64,
+    #[serde(rename = "condition")]
+    pub state: TaskState,
+    #[serde(rename = "colophon", default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<Why>,
+    #[serde(rename = "kept", default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "shelf")]
+    pub machine: String,
+    pub addr: String,
+    #[serde(rename = "format")]
+    pub machine_type: String,
+    #[serde(rename = "room")]
+    pub zone: String,
+    #[serde(rename = "remainders")]
+    pub spot: bool,
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    #[serde(rename = "folio")]
+    pub seq: u64,
+    #[serde(rename = "seal")]
+    pub token: u64,
+    #[serde(rename = "recall_s", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "leaves")]
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "slip_kind")]
+pub enum Command {
+    #[serde(rename = "launch")]
+    Start {
+        #[serde(rename = "leaf")]
+        task: TaskName,
+        #[serde(rename = "printing")]
+        attempt: u64,
+    },
+    #[serde(rename = "stop")]
+    Stop {
+        #[serde(rename = "leaf")]
+        task: TaskName,
+        #[serde(rename = "printing")]
+        attempt: u64,
+        #[serde(rename = "closing_s")]
+        grace_s: u32,
+    },
+    #[serde(rename = "reap")]
+    Forget {
+        #[serde(rename = "leaf")]
+        task: TaskName,
+        #[serde(rename = "printing")]
+        attempt: u64,
+    },
+}
+
+/// The answer to a report.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportAnswer {
+    #[serde(rename = "seal")]
+    pub token: u64,
+    #[serde(rename = "slips")]
+    pub commands: Vec<Command>,
+}
+
+/// Sends a worker to the node that acts for the controllers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Elsewhere {
+    #[serde(rename = "clerk", skip_serializing_if = "Option::is_none", default)]
+    pub report_to: Option<String>,
+}
+
+/// Commands sent straight to a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    #[serde(rename = "seal")]
+    pub token: u64,
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    #[serde(rename = "slips")]
+    pub commands: Vec<Command>,
+}
