--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -7,7 +7,7 @@
 
 use crate::calls::{CallError, Ctx, Waiter};
 use crate::store::{self, CancelledJob, JobMark, Mark, OpenJob};
-use crate::{Answer, Config, Micros, MILLISECOND, RequestId, SECOND};
+use crate::{Answer, Config, MILLISECOND, Micros, RequestId, SECOND};
 use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::state::{self, StateCall, StateReply, Txn};
 use dillcleat_wire::user::{JobSpec, JobState, JobStatus, Kind, is_job_id, parse_submission};
@@ -30,8 +30,14 @@
     /// Tell its state.
     Tell(RequestId),
     /// A submission that cannot be taken, unless the job is known already.
-    Refuse { request: RequestId, answer: Answer },
-    Cancel { request: RequestId, since: Micros },
+    Refuse {
+        request: RequestId,
+        answer: Answer,
+    },
+    Cancel {
+        request: RequestId,
+        since: Micros,
+    },
 }
 
 impl Ask {
@@ -46,10 +52,22 @@
 
 #[derive(Debug, Clone)]
 pub enum Step {
-    Lookup { id: String },
-    Check { jobs: Vec<(String, u64)> },
-    Create { request: RequestId, job: Rc<OpenJob>, since: Micros },
-    Cancel { id: String, request: RequestId, since: Micros },
+    Lookup {
+        id: String,
+    },
+    Check {
+        jobs: Vec<(String, u64)>,
+    },
+    Create {
+        request: RequestId,
+        job: Rc<OpenJob>,
+        since: Micros,
+    },
+    Cancel {
+        id: String,
+        request: RequestId,
+        since: Micros,
+    },
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -107,7 +125,9 @@
     };
     let team = &config.teams[team];
     let fits = |t: &MachineType| {
-        spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+        spec.types
+            .as_ref()
+            .is_none_or(|names| names.contains(&t.name))
             && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
             && t.cpus >= spec.cpus
             && t.gpus >= spec.gpus
@@ -211,7 +231,11 @@
             chunk: ctx.config.chunk_tasks(),
         };
         if state::json_size(&state::value(&job)) > ctx.config.value_bytes {
-            return self.ask(ctx, id, refuse(400, "the job's description is too long".into()));
+            return self.ask(
+                ctx,
+                id,
+                refuse(400, "the job's description is too long".into()),
+            );
         }
         if self.under_way >= MAX_UNDER_WAY {
             return ctx.answer(request, Answer::later("too many requests"));
@@ -230,7 +254,11 @@
             .compare(store::job_key(id), 0)
             .put(store::job_key(id), &mark)
             .put(store::open_key(id), &*job);
-        let step = Step::Create { request, job, since };
+        let step = Step::Create {
+            request,
+            job,
+            since,
+        };
         ctx.state(StateCall::Txn(txn), Waiter::Admission(step));
     }
 
@@ -386,7 +414,12 @@
                         }
                         Ok(StateReply::Conflict { failed, .. }) => {
                             let changed = failed.contains(&store::job_key(&id));
-                            if changed && self.cache.jobs.get(&id).is_some_and(|k| k.version == version)
+                            if changed
+                                && self
+                                    .cache
+                                    .jobs
+                                    .get(&id)
+                                    .is_some_and(|k| k.version == version)
                             {
                                 self.cache.jobs.remove(&id);
                                 self.cache.order.retain(|o| *o != id);
@@ -403,14 +436,21 @@
                         }
                         _ => {
                             for ask in asks {
-                                ctx.answer(ask.request(), Answer::later("the state is out of reach"));
+                                ctx.answer(
+                                    ask.request(),
+                                    Answer::later("the state is out of reach"),
+                                );
                             }
                         }
                     }
                 }
                 self.check(ctx);
             }
-            Step::Create { request, job, since } => self.created(ctx, request, job, since, reply),
+            Step::Create {
+                request,
+                job,
+                since,
+            } => self.created(ctx, request, job, since, reply),
             Step::Cancel { id, request, since } => self.cancelled(ctx, id, request, since, reply),
         }
     }
@@ -434,7 +474,10 @@
                 }
                 None => {
                     log::error!("{}: not a job's record", row.key);
-                    ctx.answer(ask.request(), Answer::later("the job's record is unreadable"));
+                    ctx.answer(
+                        ask.request(),
+                        Answer::later("the job's record is unreadable"),
+                    );
                 }
             },
             Ok(StateReply::Absent { .. }) => self.settle(ctx, id, None, ask),
@@ -465,7 +508,11 @@
                         version: revision,
                     },
                 );
-                log::info!("accepted {id}: {} tasks of {}", job.spec.tasks, job.spec.class);
+                log::info!(
+                    "accepted {id}: {} tasks of {}",
+                    job.spec.tasks,
+                    job.spec.class
+                );
                 let status = JobStatus {
                     id,
                     state: JobState::Queued,
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -30,7 +30,10 @@
 pub enum Waiter {
     Admission(crate::admission::Step),
     Leadership(crate::leadership::Step),
-    Leader { term: u64, step: crate::leader::Step },
+    Leader {
+        term: u64,
+        step: crate::leader::Step,
+    },
     Nobody,
 }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -68,10 +68,9 @@
                 // Among equals the zone with the fewest machines, so that a
                 // zone's loss takes as little as can be.
                 let there = machines.iter().filter(|o| o.zone == *zone).count();
-                if best
-                    .as_ref()
-                    .is_none_or(|(c, n, _)| (cost, there) < (*c - 1e-9, *n) || (cost <= *c + 1e-9 && there < *n))
-                {
+                if best.as_ref().is_none_or(|(c, n, _)| {
+                    (cost, there) < (*c - 1e-9, *n) || (cost <= *c + 1e-9 && there < *n)
+                }) {
                     best = Some((cost, there, m));
                 }
             }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -573,7 +573,11 @@
                 }
             }
             SlotEvent::Lost { task, attempt, why } => {
-                log::info!("{}/{} attempt {attempt} on {machine} is gone: {why}", task.0, task.1);
+                log::info!(
+                    "{}/{} attempt {attempt} on {machine} is gone: {why}",
+                    task.0,
+                    task.1
+                );
                 self.back_to_waiting(&task, attempt);
             }
             SlotEvent::Exited {
@@ -585,7 +589,11 @@
             SlotEvent::Exited {
                 task, attempt, why, ..
             } => {
-                log::info!("{}/{} attempt {attempt} on {machine} ended: {why:?}", task.0, task.1);
+                log::info!(
+                    "{}/{} attempt {attempt} on {machine} ended: {why:?}",
+                    task.0,
+                    task.1
+                );
                 self.back_to_waiting(&task, attempt);
                 self.blame(ctx, machine, &task, why);
             }
@@ -703,7 +711,9 @@
         // A report of a machine that is gone was held up on its way.
         if self.stage == Stage::Ready && !self.gone.contains_key(&report.machine) {
             self.take_report(ctx, report, Source::Checkin);
-            if self.fresh(ctx) && let Some(m) = self.machines.get(&report.machine) {
+            if self.fresh(ctx)
+                && let Some(m) = self.machines.get(&report.machine)
+            {
                 let current = (m.session, m.seq) == (report.session, report.seq);
                 if m.ready && current {
                     answer.commands = self.commands(m);
@@ -734,7 +744,12 @@
         m.zone.clone_from(&r.zone);
         m.spot = r.spot;
         if !m.up {
-            log::info!("{} is up in {} after {} s", m.name, m.zone, seconds(now - m.known_since));
+            log::info!(
+                "{} is up in {} after {} s",
+                m.name,
+                m.zone,
+                seconds(now - m.known_since)
+            );
             m.empty_since = now;
         }
         let was_ready = m.ready;
@@ -1115,10 +1130,16 @@
         }
         for ((id, i), attempt) in batch.placed {
             let key: TaskKey = (id, i);
-            let Some(machine) = self.jobs.get(&key.0).and_then(|j| match &j.tasks[i as usize].state {
-                TaskState::Placed(m) if j.tasks[i as usize].attempt == attempt => Some(m.clone()),
-                _ => None,
-            }) else {
+            let Some(machine) =
+                self.jobs
+                    .get(&key.0)
+                    .and_then(|j| match &j.tasks[i as usize].state {
+                        TaskState::Placed(m) if j.tasks[i as usize].attempt == attempt => {
+                            Some(m.clone())
+                        }
+                        _ => None,
+                    })
+            else {
                 continue;
             };
             if let Some(m) = self.machines.get_mut(&*machine)
@@ -1249,7 +1270,9 @@
                         .jobs
                         .get(&k.0)
                         .and_then(|j| j.cancelled)
-                        .is_some_and(|at| now >= at + patience && now >= self.ready_since + patience / 4)
+                        .is_some_and(|at| {
+                            now >= at + patience && now >= self.ready_since + patience / 4
+                        })
             });
             if late {
                 log::info!("{}: a cancelled task is not seen gone, deleting it", m.name);
@@ -1362,7 +1385,12 @@
         let made = sched::assign(&mut jobs, &mut machines, &mut teams, training);
         let made: Vec<(TaskKey, String)> = made
             .into_iter()
-            .map(|a| ((Rc::from(jobs[a.job].id), a.task), machines[a.machine].name.clone()))
+            .map(|a| {
+                (
+                    (Rc::from(jobs[a.job].id), a.task),
+                    machines[a.machine].name.clone(),
+                )
+            })
             .collect();
         for (key, machine) in made {
             self.place(&key, &machine);
@@ -1482,7 +1510,11 @@
     fn drop_silent(&mut self, ctx: &Ctx) {
         let now = ctx.now.steady;
         let silence = (ctx.config.lease * 6 / 10).max(3 * ctx.config.report);
-        let up = self.machines.values().filter(|m| m.up && !m.leaving).count();
+        let up = self
+            .machines
+            .values()
+            .filter(|m| m.up && !m.leaving)
+            .count();
         let silent: Vec<String> = self
             .machines
             .values()
@@ -1621,7 +1653,11 @@
                 .map(|t| (t.name.clone(), t.cpus, t.gpus, t.memory_gb, t.zones.clone()))
                 .collect::<Vec<_>>()
         };
-        let same = self.types_stored && self.types.as_ref().is_some_and(|old| shape(old) == shape(&types));
+        let same = self.types_stored
+            && self
+                .types
+                .as_ref()
+                .is_some_and(|old| shape(old) == shape(&types));
         let types = Rc::new(types);
         self.types = Some(types.clone());
         if !same {
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -36,11 +36,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// Nothing is known yet; read at the given time.
-    Reading { at: Micros },
+    Reading {
+        at: Micros,
+    },
     Waiting,
     /// A call is under way whose answer decides what is next.
     Busy,
-    Leading { lease: u64, term: u64 },
+    Leading {
+        lease: u64,
+        term: u64,
+    },
 }
 
 #[derive(Debug)]
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -72,7 +72,6 @@
     /// Whether a chunk's latest change is in the store.
     pub fn settled(&self, job: &Rc<str>, chunk: u32) -> bool {
         let item = Item::Chunk(job.clone(), chunk);
-        !self.queued.contains(&item)
-            && self.batch.as_ref().is_none_or(|b| !b.items.contains(&item))
+        !self.queued.contains(&item) && self.batch.as_ref().is_none_or(|b| !b.items.contains(&item))
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -268,7 +268,8 @@
     }
 
     fn served(&self, now: Now) -> bool {
-        self.served_at.is_some_and(|at| now.steady < at + 3 * SECOND)
+        self.served_at
+            .is_some_and(|at| now.steady < at + 3 * SECOND)
     }
 
     fn beat(&mut self, out: &mut Vec<Output>, now: Now) {
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -128,7 +128,11 @@
 
     pub fn allows(&self, m: &MachineView) -> bool {
         (!m.spot || self.spec.spot)
-            && self.spec.types.as_ref().is_none_or(|t| t.contains(&m.machine_type))
+            && self
+                .spec
+                .types
+                .as_ref()
+                .is_none_or(|t| t.contains(&m.machine_type))
             && self.zone_allowed(&m.zone)
             && !m.avoid.iter().any(|j| j == self.id)
     }
@@ -147,7 +151,7 @@
 fn best_machine(job: &JobView, machines: &[MachineView]) -> Option<usize> {
     let need = job.room();
     let rank = |m: &MachineView| {
-        let image = m.images.iter().any(|i| *i == job.spec.image);
+        let image = m.images.contains(&job.spec.image);
         let spot = m.spot == job.spec.spot;
         (spot, image, -m.free.cpus, -m.free.memory_gb)
     };
@@ -229,12 +233,20 @@
     let mut made = Vec::new();
     let order = order(jobs);
     let goes_first = |j: &JobView| j.spec.kind == Kind::Service || j.tiny;
-    for &i in order.iter().filter(|&&i| goes_first(&jobs[i])).collect::<Vec<_>>() {
+    for &i in order
+        .iter()
+        .filter(|&&i| goes_first(&jobs[i]))
+        .collect::<Vec<_>>()
+    {
         while let Some(a) = place(&mut jobs[i], i, machines, teams) {
             made.push(a);
         }
     }
-    let mut training: Vec<usize> = order.iter().copied().filter(|&i| jobs[i].training > 0).collect();
+    let mut training: Vec<usize> = order
+        .iter()
+        .copied()
+        .filter(|&i| jobs[i].training > 0)
+        .collect();
     training.sort_by(|&a, &b| {
         let (a, b) = (&jobs[a], &jobs[b]);
         b.spec
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -60,7 +60,11 @@
         ran: Option<Micros>,
     },
     /// Gone without a result: a later session, or absent by proof.
-    Lost { task: TaskKey, attempt: u64, why: &'static str },
+    Lost {
+        task: TaskKey,
+        attempt: u64,
+        why: &'static str,
+    },
 }
 
 #[derive(Debug)]
@@ -191,7 +195,9 @@
     }
 
     fn in_push(&self, launch: &Launch) -> bool {
-        self.push.as_ref().is_some_and(|p| p.launches.contains(launch))
+        self.push
+            .as_ref()
+            .is_some_and(|p| p.launches.contains(launch))
     }
 
     /// Takes a report in. Nothing but a newer one changes anything.
@@ -283,9 +289,8 @@
                     && (s.cancelled || s.seen.is_some())
                     && !self.unanswered.contains(&launch)
                     && !self.in_push(&launch)
-                    && s.launched_in.is_none_or(|at| {
-                        source == Source::Checkin && (r.session, r.seq) > at
-                    })
+                    && s.launched_in
+                        .is_none_or(|at| source == Source::Checkin && (r.session, r.seq) > at)
             })
             .map(|(k, _)| k.clone())
             .collect();
@@ -313,7 +318,9 @@
             let launch = (task.clone(), *attempt);
             // After a reap the worker would start a late launch of the same
             // attempt again, so it keeps what may still be launched.
-            if settled(task, *attempt) && !self.unanswered.contains(&launch) && !self.in_push(&launch)
+            if settled(task, *attempt)
+                && !self.unanswered.contains(&launch)
+                && !self.in_push(&launch)
             {
                 commands.push(Command::Forget {
                     task: task.clone(),
@@ -355,7 +362,9 @@
         let at = (self.session, self.seq);
         for c in commands {
             if let Command::Start { task, attempt } = c
-                && let Some(slot) = self.slots.get_mut(&(Rc::from(task.job.as_str()), task.index))
+                && let Some(slot) = self
+                    .slots
+                    .get_mut(&(Rc::from(task.job.as_str()), task.index))
                 && slot.attempt == *attempt
             {
                 slot.launched_in = Some(at);
--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -13,7 +13,12 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 #[derive(Parser)]
-#[command(name = "dillcleat", version, about = "A cluster scheduler: three controllers, rented machines, one small state service", arg_required_else_help = true)]
+#[command(
+    name = "dillcleat",
+    version,
+    about = "A cluster scheduler: three controllers, rented machines, one small state service",
+    arg_required_else_help = true
+)]
 pub struct Cli {
     /// Serve as a controller with the platform's settings file
     #[arg(long, value_name = "FILE", conflicts_with = "command")]
@@ -174,7 +179,11 @@
             }
             (None, Some(Command::Check { file })) => {
                 let (platform, _) = settings(&file, tuning)?;
-                println!("{}: settings of {} are good", file.display(), platform.member);
+                println!(
+                    "{}: settings of {} are good",
+                    file.display(),
+                    platform.member
+                );
                 Ok(())
             }
             (None, Some(Command::Submit(s))) => s.run(),
--- a/crates/dillcleat/src/http.rs
+++ b/crates/dillcleat/src/http.rs
@@ -104,7 +104,9 @@
     /// Waits for the next request.
     pub async fn request(&mut self) -> Result<Request, Bad> {
         if self.buffer.is_empty() {
-            within(IDLE_TIME, self.fill()).await.map_err(|_| Bad::Gone)?;
+            within(IDLE_TIME, self.fill())
+                .await
+                .map_err(|_| Bad::Gone)?;
         }
         async { Ok(self.read_request().await) }
             .or(async {
@@ -186,10 +188,13 @@
     }
 }
 
+/// An unused connection and since when.
+type Idle = (TcpStream, std::time::Instant);
+
 /// Connections of ours to other services, kept open between calls.
 #[derive(Clone)]
 pub struct Pool {
-    idle: Rc<RefCell<HashMap<String, Vec<(TcpStream, std::time::Instant)>>>>,
+    idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
     per_address: usize,
 }
 
@@ -254,9 +259,7 @@
                 .write_all(&bytes)
                 .await
                 .map_err(|_| CallError::NoAnswer)?;
-            let (status, body, keep) = read_reply(&mut stream)
-                .await
-                .ok_or(CallError::NoAnswer)?;
+            let (status, body, keep) = read_reply(&mut stream).await.ok_or(CallError::NoAnswer)?;
             if keep {
                 let mut idle = self.idle.borrow_mut();
                 let streams = idle.entry(addr.to_string()).or_default();
--- a/crates/dillcleat/src/mesh.rs
+++ b/crates/dillcleat/src/mesh.rs
@@ -82,9 +82,11 @@
             .await
             .ok_or(ListenError::Gone)?;
         let mut frame = vec![0; frame_len(head)?];
-        timed(READ_TIME, async { stream.read_exact(&mut frame).await.ok() })
-            .await
-            .ok_or(ListenError::Gone)?;
+        timed(READ_TIME, async {
+            stream.read_exact(&mut frame).await.ok()
+        })
+        .await
+        .ok_or(ListenError::Gone)?;
         match (Message::decode(&frame)?, &from) {
             (Message::Hello { member }, None) if siblings.contains(&member) => from = Some(member),
             (_, None) => return Err(ListenError::NoHello),
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,7 +27,11 @@
     Hello { member: String },
     /// Sent about twice a second: the highest term seen, whether the sender
     /// leads in it, and whether the state service serves the sender.
-    Beat { term: u64, leads: bool, served: bool },
+    Beat {
+        term: u64,
+        leads: bool,
+        served: bool,
+    },
     /// From the leader: the progress of some jobs.
     Progress(Vec<Progress>),
 }
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -112,7 +112,9 @@
     Deleted,
     Listed(MachineList),
     /// Not executed: too many calls, or the interface is in trouble.
-    Refused { status: u16 },
+    Refused {
+        status: u16,
+    },
     /// The request itself was at fault.
     Malformed,
 }
@@ -136,7 +138,9 @@
                 }),
             ),
             CloudCall::List { after } => {
-                let from = after.as_ref().map_or(String::new(), |a| format!("from={a}&"));
+                let from = after
+                    .as_ref()
+                    .map_or(String::new(), |a| format!("from={a}&"));
                 ("GET", format!("/hosts?{from}most={LIST_PAGE}"), Vec::new())
             }
         }
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -163,8 +163,11 @@
             ("endpoints.state", &p.endpoints.state),
         ]
         .into_iter()
-        .chain(p.siblings.iter().map(|s| ("siblings.peer_addr", &s.peer_addr)))
-        {
+        .chain(
+            p.siblings
+                .iter()
+                .map(|s| ("siblings.peer_addr", &s.peer_addr)),
+        ) {
             if addr.parse::<std::net::SocketAddr>().is_err() {
                 return Err(PlatformError(format!(
                     "{key}: must be IP:PORT, is {addr:?}"
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -31,7 +31,11 @@
 
 /// A stored value as a typed record; None if it is not one.
 pub fn read<T: DeserializeOwned>(value: &Value) -> Option<T> {
-    rmpv::ext::from_value(value.clone()).ok()
+    // By way of bytes: the typed decoder knows enums in the form in which
+    // they were written, the one over values does not.
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, value).ok()?;
+    rmp_serde::from_slice(&bytes).ok()
 }
 
 /// A typed record as a value to store: a map with text keys.
@@ -179,24 +183,48 @@
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum StateCall {
-    Get { key: String },
-    List { prefix: String, after: Option<String> },
+    Get {
+        key: String,
+    },
+    List {
+        prefix: String,
+        after: Option<String>,
+    },
     Txn(Txn),
-    NewLease { ttl_ms: u64 },
-    Extend { lease: u64 },
-    EndLease { lease: u64 },
-    Watch { prefix: String, after: u64, hold_ms: u64 },
+    NewLease {
+        ttl_ms: u64,
+    },
+    Extend {
+        lease: u64,
+    },
+    EndLease {
+        lease: u64,
+    },
+    Watch {
+        prefix: String,
+        after: u64,
+        hold_ms: u64,
+    },
 }
 
 #[derive(Debug, Clone, PartialEq)]
 pub enum StateReply {
     Found(Row),
     /// No such key; the revision at which that was so.
-    Absent { revision: u64 },
+    Absent {
+        revision: u64,
+    },
     Page(Page),
-    Committed { revision: u64 },
-    Conflict { failed: Vec<String>, revision: u64 },
-    Lease { lease: u64 },
+    Committed {
+        revision: u64,
+    },
+    Conflict {
+        failed: Vec<String>,
+        revision: u64,
+    },
+    Lease {
+        lease: u64,
+    },
     /// The lease has ended, or is no such lease.
     LeaseGone,
     Extended,
@@ -246,7 +274,9 @@
         match self {
             StateCall::Get { key } => ("GET", format!("/kv/{key}"), Vec::new()),
             StateCall::List { prefix, after } => {
-                let from = after.as_ref().map_or(String::new(), |a| format!("&from={a}"));
+                let from = after
+                    .as_ref()
+                    .map_or(String::new(), |a| format!("&from={a}"));
                 (
                     "GET",
                     format!("/kv?under={prefix}{from}&most={LIST_PAGE}"),
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -290,7 +290,10 @@
         (Route::Report, "POST")
     } else if path == JOBS_PATH {
         (Route::Submit, "POST")
-    } else if let Some(rest) = path.strip_prefix(JOBS_PATH).and_then(|r| r.strip_prefix('/')) {
+    } else if let Some(rest) = path
+        .strip_prefix(JOBS_PATH)
+        .and_then(|r| r.strip_prefix('/'))
+    {
         match rest.split_once('/') {
             None if !rest.is_empty() => (Route::Poll(rest.to_string()), "GET"),
             Some((id, "abort")) if !id.is_empty() => (Route::Cancel(id.to_string()), "POST"),
