--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -342,7 +342,14 @@
     /// Everything is read: take up the work.
     fn start(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.steady;
-        for row in std::mem::take(&mut self.queue_rows) {
+        // Cancellations come before descriptions in the order of keys, but a
+        // cancellation means nothing before its job is known: taken in that
+        // order, a new leader would let cancelled tasks run on.
+        let rows = std::mem::take(&mut self.queue_rows);
+        let (open, rest): (Vec<_>, Vec<_>) = rows
+            .into_iter()
+            .partition(|row| row.key.starts_with(store::OPEN));
+        for row in open.into_iter().chain(rest) {
             self.queue_row(ctx, &row.key, &row.value, row.version);
         }
         for row in std::mem::take(&mut self.task_rows) {
