--- /dev/null
+++ b/crates/rehearsal/src/cloud.rs
@@ -0,0 +1,153 @@
+//! A stand-in for the cloud.
+
+use dillcleat_core::{Micros, SECOND};
+use dillcleat_wire::cloud::{
+    CloudCall, CloudReply, Condition, ListedMachine, MachineList, MachineType,
+};
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug, Clone)]
+pub struct Host {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub since: Micros,
+    pub up_at: Option<Micros>,
+}
+
+#[derive(Debug)]
+pub struct Cloud {
+    pub types: Vec<MachineType>,
+    pub hosts: BTreeMap<String, Host>,
+    /// Machines still to be had, by type, zone and kind.
+    capacity: BTreeMap<(String, String, bool), u32>,
+    answered: BTreeMap<String, Vec<String>>,
+    next: u64,
+    lag: Micros,
+    history: VecDeque<(Micros, Vec<ListedMachine>)>,
+    pub out_until: Micros,
+}
+
+impl Cloud {
+    pub fn new(types: Vec<MachineType>, per_offer: u32, lag: Micros) -> Self {
+        let mut capacity = BTreeMap::new();
+        for t in &types {
+            for z in &t.zones {
+                for spot in [false, true] {
+                    capacity.insert((t.name.clone(), z.clone(), spot), per_offer);
+                }
+            }
+        }
+        Cloud {
+            types,
+            hosts: BTreeMap::new(),
+            capacity,
+            answered: BTreeMap::new(),
+            next: 0,
+            lag,
+            history: VecDeque::new(),
+            out_until: 0,
+        }
+    }
+
+    /// Takes a machine away, for whatever reason.
+    pub fn remove(&mut self, name: &str) -> bool {
+        let Some(h) = self.hosts.remove(name) else {
+            return false;
+        };
+        if let Some(n) = self.capacity.get_mut(&(h.machine_type, h.zone, h.spot)) {
+            *n += 1;
+        }
+        true
+    }
+
+    /// Notes the list as it is now; what is served is older.
+    pub fn note(&mut self, now: Micros) {
+        let list = self
+            .hosts
+            .iter()
+            .map(|(name, h)| ListedMachine {
+                name: name.clone(),
+                addr: Some(format!("{name}:9000")),
+                machine_type: h.machine_type.clone(),
+                zone: h.zone.clone(),
+                spot: h.spot,
+                condition: match h.up_at {
+                    Some(at) if at <= now => Condition::Running,
+                    _ => Condition::Booting,
+                },
+                age_s: 0.0,
+            })
+            .collect();
+        self.history.push_back((now, list));
+        while self.history.len() > 1 && self.history[1].0 + self.lag < now {
+            self.history.pop_front();
+        }
+    }
+
+    /// Carries a call out. Names of new and of deleted machines are returned
+    /// for the world to act upon.
+    pub fn call(
+        &mut self,
+        call: &CloudCall,
+        now: Micros,
+        boot: impl Fn(&str) -> Option<Micros>,
+    ) -> (CloudReply, Vec<String>, Vec<String>) {
+        if now < self.out_until {
+            return (CloudReply::Refused { status: 503 }, vec![], vec![]);
+        }
+        match call {
+            CloudCall::Types => (CloudReply::Types(self.types.clone()), vec![], vec![]),
+            CloudCall::Rent(r) => {
+                if let Some(names) = self.answered.get(&r.request) {
+                    return (CloudReply::Rented(names.clone()), vec![], vec![]);
+                }
+                let key = (r.machine_type.clone(), r.zone.clone(), r.spot);
+                let left = self.capacity.get_mut(&key);
+                let n = left.as_ref().map_or(0, |n| (**n).min(r.count));
+                if n == 0 {
+                    return (CloudReply::NoCapacity, vec![], vec![]);
+                }
+                if let Some(left) = left {
+                    *left -= n;
+                }
+                let mut names = Vec::new();
+                for _ in 0..n {
+                    let name = format!("host-{:06}", self.next);
+                    self.next += 1;
+                    let host = Host {
+                        machine_type: r.machine_type.clone(),
+                        zone: r.zone.clone(),
+                        spot: r.spot,
+                        since: now,
+                        up_at: boot(&name).map(|d| now + d),
+                    };
+                    self.hosts.insert(name.clone(), host);
+                    names.push(name);
+                }
+                self.answered.insert(r.request.clone(), names.clone());
+                (CloudReply::Rented(names.clone()), names, vec![])
+            }
+            CloudCall::Delete(names) => {
+                let gone = names.iter().filter(|n| self.remove(n)).cloned().collect();
+                (CloudReply::Deleted, vec![], gone)
+            }
+            CloudCall::List { after } => {
+                let machines = self
+                    .history
+                    .front()
+                    .map_or(Vec::new(), |(_, l)| l.clone())
+                    .into_iter()
+                    .filter(|m| after.as_ref().is_none_or(|a| m.name > *a))
+                    .collect();
+                let list = MachineList {
+                    machines,
+                    more: false,
+                };
+                (CloudReply::Listed(list), vec![], vec![])
+            }
+        }
+    }
+
+    pub const NOTE_EVERY: Micros = SECOND;
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,1 +1,15 @@
-//! x
+//! A rehearsal kit: stand-ins for the state service, the cloud, workers and
+//! users, on simulated time with seeded luck, and a checker of the rules.
+//!
+//! The controllers in a rehearsal are the real [`dillcleat_core::Node`]s; only
+//! what lies beyond their inputs and outputs is played. Figures of a rehearsal
+//! say nothing about real deployments; its verdict on the rules does.
+
+pub mod cloud;
+pub mod rules;
+pub mod state;
+pub mod worker;
+pub mod world;
+
+pub use rules::{Breach, Checker, Rule};
+pub use world::{Fault, Outcome, Scenario, World};
--- /dev/null
+++ b/crates/rehearsal/src/rules.rs
@@ -0,0 +1,290 @@
+//! The rules of the protocol, checked against what really happens.
+
+use dillcleat_core::{Micros, SECOND};
+use dillcleat_wire::TaskName;
+use dillcleat_wire::user::{JobSpec, JobState};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    RanTwice,
+    Quota,
+    WrongPlace,
+    RanCancelled,
+    Forgotten,
+    Invented,
+    NotDone,
+    WentBack,
+    NothingRan,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at: Micros,
+    pub what: String,
+}
+
+/// Where a task is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    pub machine: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+#[derive(Debug)]
+struct Job {
+    spec: JobSpec,
+    accepted: bool,
+    /// When its user first asked to cancel it.
+    cancel_asked: bool,
+    cancel_told: Option<Micros>,
+    done_told: bool,
+    done: BTreeSet<u32>,
+    /// When a poll was last answered, and whether one has failed since.
+    failing_since: Option<Micros>,
+}
+
+/// Watches a whole run. Every method is called as things happen.
+#[derive(Debug)]
+pub struct Checker {
+    cancel: Micros,
+    /// CPU limit per team.
+    limits: BTreeMap<String, f64>,
+    jobs: BTreeMap<String, Job>,
+    on: BTreeMap<TaskName, Place>,
+    starts: u64,
+    pub breaches: Vec<Breach>,
+}
+
+impl Checker {
+    pub fn new(cancel: Micros, limits: BTreeMap<String, f64>) -> Self {
+        Checker {
+            cancel,
+            limits,
+            jobs: BTreeMap::new(),
+            on: BTreeMap::new(),
+            starts: 0,
+            breaches: Vec::new(),
+        }
+    }
+
+    fn breach(&mut self, rule: Rule, at: Micros, what: String) {
+        self.breaches.push(Breach { rule, at, what });
+    }
+
+    pub fn submits(&mut self, spec: &JobSpec) {
+        self.jobs.entry(spec.id.clone()).or_insert_with(|| Job {
+            spec: spec.clone(),
+            accepted: false,
+            cancel_asked: false,
+            cancel_told: None,
+            done_told: false,
+            done: BTreeSet::new(),
+            failing_since: None,
+        });
+    }
+
+    pub fn asks_to_cancel(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.cancel_asked = true;
+        }
+    }
+
+    /// A submission was answered.
+    pub fn answered_submission(
+        &mut self,
+        id: &str,
+        status: u16,
+        state: Option<JobState>,
+        now: Micros,
+    ) {
+        match (status, self.jobs.get_mut(id)) {
+            (200 | 201, Some(job)) => {
+                job.accepted = true;
+                if let Some(state) = state {
+                    self.told(id, state, now);
+                }
+            }
+            (400 | 422, Some(job)) if job.accepted => {
+                self.breach(
+                    Rule::Forgotten,
+                    now,
+                    format!("{id}: answered {status} again"),
+                );
+            }
+            _ => {}
+        }
+    }
+
+    /// A poll or a cancellation was answered, or was not (status 0).
+    pub fn answered_poll(&mut self, id: &str, status: u16, state: Option<JobState>, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            if status == 200 {
+                self.breach(Rule::Invented, now, format!("{id} was never submitted"));
+            }
+            return;
+        };
+        match status {
+            200 => {
+                job.failing_since = None;
+                if let Some(state) = state {
+                    self.told(id, state, now);
+                }
+            }
+            404 if job.accepted => {
+                self.breach(Rule::Forgotten, now, format!("{id}: answered 404"));
+            }
+            _ => {
+                let since = *job.failing_since.get_or_insert(now);
+                if job.accepted && now > since + 90 * SECOND {
+                    self.breach(Rule::Forgotten, now, format!("{id}: no answer for 90 s"));
+                }
+            }
+        }
+    }
+
+    fn told(&mut self, id: &str, state: JobState, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let mut broken = None;
+        match state {
+            JobState::Done => {
+                if job.cancel_told.is_some() {
+                    broken = Some((Rule::WentBack, "cancelled, then done"));
+                } else if (job.done.len() as u32) < job.spec.tasks {
+                    broken = Some((Rule::NotDone, "told done too early"));
+                }
+                job.done_told = true;
+            }
+            JobState::Cancelled => {
+                if job.done_told {
+                    broken = Some((Rule::WentBack, "done, then cancelled"));
+                } else if !job.cancel_asked {
+                    broken = Some((Rule::WentBack, "cancelled without being asked to"));
+                }
+                job.cancel_told.get_or_insert(now);
+            }
+            JobState::Queued | JobState::Running => {
+                if job.done_told || job.cancel_told.is_some() {
+                    broken = Some((Rule::WentBack, "ended, then open"));
+                }
+            }
+        }
+        if let Some((rule, what)) = broken {
+            self.breach(rule, now, format!("{id}: {what}"));
+        }
+    }
+
+    /// A task has its image and starts on a machine.
+    pub fn starts(&mut self, task: &TaskName, place: &Place, now: Micros) {
+        self.starts += 1;
+        if let Some(other) = self.on.get(task) {
+            let what = format!(
+                "{task} starts on {} while on {}",
+                place.machine, other.machine
+            );
+            self.breach(Rule::RanTwice, now, what);
+        }
+        let Some(job) = self.jobs.get(&task.job) else {
+            self.breach(Rule::WrongPlace, now, format!("{task}: no such job"));
+            return;
+        };
+        let spec = &job.spec;
+        let others = || {
+            self.on
+                .iter()
+                .filter(|(t, _)| t.job == task.job && *t != task)
+                .map(|(_, p)| p)
+        };
+        let in_zone = others().filter(|p| p.zone == place.zone).count() as u32;
+        let elsewhere = others().any(|p| p.zone != place.zone);
+        let wrong = if spec.zone.as_ref().is_some_and(|z| *z != place.zone) {
+            Some("zone")
+        } else if spec
+            .types
+            .as_ref()
+            .is_some_and(|t| !t.contains(&place.machine_type))
+        {
+            Some("type")
+        } else if place.spot && !spec.spot {
+            Some("kind of machine")
+        } else if spec.one_zone && elsewhere {
+            Some("zone apart from the others")
+        } else if spec.spread && in_zone + 1 > spec.tasks.div_ceil(2) {
+            Some("zone that holds half already")
+        } else {
+            None
+        };
+        let late = job.cancel_told.is_some_and(|at| now > at + self.cancel);
+        let team = spec.team.clone();
+        if let Some(wrong) = wrong {
+            self.breach(Rule::WrongPlace, now, format!("{task}: wrong {wrong}"));
+        }
+        if late {
+            self.breach(Rule::RanCancelled, now, format!("{task} starts"));
+        }
+        self.on.insert(task.clone(), place.clone());
+        if let Some(limit) = self.limits.get(&team) {
+            let used: f64 = self
+                .on
+                .keys()
+                .filter_map(|t| self.jobs.get(&t.job))
+                .filter(|j| j.spec.team == team)
+                .map(|j| j.spec.cpus)
+                .sum();
+            if used > limit + 1e-6 {
+                self.breach(Rule::Quota, now, format!("{team} uses {used} of {limit}"));
+            }
+        }
+    }
+
+    /// A task has left a machine; `done` if it completed.
+    pub fn leaves(&mut self, task: &TaskName, machine: &str, done: bool) {
+        if self.on.get(task).is_some_and(|p| p.machine == machine) {
+            self.on.remove(task);
+        }
+        if done && let Some(job) = self.jobs.get_mut(&task.job) {
+            job.done.insert(task.index);
+        }
+    }
+
+    /// After every step of a run.
+    pub fn step(&mut self, now: Micros) {
+        let late: Vec<TaskName> = self
+            .on
+            .keys()
+            .filter(|t| {
+                self.jobs
+                    .get(&t.job)
+                    .and_then(|j| j.cancel_told)
+                    .is_some_and(|at| now > at + self.cancel)
+            })
+            .cloned()
+            .collect();
+        for task in late {
+            self.on.remove(&task);
+            self.breach(Rule::RanCancelled, now, format!("{task} still runs"));
+        }
+    }
+
+    pub fn finish(&mut self, now: Micros) {
+        if self.starts == 0 {
+            self.breach(Rule::NothingRan, now, "no task was started".into());
+        }
+    }
+
+    pub fn starts_seen(&self) -> u64 {
+        self.starts
+    }
+
+    /// Whether every task of a job has completed.
+    pub fn complete(&self, id: &str) -> bool {
+        self.jobs
+            .get(id)
+            .is_some_and(|j| j.done.len() as u32 == j.spec.tasks)
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/state.rs
@@ -0,0 +1,270 @@
+//! A stand-in for the state service.
+
+use dillcleat_core::{MILLISECOND, Micros};
+use dillcleat_wire::state::{Change, Changes, Event, Page, Row, StateCall, StateReply, Txn, Value};
+use dillcleat_wire::state::{TXN_BYTES, json_size};
+use std::collections::BTreeMap;
+
+#[derive(Debug)]
+struct Entry {
+    value: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+pub struct StateService {
+    keys: BTreeMap<String, Entry>,
+    leases: BTreeMap<u64, (Micros, Micros)>,
+    next_lease: u64,
+    revision: u64,
+    log: Vec<(u64, Event)>,
+    pub out_until: Micros,
+    out_since: Micros,
+    value_bytes: usize,
+    txn_ops: usize,
+    /// Requests that broke a limit of the protocol: the service's own fault.
+    pub malformed: Vec<String>,
+}
+
+impl StateService {
+    pub fn new(value_bytes: usize, txn_ops: usize) -> Self {
+        StateService {
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            revision: 0,
+            log: Vec::new(),
+            out_until: 0,
+            out_since: 0,
+            value_bytes,
+            txn_ops,
+            malformed: Vec::new(),
+        }
+    }
+
+    pub fn outage(&mut self, now: Micros, until: Micros) {
+        self.out_since = now;
+        self.out_until = until;
+    }
+
+    pub fn out(&self, now: Micros) -> bool {
+        now < self.out_until
+    }
+
+    /// Ends leases; after an outage each has its full time again.
+    pub fn expire(&mut self, now: Micros) {
+        if self.out(now) {
+            return;
+        }
+        if self.out_since < self.out_until {
+            let end = self.out_until;
+            for (ttl, until) in self.leases.values_mut() {
+                *until = (*until).max(end + *ttl);
+            }
+            self.out_since = self.out_until;
+        }
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, until))| now > *until)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) -> bool {
+        if self.leases.remove(&lease).is_none() {
+            return false;
+        }
+        let keys: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, e)| e.lease == Some(lease))
+            .map(|(k, _)| k.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.delete(&key);
+        }
+        true
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            let event = Event::Delete {
+                key: key.into(),
+                version: self.revision,
+            };
+            self.log.push((self.revision, event));
+        }
+    }
+
+    /// Carries a call out; None for a watch that has to wait.
+    pub fn call(&mut self, call: &StateCall, now: Micros) -> Option<StateReply> {
+        self.expire(now);
+        if self.out(now) {
+            // Open watches stay open; everything else is refused.
+            return match call {
+                StateCall::Watch { .. } => None,
+                _ => Some(StateReply::Unavailable),
+            };
+        }
+        Some(match call {
+            StateCall::Get { key } => match self.keys.get(key) {
+                Some(e) => StateReply::Found(Row {
+                    key: key.clone(),
+                    value: e.value.clone(),
+                    version: e.version,
+                    lease: e.lease,
+                }),
+                None => StateReply::Absent {
+                    revision: self.revision,
+                },
+            },
+            StateCall::List { prefix, after } => {
+                // Small pages, so that every run goes over several.
+                const MOST: usize = 7;
+                let rows: Vec<Row> = self
+                    .keys
+                    .range(after.clone().unwrap_or_else(|| prefix.clone())..)
+                    .take_while(|(k, _)| k.starts_with(prefix.as_str()))
+                    .filter(|(k, _)| after.as_ref().is_none_or(|a| *k > a))
+                    .take(MOST + 1)
+                    .map(|(k, e)| Row {
+                        key: k.clone(),
+                        value: e.value.clone(),
+                        version: e.version,
+                        lease: None,
+                    })
+                    .collect();
+                StateReply::Page(Page {
+                    more: rows.len() > MOST,
+                    rows: rows.into_iter().take(MOST).collect(),
+                    revision: self.revision,
+                })
+            }
+            StateCall::Txn(txn) => self.txn(txn),
+            StateCall::NewLease { ttl_ms } => {
+                let lease = self.next_lease;
+                self.next_lease += 1;
+                let ttl = ttl_ms * MILLISECOND;
+                self.leases.insert(lease, (ttl, now + ttl));
+                StateReply::Lease { lease }
+            }
+            StateCall::Extend { lease } => match self.leases.get_mut(lease) {
+                Some((ttl, until)) => {
+                    *until = now + *ttl;
+                    StateReply::Extended
+                }
+                None => StateReply::LeaseGone,
+            },
+            StateCall::EndLease { lease } => {
+                if self.end_lease(*lease) {
+                    StateReply::Extended
+                } else {
+                    StateReply::LeaseGone
+                }
+            }
+            StateCall::Watch { prefix, after, .. } => {
+                let changes = self.changes(prefix, *after);
+                if changes.events.is_empty() {
+                    return None;
+                }
+                StateReply::Changes(changes)
+            }
+        })
+    }
+
+    pub fn changes(&self, prefix: &str, after: u64) -> Changes {
+        let key = |e: &Event| match e {
+            Event::Put { key, .. } | Event::Delete { key, .. } => key.clone(),
+        };
+        Changes {
+            revision: self.revision,
+            events: self
+                .log
+                .iter()
+                .filter(|(r, e)| *r > after && key(e).starts_with(prefix))
+                .map(|(_, e)| e.clone())
+                .collect(),
+        }
+    }
+
+    fn txn(&mut self, txn: &Txn) -> StateReply {
+        let mut bytes = 0;
+        for change in &txn.then {
+            if let Change::Put { key, value, .. } = change {
+                let size = json_size(value);
+                bytes += size + key.len();
+                if size > self.value_bytes {
+                    self.malformed.push(format!("{key}: value of {size} bytes"));
+                    return StateReply::Malformed;
+                }
+            }
+        }
+        if bytes > TXN_BYTES
+            || txn.then.len() > self.txn_ops
+            || txn.compare.len() > 4 * self.txn_ops
+        {
+            self.malformed.push(format!(
+                "transaction of {} changes, {} conditions, {bytes} bytes",
+                txn.then.len(),
+                txn.compare.len()
+            ));
+            return StateReply::Malformed;
+        }
+        let failed: Vec<String> = txn
+            .compare
+            .iter()
+            .filter(|c| self.keys.get(&c.key).map_or(0, |e| e.version) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        let gone = txn.then.iter().any(
+            |c| matches!(c, Change::Put { lease: Some(l), .. } if !self.leases.contains_key(l)),
+        );
+        if gone {
+            return StateReply::LeaseGone;
+        }
+        if !failed.is_empty() {
+            return StateReply::Conflict {
+                failed,
+                revision: self.revision,
+            };
+        }
+        if !txn.then.is_empty() {
+            self.revision += 1;
+        }
+        for change in &txn.then {
+            match change {
+                Change::Put { key, value, lease } => {
+                    let entry = Entry {
+                        value: value.clone(),
+                        version: self.revision,
+                        lease: *lease,
+                    };
+                    self.keys.insert(key.clone(), entry);
+                    let event = Event::Put {
+                        key: key.clone(),
+                        value: value.clone(),
+                        version: self.revision,
+                    };
+                    self.log.push((self.revision, event));
+                }
+                Change::Delete { key } => self.delete(key),
+            }
+        }
+        StateReply::Committed {
+            revision: self.revision,
+        }
+    }
+
+    /// Keys under a prefix, for looking at what a run leaves behind.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.keys.keys().filter(|k| k.starts_with(prefix)).count()
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/worker.rs
@@ -0,0 +1,292 @@
+//! A stand-in for a worker.
+
+use crate::rules::Place;
+use dillcleat_core::{Micros, SECOND};
+use dillcleat_wire::TaskName;
+use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::worker::{Command, Orders, Report, ReportAnswer, TaskReport, TaskState, Why};
+use std::collections::BTreeMap;
+
+#[derive(Debug, Clone)]
+struct Running {
+    state: TaskState,
+    why: Option<Why>,
+    /// When the image is there, or the run ends.
+    until: Option<Micros>,
+    cpus: f64,
+}
+
+/// What happens on a machine, for the checker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Happening {
+    Starts(TaskName),
+    Leaves { task: TaskName, done: bool },
+}
+
+/// What a worker knows of a job: its description, how long a task runs, and
+/// whether it fails.
+#[derive(Debug, Clone)]
+pub struct Play {
+    pub spec: JobSpec,
+    pub run: Micros,
+    pub fails: bool,
+}
+
+#[derive(Debug)]
+pub struct Worker {
+    pub name: String,
+    pub place: Place,
+    cpus: f64,
+    pub session: u64,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<(TaskName, u64), Running>,
+    /// When the last answered report was sent, or the session began.
+    leased_from: Micros,
+    pub report_at: Micros,
+    pub node: usize,
+    /// The report under way: its number and when it was sent.
+    pub under_way: Option<(u64, u64, Micros)>,
+    pub hung_until: Micros,
+    pub recall_at: Option<Micros>,
+    pub faulty: bool,
+}
+
+impl Worker {
+    pub fn new(place: Place, cpus: f64, now: Micros, node: usize) -> Self {
+        Worker {
+            name: place.machine.clone(),
+            place,
+            cpus,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            leased_from: now,
+            report_at: now,
+            node,
+            under_way: None,
+            hung_until: 0,
+            recall_at: None,
+            faulty: false,
+        }
+    }
+
+    pub fn report(&mut self, now: Micros) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: format!("{}:9000", self.name),
+            machine_type: self.place.machine_type.clone(),
+            zone: self.place.zone.clone(),
+            spot: self.place.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self
+                .recall_at
+                .map(|at| at.saturating_sub(now) as f64 / SECOND as f64),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), r)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: r.state,
+                    why: r.why,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn soon(&mut self, now: Micros) {
+        self.report_at = self.report_at.min(now + SECOND / 2);
+    }
+
+    /// Time passes: images arrive, runs end, the lease may run out.
+    pub fn pass(
+        &mut self,
+        now: Micros,
+        lease: Micros,
+        jobs: &BTreeMap<String, Play>,
+    ) -> Vec<Happening> {
+        let mut happenings = Vec::new();
+        if now < self.hung_until {
+            return happenings;
+        }
+        if now > self.leased_from + lease {
+            happenings.extend(self.kill());
+            self.session += 1;
+            self.leased_from = now;
+            self.under_way = None;
+            self.soon(now);
+            return happenings;
+        }
+        let faulty = self.faulty;
+        let mut changed = false;
+        for ((task, _), r) in &mut self.tasks {
+            while r.until.is_some_and(|at| now >= at) {
+                changed = true;
+                let play = jobs.get(&task.job);
+                match r.state {
+                    TaskState::Fetching => {
+                        happenings.push(Happening::Starts(task.clone()));
+                        r.state = TaskState::Running;
+                        let fails = faulty || play.is_some_and(|p| p.fails);
+                        r.until = match play {
+                            _ if fails => Some(now + SECOND / 5),
+                            Some(p) if p.spec.kind == Kind::Batch => Some(now + p.run),
+                            _ => None,
+                        };
+                        if fails {
+                            r.why = Some(Why::Error);
+                        }
+                    }
+                    _ => {
+                        let done = r.why.is_none();
+                        r.why.get_or_insert(Why::Done);
+                        r.state = TaskState::Exited;
+                        r.until = None;
+                        happenings.push(Happening::Leaves {
+                            task: task.clone(),
+                            done,
+                        });
+                    }
+                }
+            }
+        }
+        if changed {
+            self.soon(now);
+        }
+        happenings
+    }
+
+    /// Everything on the machine ends at once.
+    pub fn kill(&mut self) -> Vec<Happening> {
+        std::mem::take(&mut self.tasks)
+            .into_iter()
+            .filter(|(_, r)| r.state == TaskState::Running)
+            .map(|((task, _), _)| Happening::Leaves { task, done: false })
+            .collect()
+    }
+
+    /// The answer to a report that was sent at `sent` in `session`.
+    pub fn answered(
+        &mut self,
+        answer: &ReportAnswer,
+        session: u64,
+        sent: Micros,
+        now: Micros,
+        jobs: &BTreeMap<String, Play>,
+    ) -> Vec<Happening> {
+        if answer.token < self.token || session != self.session {
+            return Vec::new();
+        }
+        if answer.token > self.token {
+            self.token = answer.token;
+            self.soon(now);
+        }
+        self.leased_from = self.leased_from.max(sent);
+        self.carry_out(&answer.commands, now, jobs)
+    }
+
+    /// Orders sent straight to the worker: status, report and happenings.
+    pub fn orders(
+        &mut self,
+        orders: &Orders,
+        now: Micros,
+        jobs: &BTreeMap<String, Play>,
+    ) -> (u16, Report, Vec<Happening>) {
+        if orders.token < self.token || orders.session != self.session {
+            return (409, self.report(now), Vec::new());
+        }
+        self.token = orders.token;
+        let happenings = self.carry_out(&orders.commands, now, jobs);
+        (200, self.report(now), happenings)
+    }
+
+    fn carry_out(
+        &mut self,
+        commands: &[Command],
+        now: Micros,
+        jobs: &BTreeMap<String, Play>,
+    ) -> Vec<Happening> {
+        let mut happenings = Vec::new();
+        for c in commands {
+            match c {
+                Command::Start { task, attempt } => self.start(task, *attempt, now, jobs),
+                Command::Stop { task, attempt, .. } => {
+                    if let Some(r) = self.tasks.get_mut(&(task.clone(), *attempt))
+                        && r.state != TaskState::Exited
+                    {
+                        if r.state == TaskState::Running {
+                            happenings.push(Happening::Leaves {
+                                task: task.clone(),
+                                done: false,
+                            });
+                        }
+                        r.state = TaskState::Exited;
+                        r.why = Some(Why::Stopped);
+                        r.until = None;
+                    }
+                }
+                Command::Forget { task, attempt } => {
+                    let key = (task.clone(), *attempt);
+                    if self
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|r| r.state == TaskState::Exited)
+                    {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+        if !commands.is_empty() {
+            self.soon(now);
+        }
+        happenings
+    }
+
+    fn start(&mut self, task: &TaskName, attempt: u64, now: Micros, jobs: &BTreeMap<String, Play>) {
+        let key = (task.clone(), attempt);
+        if self.tasks.contains_key(&key) {
+            return;
+        }
+        let live = |r: &Running| r.state != TaskState::Exited;
+        let used: f64 = self
+            .tasks
+            .values()
+            .filter(|r| live(r))
+            .map(|r| r.cpus)
+            .sum();
+        let busy = self.tasks.iter().any(|((t, _), r)| t == task && live(r));
+        let play = jobs.get(&task.job);
+        let cpus = play.map_or(0.0, |p| p.spec.cpus);
+        let refused = if play.is_none() {
+            Some(Why::Unknown)
+        } else if busy {
+            Some(Why::Busy)
+        } else if used + cpus > self.cpus + 1e-6 {
+            Some(Why::NoRoom)
+        } else {
+            None
+        };
+        let running = match refused {
+            Some(why) => Running {
+                state: TaskState::Exited,
+                why: Some(why),
+                until: None,
+                cpus: 0.0,
+            },
+            None => Running {
+                state: TaskState::Fetching,
+                why: None,
+                until: Some(now + SECOND / 2),
+                cpus,
+            },
+        };
+        self.tasks.insert(key, running);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world.rs
@@ -0,0 +1,1202 @@
+//! The world of a rehearsal: simulated time, a network that delays, loses and
+//! holds messages back, and troubles at set times.
+
+use crate::cloud::Cloud;
+use crate::rules::{Breach, Checker, Place};
+use crate::state::StateService;
+use crate::worker::{Happening, Play, Worker};
+use dillcleat_core::{
+    Answer, CallError, CallId, Config, Input, MILLISECOND, Micros, Node, Now, Output, RequestId,
+    SECOND, Tuning,
+};
+use dillcleat_mesh::Message;
+use dillcleat_wire::cloud::{CloudCall, MachineType};
+use dillcleat_wire::platform::Team;
+use dillcleat_wire::state::{StateCall, StateReply};
+use dillcleat_wire::user::{JOBS_PATH, JobSpec, JobState, JobStatus, Kind, Priority};
+use dillcleat_wire::user::{cancel_path, poll_path};
+use dillcleat_wire::worker::{Elsewhere, Orders, REPORT_PATH, Report, ReportAnswer};
+use fastrand::Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+pub const NODES: usize = 3;
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+const WORKER_TIMEOUT: Micros = 4 * SECOND;
+const USER_TIMEOUT: Micros = 5 * SECOND;
+const WALL: Micros = 1_700_000_000 * SECOND;
+
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// These nodes end and come back.
+    Crash {
+        nodes: Vec<usize>,
+        down: Micros,
+    },
+    StateOutage {
+        time: Micros,
+    },
+    /// One node alone is refused by the state service.
+    Refused {
+        node: usize,
+        time: Micros,
+    },
+    /// One node and the state service: what is sent arrives when it is over.
+    CutState {
+        node: usize,
+        time: Micros,
+    },
+    /// One node and all workers, with held packets.
+    CutWorkers {
+        node: usize,
+        time: Micros,
+    },
+    /// A zone's workers and all nodes, with held packets.
+    CutZone {
+        zone: usize,
+        time: Micros,
+    },
+    /// Some machines stop executing, and go on later.
+    Hang {
+        machines: usize,
+        time: Micros,
+    },
+    /// Some machines die without a word.
+    Die {
+        machines: usize,
+    },
+    /// All spot machines get a notice, or none, and are taken.
+    SpotTaken {
+        notice: Option<Micros>,
+    },
+    CloudOutage {
+        time: Micros,
+    },
+    /// Answers get lost, and requests are carried out up to a minute late.
+    Flaky {
+        time: Micros,
+    },
+    /// One machine fails whatever it runs.
+    Faulty,
+}
+
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    pub seed: u64,
+    pub faults: Vec<(Micros, Fault)>,
+    pub jobs: usize,
+    /// Users and troubles stop here; the rest is for the work to finish.
+    pub busy: Micros,
+    pub end: Micros,
+}
+
+/// What a run has come to.
+#[derive(Debug)]
+pub struct Outcome {
+    pub breaches: Vec<Breach>,
+    pub starts: u64,
+    pub accepted: usize,
+    /// Accepted jobs that neither completed nor were cancelled or services.
+    pub unfinished: Vec<String>,
+    /// Requests that broke a limit of the state service.
+    pub malformed: Vec<String>,
+    /// Keys of tasks, and of open and cancelled jobs, left behind.
+    pub left: usize,
+    /// A digest of everything told to users: equal seeds give equal digests.
+    pub digest: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Ev {
+    Tick {
+        node: usize,
+        epoch: u32,
+    },
+    ToNode {
+        node: usize,
+        epoch: u32,
+        input: Box<Input>,
+    },
+    State {
+        node: usize,
+        epoch: u32,
+        id: CallId,
+        call: Box<StateCall>,
+        reply: bool,
+    },
+    Cloud {
+        node: usize,
+        epoch: u32,
+        id: CallId,
+        call: Box<CloudCall>,
+        reply: bool,
+    },
+    Orders {
+        node: usize,
+        epoch: u32,
+        id: CallId,
+        addr: String,
+        orders: Box<Orders>,
+        reply: bool,
+    },
+    WatchEnds {
+        watch: u64,
+    },
+    Workers,
+    Checkin {
+        machine: String,
+        node: usize,
+        report: Box<Report>,
+    },
+    CheckinAnswer {
+        machine: String,
+        session: u64,
+        seq: u64,
+        sent: Micros,
+        answer: Box<Answer>,
+        node: usize,
+    },
+    User {
+        job: usize,
+    },
+    UserTimeout {
+        request: u64,
+    },
+    Stranger,
+    Up {
+        machine: String,
+    },
+    Taken {
+        machine: String,
+    },
+    Restart {
+        node: usize,
+    },
+    Fault(Box<Fault>),
+    Note,
+}
+
+#[derive(Debug)]
+struct Watch {
+    node: usize,
+    epoch: u32,
+    id: CallId,
+    prefix: String,
+    after: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Asker {
+    Worker {
+        machine: String,
+        session: u64,
+        seq: u64,
+        sent: Micros,
+    },
+    Submission {
+        job: usize,
+    },
+    Poll {
+        job: usize,
+    },
+    Cancel {
+        job: usize,
+    },
+    Stranger {
+        id: String,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Submitting,
+    Polling,
+    Over,
+}
+
+#[derive(Debug)]
+struct User {
+    spec: JobSpec,
+    stage: Stage,
+    since: Option<Micros>,
+    cancel_at: Option<Micros>,
+    accepted: bool,
+    ended: Option<JobState>,
+    again: u32,
+}
+
+#[derive(Debug)]
+struct Host {
+    node: Option<Node>,
+    epoch: u32,
+    refused_until: Micros,
+    state_cut: Micros,
+    workers_cut: Micros,
+}
+
+pub struct World {
+    now: Micros,
+    order: u64,
+    events: BinaryHeap<Reverse<(Micros, u64)>>,
+    what: BTreeMap<u64, Ev>,
+    rng: Rng,
+    config: Config,
+    nodes: Vec<Host>,
+    state: StateService,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    watches: BTreeMap<u64, Watch>,
+    next: u64,
+    asked: BTreeMap<u64, Asker>,
+    users: Vec<User>,
+    plays: BTreeMap<String, Play>,
+    zone_cut: [Micros; 3],
+    flaky_until: Micros,
+    checker: Checker,
+    scenario: Scenario,
+    digest: u64,
+}
+
+fn types() -> Vec<MachineType> {
+    let t = |name: &str, cpus: f64, price: f64, boot_s: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: Some(price / 3.0),
+        boot_s,
+        zones: ZONES.iter().map(|z| z.to_string()).collect(),
+    };
+    vec![t("small", 4.0, 0.3, 5.0), t("large", 16.0, 1.0, 12.0)]
+}
+
+/// Settings of a rehearsal: like a deployment's, with small limits so that
+/// every run meets them.
+pub fn config(member: usize) -> Config {
+    let name = |i: usize| format!("node-{i}");
+    let team = |name: &str, max: f64| Team {
+        name: name.into(),
+        cpus: 0.0,
+        cpus_max: max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Config {
+        member: name(member),
+        siblings: (0..NODES).filter(|i| *i != member).map(name).collect(),
+        teams: vec![team("bound", 12.0), team("free", 0.0)],
+        report: 2 * SECOND,
+        lease: 14 * SECOND,
+        cancel: 44 * SECOND,
+        clock_error: SECOND / 4,
+        state_rps: 200.0,
+        value_bytes: 2048,
+        txn_ops: 12,
+        cloud_rps: 2.0,
+        list_lag: 4 * SECOND,
+        memory_mb: 72.0,
+        tuning: Tuning::default(),
+    }
+}
+
+impl World {
+    pub fn new(scenario: Scenario) -> World {
+        let config = config(0);
+        let limits = config
+            .teams
+            .iter()
+            .filter(|t| t.cpus_max > 0.0)
+            .map(|t| (t.name.clone(), t.cpus_max))
+            .collect();
+        let mut w = World {
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            rng: Rng::with_seed(scenario.seed),
+            nodes: (0..NODES)
+                .map(|_| Host {
+                    node: None,
+                    epoch: 0,
+                    refused_until: 0,
+                    state_cut: 0,
+                    workers_cut: 0,
+                })
+                .collect(),
+            state: StateService::new(config.value_bytes, config.txn_ops),
+            cloud: Cloud::new(types(), 4, config.list_lag),
+            workers: BTreeMap::new(),
+            watches: BTreeMap::new(),
+            next: 0,
+            asked: BTreeMap::new(),
+            users: Vec::new(),
+            plays: BTreeMap::new(),
+            zone_cut: [0; 3],
+            flaky_until: 0,
+            checker: Checker::new(config.cancel, limits),
+            config,
+            digest: 0,
+            scenario,
+        };
+        for node in 0..NODES {
+            w.at(0, Ev::Restart { node });
+        }
+        for (at, fault) in w.scenario.faults.clone() {
+            w.at(at, Ev::Fault(Box::new(fault)));
+        }
+        for job in 0..w.scenario.jobs {
+            w.add_user(job);
+        }
+        w.at(SECOND, Ev::Workers);
+        w.at(SECOND, Ev::Note);
+        w.at(10 * SECOND, Ev::Stranger);
+        w
+    }
+
+    fn add_user(&mut self, job: usize) {
+        let rng = &mut self.rng;
+        let service = rng.u8(..3) == 0;
+        let tasks = if service {
+            rng.u32(1..4)
+        } else {
+            rng.u32(1..15)
+        };
+        let one_zone = rng.u8(..6) == 0;
+        let spec = JobSpec {
+            id: format!("req-{:06}", 1000 + job * 7),
+            class: if service { "web" } else { "merge" }.into(),
+            team: if rng.bool() { "bound" } else { "free" }.into(),
+            kind: if service { Kind::Service } else { Kind::Batch },
+            priority: if service {
+                Priority::Production
+            } else {
+                Priority::Normal
+            },
+            tasks,
+            cpus: f64::from(rng.u32(1..5)),
+            gpus: 0.0,
+            memory_gb: 2.0,
+            image: format!("img-{}", rng.u8(..4)),
+            image_gb: 1.0,
+            types: (rng.u8(..5) == 0).then(|| vec!["large".to_string()]),
+            zone: (rng.u8(..6) == 0).then(|| ZONES[rng.usize(..3)].to_string()),
+            one_zone,
+            spread: !one_zone && rng.u8(..3) == 0,
+            spot: !service && rng.u8(..4) > 0,
+            estimate_s: 10.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        let mut spec = spec;
+        if spec.spread && spec.tasks > 1 {
+            // In one zone alone a spread has no room for its second half.
+            spec.zone = None;
+        }
+        let at = rng.u64(SECOND..self.scenario.busy * 2 / 3);
+        let cancel = service || rng.u8(..5) == 0;
+        let cancel_at = cancel.then(|| at + rng.u64(2 * SECOND..self.scenario.busy - at));
+        let play = Play {
+            run: rng.u64(2 * SECOND..20 * SECOND),
+            fails: cancel && !service && rng.u8(..4) == 0,
+            spec: spec.clone(),
+        };
+        self.plays.insert(spec.id.clone(), play);
+        self.users.push(User {
+            spec,
+            stage: Stage::Submitting,
+            since: None,
+            cancel_at,
+            accepted: false,
+            ended: None,
+            again: 0,
+        });
+        self.at(at, Ev::User { job });
+    }
+
+    fn at(&mut self, at: Micros, ev: Ev) {
+        self.order += 1;
+        self.events.push(Reverse((at.max(self.now), self.order)));
+        self.what.insert(self.order, ev);
+    }
+
+    fn delay(&mut self) -> Micros {
+        match self.rng.u8(..) {
+            0..=2 => self.rng.u64(100..400) * MILLISECOND,
+            _ => self.rng.u64(500..8000),
+        }
+    }
+
+    /// When a message gets across, and whether its answer does.
+    fn passage(&mut self, held_until: Micros) -> (Micros, bool) {
+        let delay = self.delay();
+        if self.now < held_until {
+            return (held_until + delay, false);
+        }
+        if self.now < self.flaky_until {
+            match self.rng.u8(..10) {
+                0 => return (self.now + self.rng.u64(SECOND..60 * SECOND), false),
+                1 => return (self.now + delay, false),
+                _ => {}
+            }
+        }
+        (self.now + delay, true)
+    }
+
+    /// Runs to the end.
+    pub fn run(mut self) -> Outcome {
+        while let Some(Reverse((at, order))) = self.events.pop() {
+            if at > self.scenario.end {
+                break;
+            }
+            self.now = at;
+            if let Some(ev) = self.what.remove(&order) {
+                self.happen(ev);
+            }
+            self.checker.step(self.now);
+            if !self.checker.breaches.is_empty() {
+                break;
+            }
+        }
+        let end = self.now;
+        self.checker.finish(end);
+        let unfinished = self
+            .users
+            .iter()
+            .filter(|u| {
+                u.accepted
+                    && u.spec.kind == Kind::Batch
+                    && u.cancel_at.is_none()
+                    && u.ended != Some(JobState::Done)
+            })
+            .map(|u| format!("{} ({:?})", u.spec.id, u.ended))
+            .collect();
+        Outcome {
+            starts: self.checker.starts_seen(),
+            accepted: self.users.iter().filter(|u| u.accepted).count(),
+            unfinished,
+            left: self.state.count("t/") + self.state.count("q/"),
+            malformed: self.state.malformed,
+            breaches: self.checker.breaches,
+            digest: self.digest,
+        }
+    }
+
+    fn wake(&mut self, node: usize, input: Input) {
+        let now = Now {
+            // Steady clocks may run 0.05% fast.
+            steady: SECOND * 1000 + self.now + self.now / 2000 * node as u64 / 2,
+            wall: WALL + self.now + (node as u64) * SECOND / 10,
+        };
+        let Some(n) = self.nodes[node].node.as_mut() else {
+            return;
+        };
+        let outputs = n.handle(now, input);
+        let epoch = self.nodes[node].epoch;
+        for output in outputs {
+            self.carry(node, epoch, output);
+        }
+    }
+
+    fn input(&mut self, at: Micros, node: usize, epoch: u32, input: Input) {
+        let input = Box::new(input);
+        self.at(at, Ev::ToNode { node, epoch, input });
+    }
+
+    fn carry(&mut self, node: usize, epoch: u32, output: Output) {
+        match output {
+            Output::Answer { id, answer } => self.answer(node, id.0, answer),
+            Output::State { id, call, timeout } => {
+                let held = self.nodes[node].state_cut;
+                let (at, reply) = self.passage(held);
+                let call = Box::new(call);
+                self.at(
+                    at,
+                    Ev::State {
+                        node,
+                        epoch,
+                        id,
+                        call,
+                        reply,
+                    },
+                );
+                let reply = Err(CallError::NoAnswer);
+                self.input(self.now + timeout, node, epoch, Input::State { id, reply });
+            }
+            Output::Cloud { id, call, timeout } => {
+                let (at, reply) = self.passage(0);
+                let call = Box::new(call);
+                self.at(
+                    at,
+                    Ev::Cloud {
+                        node,
+                        epoch,
+                        id,
+                        call,
+                        reply,
+                    },
+                );
+                let reply = Err(CallError::NoAnswer);
+                self.input(self.now + timeout, node, epoch, Input::Cloud { id, reply });
+            }
+            Output::Orders {
+                id,
+                addr,
+                orders,
+                timeout,
+            } => {
+                let machine = addr.trim_end_matches(":9000");
+                let cut = self.zone_of(machine).map_or(0, |z| self.zone_cut[z]);
+                let held = self.nodes[node].workers_cut.max(cut);
+                let (at, reply) = self.passage(held);
+                let orders = Box::new(orders);
+                self.at(
+                    at,
+                    Ev::Orders {
+                        node,
+                        epoch,
+                        id,
+                        addr,
+                        orders,
+                        reply,
+                    },
+                );
+                let reply = Err(CallError::NoAnswer);
+                self.input(self.now + timeout, node, epoch, Input::Orders { id, reply });
+            }
+            Output::Mesh { message } => {
+                for to in (0..NODES).filter(|to| *to != node) {
+                    let (at, whole) = self.passage(0);
+                    let frame = message.encode();
+                    if whole && let Ok(message) = Message::decode(&frame[4..]) {
+                        let from = format!("node-{node}");
+                        let epoch = self.nodes[to].epoch;
+                        self.input(at, to, epoch, Input::Mesh { from, message });
+                    }
+                }
+            }
+        }
+    }
+
+    fn zone_of(&self, machine: &str) -> Option<usize> {
+        let zone = &self.workers.get(machine)?.place.zone;
+        ZONES.iter().position(|z| z == zone)
+    }
+
+    fn happen(&mut self, ev: Ev) {
+        match ev {
+            Ev::Tick { node, epoch } => {
+                if self.nodes[node].epoch == epoch && self.nodes[node].node.is_some() {
+                    self.wake(node, Input::Tick);
+                    self.at(self.now + 50 * MILLISECOND, Ev::Tick { node, epoch });
+                }
+            }
+            Ev::ToNode { node, epoch, input } => {
+                if self.nodes[node].epoch == epoch {
+                    self.wake(node, *input);
+                }
+            }
+            Ev::State {
+                node,
+                epoch,
+                id,
+                call,
+                reply,
+            } => self.state_call(node, epoch, id, &call, reply),
+            Ev::WatchEnds { watch } => {
+                if let Some(w) = self.watches.get(&watch) {
+                    let changes = self.state.changes(&w.prefix, w.after);
+                    if !self.state.out(self.now) {
+                        self.watch_answer(watch, changes);
+                    }
+                }
+            }
+            Ev::Cloud {
+                node,
+                epoch,
+                id,
+                call,
+                reply,
+            } => {
+                let mut rng = self.rng.fork();
+                let never = rng.u8(..20) == 0;
+                let boot = rng.u64(SECOND..20 * SECOND);
+                let (answer, new, gone) = self
+                    .cloud
+                    .call(&call, self.now, |_| (!never).then_some(boot));
+                for machine in new.into_iter().filter(|_| !never) {
+                    self.at(self.now + boot, Ev::Up { machine });
+                }
+                for machine in gone {
+                    self.machine_ends(&machine);
+                }
+                if reply {
+                    let at = self.now + self.delay();
+                    self.input(
+                        at,
+                        node,
+                        epoch,
+                        Input::Cloud {
+                            id,
+                            reply: Ok(answer),
+                        },
+                    );
+                }
+            }
+            Ev::Orders {
+                node,
+                epoch,
+                id,
+                addr,
+                orders,
+                reply,
+            } => {
+                let machine = addr.trim_end_matches(":9000").to_string();
+                let Some(worker) = self.workers.get_mut(&machine) else {
+                    return;
+                };
+                if self.now < worker.hung_until {
+                    // Carried out when it goes on, though the sender is gone.
+                    let at = worker.hung_until + MILLISECOND;
+                    return self.at(
+                        at,
+                        Ev::Orders {
+                            node,
+                            epoch,
+                            id,
+                            addr,
+                            orders,
+                            reply: false,
+                        },
+                    );
+                }
+                let mut happenings = worker.pass(self.now, self.config.lease, &self.plays);
+                let (status, report, more) = worker.orders(&orders, self.now, &self.plays);
+                happenings.extend(more);
+                self.tell(&machine, happenings);
+                if reply {
+                    let body = dillcleat_wire::encode(&report);
+                    let at = self.now + self.delay();
+                    self.input(
+                        at,
+                        node,
+                        epoch,
+                        Input::Orders {
+                            id,
+                            reply: Ok((status, body)),
+                        },
+                    );
+                }
+            }
+            Ev::Workers => self.pass_workers(),
+            Ev::Checkin {
+                machine,
+                node,
+                report,
+            } => {
+                let asker = Asker::Worker {
+                    machine,
+                    session: report.session,
+                    seq: report.seq,
+                    sent: self.now,
+                };
+                let body = dillcleat_wire::encode(&*report);
+                self.ask(node, asker, "POST", REPORT_PATH.into(), body);
+            }
+            Ev::CheckinAnswer {
+                machine,
+                session,
+                seq,
+                sent,
+                answer,
+                node,
+            } => {
+                self.checkin_answer(&machine, session, seq, sent, &answer, node);
+            }
+            Ev::User { job } => self.user(job),
+            Ev::UserTimeout { request } => {
+                if let Some(asker) = self.asked.remove(&request) {
+                    self.user_answer(asker, 0, None);
+                }
+            }
+            Ev::Stranger => {
+                if self.now < self.scenario.busy {
+                    let id = format!("req-{}", 500_000 + self.rng.u32(..1000));
+                    let path = poll_path(&id);
+                    let node = self.rng.usize(..NODES);
+                    self.ask(node, Asker::Stranger { id }, "GET", path, Vec::new());
+                    self.at(self.now + 9 * SECOND, Ev::Stranger);
+                }
+            }
+            Ev::Up { machine } => {
+                let Some(h) = self.cloud.hosts.get(&machine).cloned() else {
+                    return;
+                };
+                let cpus = types()
+                    .iter()
+                    .find(|t| t.name == h.machine_type)
+                    .map_or(0.0, |t| t.cpus);
+                let place = Place {
+                    machine: machine.clone(),
+                    machine_type: h.machine_type,
+                    zone: h.zone,
+                    spot: h.spot,
+                };
+                let node = self.rng.usize(..NODES);
+                self.workers
+                    .insert(machine, Worker::new(place, cpus, self.now, node));
+            }
+            Ev::Taken { machine } => {
+                self.cloud.remove(&machine);
+                self.machine_ends(&machine);
+            }
+            Ev::Restart { node } => {
+                let host = &mut self.nodes[node];
+                host.epoch += 1;
+                host.node = Some(Node::new(config(node)));
+                let epoch = host.epoch;
+                let at = self.now + self.rng.u64(..50 * MILLISECOND);
+                self.at(at, Ev::Tick { node, epoch });
+            }
+            Ev::Fault(fault) => self.fault(*fault),
+            Ev::Note => {
+                self.cloud.note(self.now);
+                self.at(self.now + Cloud::NOTE_EVERY, Ev::Note);
+            }
+        }
+    }
+
+    fn state_call(&mut self, node: usize, epoch: u32, id: CallId, call: &StateCall, reply: bool) {
+        if self.now < self.nodes[node].refused_until && !matches!(call, StateCall::Watch { .. }) {
+            let at = self.now + self.delay();
+            let reply = Ok(StateReply::Unavailable);
+            return self.input(at, node, epoch, Input::State { id, reply });
+        }
+        let too_many = self.rng.u16(..500) == 0;
+        let answer = if too_many {
+            Some(StateReply::TooMany)
+        } else {
+            self.state.call(call, self.now)
+        };
+        match answer {
+            Some(answer) => {
+                if reply {
+                    let at = self.now + self.delay();
+                    self.input(
+                        at,
+                        node,
+                        epoch,
+                        Input::State {
+                            id,
+                            reply: Ok(answer),
+                        },
+                    );
+                }
+            }
+            None => {
+                if let StateCall::Watch {
+                    prefix,
+                    after,
+                    hold_ms,
+                } = call
+                {
+                    self.next += 1;
+                    let watch = Watch {
+                        node,
+                        epoch,
+                        id,
+                        prefix: prefix.clone(),
+                        after: *after,
+                    };
+                    self.watches.insert(self.next, watch);
+                    let end = Ev::WatchEnds { watch: self.next };
+                    self.at(self.now + hold_ms * MILLISECOND, end);
+                }
+            }
+        }
+        self.wake_watches();
+    }
+
+    fn wake_watches(&mut self) {
+        self.state.expire(self.now);
+        if self.state.out(self.now) {
+            return;
+        }
+        let due: Vec<u64> = self
+            .watches
+            .iter()
+            .filter(|(_, w)| self.now >= self.nodes[w.node].refused_until)
+            .filter(|(_, w)| !self.state.changes(&w.prefix, w.after).events.is_empty())
+            .map(|(k, _)| *k)
+            .collect();
+        for watch in due {
+            if let Some(w) = self.watches.get(&watch) {
+                let changes = self.state.changes(&w.prefix, w.after);
+                self.watch_answer(watch, changes);
+            }
+        }
+    }
+
+    fn watch_answer(&mut self, watch: u64, changes: dillcleat_wire::state::Changes) {
+        if let Some(w) = self.watches.remove(&watch) {
+            let (at, whole) = self.passage(self.nodes[w.node].state_cut);
+            if whole {
+                let reply = Ok(StateReply::Changes(changes));
+                self.input(at, w.node, w.epoch, Input::State { id: w.id, reply });
+            }
+        }
+    }
+
+    // ---- workers -------------------------------------------------------
+
+    fn pass_workers(&mut self) {
+        self.wake_watches();
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let lease = self.config.lease;
+            let Some(w) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            let happenings = w.pass(self.now, lease, &self.plays);
+            if self.now >= w.hung_until {
+                if w.under_way
+                    .is_some_and(|(_, _, sent)| self.now > sent + WORKER_TIMEOUT)
+                {
+                    w.under_way = None;
+                    w.node = (w.node + 1) % NODES;
+                    w.report_at = self.now + SECOND;
+                }
+                if w.under_way.is_none() && self.now >= w.report_at {
+                    let report = w.report(self.now);
+                    w.under_way = Some((report.session, report.seq, self.now));
+                    w.report_at = self.now + self.rng.u64(15..25) * SECOND / 10;
+                    let node = w.node;
+                    let zone = ZONES.iter().position(|z| *z == w.place.zone).unwrap_or(0);
+                    let held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
+                    let (at, whole) = self.passage(held);
+                    let report = Box::new(report);
+                    let machine = name.clone();
+                    // A report without an answer on its way still arrives.
+                    let _ = whole;
+                    self.at(
+                        at,
+                        Ev::Checkin {
+                            machine,
+                            node,
+                            report,
+                        },
+                    );
+                }
+            }
+            self.tell(&name, happenings);
+        }
+        self.at(self.now + 100 * MILLISECOND, Ev::Workers);
+    }
+
+    fn tell(&mut self, machine: &str, happenings: Vec<Happening>) {
+        let Some(place) = self.workers.get(machine).map(|w| w.place.clone()) else {
+            return;
+        };
+        for h in happenings {
+            match h {
+                Happening::Starts(task) => self.checker.starts(&task, &place, self.now),
+                Happening::Leaves { task, done } => self.checker.leaves(&task, machine, done),
+            }
+        }
+    }
+
+    fn machine_ends(&mut self, machine: &str) {
+        if let Some(mut w) = self.workers.remove(machine) {
+            for h in w.kill() {
+                if let Happening::Leaves { task, .. } = h {
+                    self.checker.leaves(&task, machine, false);
+                }
+            }
+        }
+    }
+
+    fn checkin_answer(
+        &mut self,
+        machine: &str,
+        session: u64,
+        seq: u64,
+        sent: Micros,
+        answer: &Answer,
+        node: usize,
+    ) {
+        let Some(w) = self.workers.get_mut(machine) else {
+            return;
+        };
+        if self.now < w.hung_until {
+            return;
+        }
+        match w.under_way {
+            Some((s, q, at)) if (s, q) == (session, seq) && self.now <= at + WORKER_TIMEOUT => {}
+            _ => return,
+        }
+        w.under_way = None;
+        match answer.status {
+            200 => {
+                let mut happenings = w.pass(self.now, self.config.lease, &self.plays);
+                match dillcleat_wire::decode::<ReportAnswer>(&answer.body) {
+                    Ok(a) => {
+                        happenings.extend(w.answered(&a, session, sent, self.now, &self.plays))
+                    }
+                    Err(e) => panic!("an answer to a worker is unreadable: {e}"),
+                }
+                self.tell(machine, happenings);
+            }
+            421 => {
+                let to = dillcleat_wire::decode::<Elsewhere>(&answer.body)
+                    .ok()
+                    .and_then(|e| e.report_to)
+                    .and_then(|m| m.strip_prefix("node-")?.parse::<usize>().ok())
+                    .filter(|to| *to != node);
+                match to {
+                    Some(to) => {
+                        w.node = to;
+                        w.report_at = self.now + self.rng.u64(..500) * MILLISECOND;
+                    }
+                    None => {
+                        w.node = (node + 1) % NODES;
+                        w.report_at = self.now + SECOND;
+                    }
+                }
+            }
+            _ => {
+                w.node = (node + 1) % NODES;
+                w.report_at = self.now + SECOND;
+            }
+        }
+    }
+
+    // ---- users ---------------------------------------------------------
+
+    fn ask(&mut self, node: usize, asker: Asker, method: &str, target: String, body: Vec<u8>) {
+        self.next += 1;
+        let request = self.next;
+        self.asked.insert(request, asker);
+        self.at(self.now + USER_TIMEOUT, Ev::UserTimeout { request });
+        let epoch = self.nodes[node].epoch;
+        let at = self.now + self.delay() / 4;
+        let input = Input::Request {
+            id: RequestId(request),
+            method: method.into(),
+            target,
+            body,
+        };
+        self.input(at, node, epoch, input);
+    }
+
+    fn answer(&mut self, node: usize, request: u64, answer: Answer) {
+        let Some(asker) = self.asked.remove(&request) else {
+            return;
+        };
+        match asker {
+            Asker::Worker {
+                machine,
+                session,
+                seq,
+                sent,
+            } => {
+                let zone = self.zone_of(&machine).unwrap_or(0);
+                let held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
+                let (at, whole) = self.passage(held);
+                if whole {
+                    let answer = Box::new(answer);
+                    self.at(
+                        at,
+                        Ev::CheckinAnswer {
+                            machine,
+                            session,
+                            seq,
+                            sent,
+                            answer,
+                            node,
+                        },
+                    );
+                }
+            }
+            asker => {
+                let state = dillcleat_wire::decode::<JobStatus>(&answer.body)
+                    .ok()
+                    .map(|s| s.state);
+                self.user_answer(asker, answer.status, state);
+            }
+        }
+    }
+
+    fn user(&mut self, job: usize) {
+        let node = self.rng.usize(..NODES);
+        let now = self.now;
+        let u = &mut self.users[job];
+        let id = u.spec.id.clone();
+        match u.stage {
+            Stage::Submitting => {
+                u.since.get_or_insert(now);
+                let body = dillcleat_wire::encode(&u.spec);
+                self.checker.submits(&u.spec);
+                self.ask(
+                    node,
+                    Asker::Submission { job },
+                    "POST",
+                    JOBS_PATH.into(),
+                    body,
+                );
+            }
+            Stage::Polling | Stage::Over
+                if u.ended.is_none() && u.cancel_at.is_some_and(|at| now >= at) =>
+            {
+                self.checker.asks_to_cancel(&id);
+                self.ask(
+                    node,
+                    Asker::Cancel { job },
+                    "POST",
+                    cancel_path(&id),
+                    Vec::new(),
+                );
+            }
+            Stage::Polling | Stage::Over => {
+                if u.stage == Stage::Over && u.again % 2 == 1 {
+                    // Known whatever else it holds.
+                    let mut spec = u.spec.clone();
+                    spec.team = "unknown".into();
+                    let body = dillcleat_wire::encode(&spec);
+                    self.ask(
+                        node,
+                        Asker::Submission { job },
+                        "POST",
+                        JOBS_PATH.into(),
+                        body,
+                    );
+                } else {
+                    self.ask(node, Asker::Poll { job }, "GET", poll_path(&id), Vec::new());
+                }
+            }
+        }
+    }
+
+    fn user_answer(&mut self, asker: Asker, status: u16, state: Option<JobState>) {
+        let now = self.now;
+        self.digest = self
+            .digest
+            .wrapping_mul(31)
+            .wrapping_add(now ^ u64::from(status));
+        let ended = state.filter(|s| matches!(s, JobState::Done | JobState::Cancelled));
+        match asker {
+            Asker::Worker { .. } => {}
+            Asker::Stranger { id } => self.checker.answered_poll(&id, status, state, now),
+            Asker::Submission { job } => {
+                let u = &mut self.users[job];
+                let id = u.spec.id.clone();
+                match status {
+                    200 | 201 => {
+                        u.accepted = true;
+                        if u.stage == Stage::Submitting {
+                            u.stage = Stage::Polling;
+                        }
+                        if ended.is_some() {
+                            u.ended = ended;
+                            u.stage = Stage::Over;
+                        }
+                        self.at(now + 4 * SECOND, Ev::User { job });
+                    }
+                    400 | 422 if u.stage == Stage::Submitting => {}
+                    _ => {
+                        let gave_up = u.since.is_some_and(|s| now > s + 60 * SECOND);
+                        if u.stage != Stage::Submitting || !gave_up {
+                            self.at(now + SECOND, Ev::User { job });
+                        }
+                    }
+                }
+                self.checker.answered_submission(&id, status, state, now);
+            }
+            Asker::Poll { job } | Asker::Cancel { job } => {
+                let u = &mut self.users[job];
+                let id = u.spec.id.clone();
+                if ended.is_some() {
+                    u.ended = ended;
+                    u.stage = Stage::Over;
+                }
+                let pause = match u.stage {
+                    Stage::Over => {
+                        u.again += 1;
+                        20 * SECOND
+                    }
+                    _ => 5 * SECOND,
+                };
+                self.at(now + pause, Ev::User { job });
+                self.checker.answered_poll(&id, status, state, now);
+            }
+        }
+    }
+
+    // ---- troubles ------------------------------------------------------
+
+    fn some_machines(&mut self, n: usize) -> Vec<String> {
+        let mut names: Vec<String> = self.workers.keys().cloned().collect();
+        self.rng.shuffle(&mut names);
+        names.truncate(n);
+        names
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        let now = self.now;
+        match fault {
+            Fault::Crash { nodes, down } => {
+                let nodes: BTreeSet<usize> = nodes.into_iter().map(|n| n % NODES).collect();
+                for node in nodes {
+                    self.nodes[node].node = None;
+                    self.nodes[node].epoch += 1;
+                    self.at(now + down, Ev::Restart { node });
+                }
+            }
+            Fault::StateOutage { time } => self.state.outage(now, now + time),
+            Fault::Refused { node, time } => self.nodes[node % NODES].refused_until = now + time,
+            Fault::CutState { node, time } => self.nodes[node % NODES].state_cut = now + time,
+            Fault::CutWorkers { node, time } => self.nodes[node % NODES].workers_cut = now + time,
+            Fault::CutZone { zone, time } => self.zone_cut[zone % 3] = now + time,
+            Fault::Hang { machines, time } => {
+                for name in self.some_machines(machines) {
+                    if let Some(w) = self.workers.get_mut(&name) {
+                        w.hung_until = now + time;
+                    }
+                }
+            }
+            Fault::Die { machines } => {
+                for machine in self.some_machines(machines) {
+                    self.cloud.remove(&machine);
+                    self.machine_ends(&machine);
+                }
+            }
+            Fault::SpotTaken { notice } => {
+                let spot: Vec<String> = self
+                    .workers
+                    .values()
+                    .filter(|w| w.place.spot)
+                    .map(|w| w.name.clone())
+                    .collect();
+                for machine in spot {
+                    let at = now + notice.unwrap_or(0);
+                    if let (Some(_), Some(w)) = (notice, self.workers.get_mut(&machine)) {
+                        w.recall_at = Some(at);
+                        w.report_at = now;
+                    }
+                    self.at(at, Ev::Taken { machine });
+                }
+            }
+            Fault::CloudOutage { time } => self.cloud.out_until = now + time,
+            Fault::Flaky { time } => self.flaky_until = now + time,
+            Fault::Faulty => {
+                for name in self.some_machines(1) {
+                    if let Some(w) = self.workers.get_mut(&name) {
+                        w.faulty = true;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/tests/rules_are_checked.rs
@@ -0,0 +1,132 @@
+//! The checker catches a planted breach of each rule, and nothing else.
+
+use dillcleat_core::SECOND;
+use dillcleat_rehearsal::rules::Place;
+use dillcleat_rehearsal::{Checker, Rule};
+use dillcleat_wire::TaskName;
+use dillcleat_wire::user::{JobSpec, JobState, Kind, Priority};
+use std::collections::BTreeMap;
+
+fn spec(tasks: u32) -> JobSpec {
+    JobSpec {
+        id: "req-1".into(),
+        class: "c".into(),
+        team: "t".into(),
+        kind: Kind::Batch,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: true,
+        spot: false,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+fn place(machine: &str, zone: &str, spot: bool) -> Place {
+    Place {
+        machine: machine.into(),
+        machine_type: "m".into(),
+        zone: zone.into(),
+        spot,
+    }
+}
+
+fn task(index: u32) -> TaskName {
+    TaskName {
+        job: "req-1".into(),
+        index,
+    }
+}
+
+/// A checker that has seen a job of so many tasks accepted.
+fn checker(tasks: u32) -> Checker {
+    let mut c = Checker::new(10 * SECOND, BTreeMap::from([("t".to_string(), 8.0)]));
+    c.submits(&spec(tasks));
+    c.answered_submission("req-1", 201, Some(JobState::Queued), 0);
+    c
+}
+
+type Plant = fn(&mut Checker);
+
+#[test]
+fn each_rule_has_a_breach_that_is_caught() {
+    let planted: [(Rule, u32, Plant); 11] = [
+        (Rule::RanTwice, 2, |c| {
+            c.starts(&task(0), &place("x", "a", false), 1);
+            c.starts(&task(0), &place("y", "b", false), 2);
+        }),
+        (Rule::Quota, 9, |c| {
+            c.starts(&task(0), &place("x", "a", false), 1);
+            c.starts(&task(1), &place("x", "a", false), 2);
+            c.starts(&task(2), &place("x", "a", false), 3);
+        }),
+        (Rule::WrongPlace, 1, |c| {
+            c.starts(&task(0), &place("x", "a", true), 1)
+        }),
+        (Rule::WrongPlace, 2, |c| {
+            c.starts(&task(0), &place("x", "a", false), 1);
+            c.starts(&task(1), &place("y", "a", false), 2);
+        }),
+        (Rule::RanCancelled, 1, |c| {
+            c.starts(&task(0), &place("x", "a", false), 1);
+            c.asks_to_cancel("req-1");
+            c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2);
+            c.step(9 * SECOND);
+            assert!(c.breaches.is_empty());
+            c.step(11 * SECOND);
+        }),
+        (Rule::Forgotten, 1, |c| {
+            c.answered_poll("req-1", 404, None, 5)
+        }),
+        (Rule::Forgotten, 1, |c| {
+            c.answered_submission("req-1", 422, None, 5)
+        }),
+        (Rule::Invented, 1, |c| {
+            c.answered_poll("req-9", 200, Some(JobState::Queued), 5);
+        }),
+        (Rule::NotDone, 2, |c| {
+            c.starts(&task(0), &place("x", "a", false), 1);
+            c.leaves(&task(0), "x", true);
+            c.answered_poll("req-1", 200, Some(JobState::Done), 5);
+        }),
+        (Rule::WentBack, 1, |c| {
+            c.starts(&task(0), &place("x", "a", false), 1);
+            c.leaves(&task(0), "x", true);
+            c.answered_poll("req-1", 200, Some(JobState::Done), 5);
+            c.answered_poll("req-1", 200, Some(JobState::Running), 6);
+        }),
+        (Rule::NothingRan, 1, |c| c.finish(9)),
+    ];
+    for (rule, tasks, plant) in planted {
+        let mut c = checker(tasks);
+        plant(&mut c);
+        let caught: Vec<Rule> = c.breaches.iter().map(|b| b.rule).collect();
+        assert_eq!(caught, [rule]);
+    }
+}
+
+#[test]
+fn a_clean_run_has_no_breach() {
+    let mut c = checker(2);
+    c.starts(&task(0), &place("x", "a", false), 1);
+    c.starts(&task(1), &place("y", "b", false), 2);
+    c.leaves(&task(0), "x", false);
+    c.starts(&task(0), &place("z", "a", false), 3);
+    c.leaves(&task(0), "z", true);
+    c.leaves(&task(1), "y", true);
+    c.answered_poll("req-1", 200, Some(JobState::Done), 5);
+    c.answered_poll("req-2", 404, None, 6);
+    c.step(100 * SECOND);
+    c.finish(100 * SECOND);
+    assert_eq!(c.breaches, []);
+}
--- /dev/null
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -0,0 +1,234 @@
+//! Seeded days with troubles: the rules hold after every step, work finishes
+//! once the troubles are over, and nothing is left behind in the store.
+
+use dillcleat_core::{Micros, SECOND};
+use dillcleat_rehearsal::{Fault, Outcome, Scenario, World};
+
+const BUSY: Micros = 200 * SECOND;
+
+fn play(seed: u64, jobs: usize, faults: Vec<(Micros, Fault)>) -> Outcome {
+    World::new(Scenario {
+        seed,
+        faults,
+        jobs,
+        busy: BUSY,
+        end: BUSY + 500 * SECOND,
+    })
+    .run()
+}
+
+fn holds(name: &str, faults: impl Fn(u64) -> Vec<(Micros, Fault)>) {
+    for seed in 1..=6 {
+        let o = play(seed, 14, faults(seed));
+        assert_eq!(o.breaches, [], "{name}, seed {seed}");
+        assert_eq!(o.malformed, [""; 0], "{name}, seed {seed}");
+        assert!(
+            o.accepted >= 5,
+            "{name}, seed {seed}: {} accepted",
+            o.accepted
+        );
+        assert!(o.starts > 20, "{name}, seed {seed}: {} starts", o.starts);
+        assert_eq!(o.unfinished, [""; 0], "{name}, seed {seed}");
+        assert_eq!(o.left, 0, "{name}, seed {seed}: keys left");
+    }
+}
+
+fn s(n: u64) -> Micros {
+    n * SECOND
+}
+
+fn crash(nodes: &[usize]) -> Fault {
+    Fault::Crash {
+        nodes: nodes.to_vec(),
+        down: s(3),
+    }
+}
+
+#[test]
+fn quiet_day() {
+    holds("quiet", |_| vec![]);
+}
+
+#[test]
+fn equal_seeds_play_equal_days() {
+    let day = |seed| play(seed, 10, vec![(s(40), crash(&[0, 1]))]).digest;
+    assert_eq!(day(3), day(3));
+    assert_ne!(day(3), day(4));
+}
+
+#[test]
+fn leaders_end() {
+    // One after the other, whoever leads.
+    holds("leaders end", |seed| {
+        (0..3)
+            .map(|i| (s(30 + 31 * i + seed), crash(&[i as usize])))
+            .collect()
+    });
+}
+
+/// A new leader once met a cancellation before the job that it was for, and
+/// let its tasks run on (ran_cancelled).
+#[test]
+fn two_or_all_nodes_end() {
+    holds("nodes end together", |seed| {
+        vec![
+            (s(40), crash(&[0, 1])),
+            (s(75 + seed), crash(&[0, 1, 2])),
+            (s(110), crash(&[1, 2])),
+            (s(140), crash(&[0, 1, 2])),
+        ]
+    });
+}
+
+#[test]
+fn state_outage_with_a_crash() {
+    holds("state outage", |seed| {
+        vec![
+            (s(50), Fault::StateOutage { time: s(10) }),
+            (s(54 + seed), crash(&[seed as usize])),
+            (s(120), Fault::StateOutage { time: s(25) }),
+            (s(122), crash(&[0, 1, 2])),
+        ]
+    });
+}
+
+#[test]
+fn one_node_is_refused_or_cut_off() {
+    holds("one node apart", |seed| {
+        let node = seed as usize;
+        vec![
+            (s(40), Fault::Refused { node, time: s(30) }),
+            (
+                s(80),
+                Fault::CutState {
+                    node: node + 1,
+                    time: s(40),
+                },
+            ),
+            (
+                s(130),
+                Fault::CutWorkers {
+                    node: node + 2,
+                    time: s(40),
+                },
+            ),
+            (
+                s(150),
+                Fault::Refused {
+                    node: node + 1,
+                    time: s(45),
+                },
+            ),
+        ]
+    });
+}
+
+#[test]
+fn zones_are_cut_with_held_packets() {
+    holds("zones cut", |seed| {
+        vec![
+            (
+                s(45),
+                Fault::CutZone {
+                    zone: seed as usize,
+                    time: s(40),
+                },
+            ),
+            (s(60), crash(&[0])),
+            (
+                s(110),
+                Fault::CutZone {
+                    zone: seed as usize + 1,
+                    time: s(9),
+                },
+            ),
+            (
+                s(125),
+                Fault::CutZone {
+                    zone: seed as usize + 2,
+                    time: s(60),
+                },
+            ),
+        ]
+    });
+}
+
+#[test]
+fn machines_hang_die_and_are_taken() {
+    holds("machines", |seed| {
+        vec![
+            (
+                s(40),
+                Fault::Hang {
+                    machines: 2,
+                    time: s(10),
+                },
+            ),
+            (
+                s(60 + seed),
+                Fault::Hang {
+                    machines: 2,
+                    time: s(45),
+                },
+            ),
+            (s(70), Fault::Die { machines: 2 }),
+            (
+                s(90),
+                Fault::SpotTaken {
+                    notice: Some(s(15)),
+                },
+            ),
+            (s(130), Fault::SpotTaken { notice: None }),
+            (s(150), Fault::Faulty),
+        ]
+    });
+}
+
+#[test]
+fn answers_get_lost_and_requests_come_late() {
+    holds("flaky", |seed| {
+        vec![
+            (s(20), Fault::Flaky { time: s(150) }),
+            (s(70 + seed), crash(&[seed as usize])),
+            (s(100), Fault::CloudOutage { time: s(30) }),
+        ]
+    });
+}
+
+#[test]
+fn everything_at_once() {
+    for seed in 100..130 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let faults: Vec<(Micros, Fault)> = (0..9)
+            .map(|_| {
+                let at = rng.u64(s(20)..s(190));
+                let time = rng.u64(s(2)..s(50));
+                let n = rng.usize(..3);
+                let fault = match rng.u8(..11) {
+                    0 => crash(&[n]),
+                    1 => crash(&[n, n + 1]),
+                    2 => crash(&[0, 1, 2]),
+                    3 => Fault::StateOutage { time: time / 2 },
+                    4 => Fault::Refused { node: n, time },
+                    5 => Fault::CutState { node: n, time },
+                    6 => Fault::CutWorkers { node: n, time },
+                    7 => Fault::CutZone { zone: n, time },
+                    8 => Fault::Hang {
+                        machines: n + 1,
+                        time,
+                    },
+                    9 => Fault::SpotTaken {
+                        notice: (n > 0).then_some(time / 3),
+                    },
+                    _ => Fault::Flaky { time },
+                };
+                (at, fault)
+            })
+            .collect();
+        let o = play(seed, 14, faults.clone());
+        assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
+        assert_eq!(o.malformed, [""; 0], "seed {seed}");
+        assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
+        assert_eq!(o.left, 0, "seed {seed}: keys left, {faults:?}");
+    }
+}
