--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -37,6 +37,12 @@
 ) -> Option<MachineView> {
     let need = job.room();
     let wanted = job.waiting.len() as u32;
+    // Work that may run on spot machines waits for them rather than pay the
+    // ordinary price; where there are none at all, it does not.
+    let cheap_only = job.spec.spot
+        && types
+            .iter()
+            .any(|t| t.spot_price.is_some() && Room::of_type(t).holds(&need));
     let mut best: Option<(f64, usize, MachineView)> = None;
     for t in types {
         let slots = Room::of_type(t).times(&need).min(wanted);
@@ -45,6 +51,9 @@
         }
         for zone in &t.zones {
             for spot in [true, false] {
+                if !spot && cheap_only {
+                    continue;
+                }
                 let offer = (t.name.clone(), zone.clone(), spot);
                 let Some(price) = price(t, spot) else {
                     continue;
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -575,6 +575,7 @@
         self.pass_at = now;
         match event {
             SlotEvent::Running(key) => {
+                log::debug!("{}/{} runs on {machine}", key.0, key.1);
                 if let Some(job) = self.jobs.get_mut(&key.0) {
                     job.running.insert(key.1);
                 }
@@ -592,7 +593,10 @@
                 attempt,
                 why: Why::Done,
                 ran,
-            } => self.task_done(ctx, &task, attempt, ran),
+            } => {
+                log::debug!("{}/{} is done on {machine}", task.0, task.1);
+                self.task_done(ctx, &task, attempt, ran);
+            }
             SlotEvent::Exited {
                 task, attempt, why, ..
             } => {
@@ -1416,6 +1420,7 @@
         task.state = TaskState::Placed(Rc::from(machine));
         job.waiting.remove(&key.1);
         let slot = Machine::slot(task.attempt, m.session, Room::of_task(&job.spec), false);
+        log::debug!("placing {}/{} on {machine}", key.0, key.1);
         m.place(key.clone(), slot, &job.spec.image);
         self.touch(key);
     }
@@ -1676,7 +1681,13 @@
 
     fn rented(&mut self, ctx: &Ctx, rent: &Rent, names: &[String]) {
         let now = ctx.now.steady;
-        log::info!("rented {}: {} of {}", rent.request, names.len(), rent.count);
+        log::info!(
+            "rented {}: {} of {}: {}",
+            rent.request,
+            names.len(),
+            rent.count,
+            names.join(" ")
+        );
         for name in names {
             if self.gone.contains_key(name) {
                 continue;
