--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -509,9 +509,10 @@
                     },
                 );
                 log::info!(
-                    "accepted {id}: {} tasks of {}",
+                    "accepted {id}: {} tasks of {}, due in {:?} s",
                     job.spec.tasks,
-                    job.spec.class
+                    job.spec.class,
+                    job.spec.deadline_s
                 );
                 let status = JobStatus {
                     id,
