Do not rent for work that fits into room about to be free

Cause: each waiting task asked for a machine of its own although slots free up sooner than a rented machine boots; fleets ran at two thirds.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -20,6 +20,11 @@
     pub lead_ttl_s: f64,
     /// Idle time after which a machine is returned, in seconds.
     pub idle_s: f64,
+    /// Usual time of an image fetch, in seconds, for what a rental would bring.
+    pub fetch_s: f64,
+    /// How many times as long as a rental would take work may wait for room
+    /// that running tasks are about to leave, before a machine is rented for it.
+    pub patience: f64,
     /// Pause after a rental was refused for want of machines, in seconds.
     pub refused_pause_s: f64,
 }
@@ -33,6 +38,8 @@
             first_guess_s: 60.0,
             lead_ttl_s: 4.0,
             idle_s: 20.0,
+            fetch_s: 4.0,
+            patience: 1.0,
             refused_pause_s: 15.0,
         }
     }
@@ -51,6 +58,8 @@
             ("first_guess_s", t.first_guess_s, 0.1, 86400.0),
             ("lead_ttl_s", t.lead_ttl_s, 0.5, 60.0),
             ("idle_s", t.idle_s, 0.0, 86400.0),
+            ("fetch_s", t.fetch_s, 0.0, 3600.0),
+            ("patience", t.patience, 0.0, 100.0),
             ("refused_pause_s", t.refused_pause_s, 0.5, 3600.0),
         ] {
             if !v.is_finite() || v < low || v > high {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1470,6 +1470,7 @@
             .filter(|m| !m.ready && !m.leaving && (m.expected || m.recorded))
             .filter_map(|m| self.view(m))
             .collect();
+        coming.extend(self.freeing(ctx, &types));
         for r in &self.desk.rentals {
             let r = &r.rent;
             let Some(free) = self.total(&r.machine_type) else {
@@ -1517,6 +1518,39 @@
         }
     }
 
+    /// Machines with the room that will be free by the time that a rented one
+    /// could be up: renting for what fits there would gain nothing.
+    fn freeing(&self, ctx: &Ctx, types: &[MachineType]) -> Vec<MachineView> {
+        let now = ctx.now.steady;
+        let boot = types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let horizon = (boot + ctx.config.tuning.fetch_s) * ctx.config.tuning.patience;
+        let mut views = Vec::new();
+        for m in self.machines.values().filter(|m| m.open(now)) {
+            let Some(mut view) = self.view(m) else {
+                continue;
+            };
+            for ((id, _), slot) in &m.slots {
+                let Some(job) = self.jobs.get(id).filter(|j| j.spec.kind == Kind::Batch) else {
+                    continue;
+                };
+                let run = match job.samples.len() {
+                    0 => self.guess(ctx.config, &job.spec.class),
+                    n => job.samples.iter().sum::<f64>() / n as f64,
+                };
+                let elapsed = slot
+                    .running_since
+                    .map_or(0.0, |since| seconds(now.saturating_sub(since)));
+                // What has run longer than thought may run on as long again.
+                let left = (run - elapsed).max(elapsed * 0.2);
+                if left <= horizon {
+                    view.free.give(&slot.room);
+                }
+            }
+            views.push(view);
+        }
+        views
+    }
+
     /// Machines that fell silent are deleted: the answer is the proof that
     /// what was on them is gone.
     fn drop_silent(&mut self, ctx: &Ctx) {
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -47,6 +47,12 @@
         self.memory_gb -= need.memory_gb;
     }
 
+    pub fn give(&mut self, room: &Room) {
+        self.cpus += room.cpus;
+        self.gpus += room.gpus;
+        self.memory_gb += room.memory_gb;
+    }
+
     /// How many times `need` fits.
     pub fn times(&self, need: &Room) -> u32 {
         let of = |have: f64, need: f64| {
