Keep ordinary room for replicas that must start sooner than a machine boots

Classes whose wait objective is shorter than any boot get room for three replicas per zone kept free of spot work.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -25,6 +25,9 @@
     /// How many times as long as a rental would take work may wait for room
     /// that running tasks are about to leave, before a machine is rented for it.
     pub patience: f64,
+    /// Replicas per zone for which ordinary room is kept from spot work, for
+    /// services that must start sooner than a machine boots.
+    pub reserve_replicas: u32,
     /// Pause after a rental was refused for want of machines, in seconds.
     pub refused_pause_s: f64,
 }
@@ -40,6 +43,7 @@
             idle_s: 20.0,
             fetch_s: 4.0,
             patience: 1.0,
+            reserve_replicas: 3,
             refused_pause_s: 15.0,
         }
     }
@@ -88,6 +92,8 @@
     pub cloud_rps: f64,
     pub list_lag: Micros,
     pub memory_mb: f64,
+    /// Classes whose tasks are to start within a given time.
+    pub waits: Vec<(String, Micros)>,
     pub tuning: Tuning,
 }
 
@@ -108,6 +114,12 @@
             cloud_rps: c.cloud.rps,
             list_lag: micros(c.cloud.list_lag_s),
             memory_mb: c.quota.mem_mb,
+            waits: c
+                .objectives
+                .iter()
+                .filter(|o| o.kind == "wait")
+                .filter_map(|o| Some((o.class.clone()?, micros(o.within_s?))))
+                .collect(),
             tuning,
         }
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -96,10 +96,11 @@
     teams: &mut [TeamView],
     types: &[MachineType],
     refusals: &Refusals,
+    reserve: f64,
     now: Micros,
 ) -> Vec<(Offer, u32)> {
     let mut wanted: Vec<(Offer, u32)> = Vec::new();
-    sched::assign(jobs, machines, teams, f64::INFINITY);
+    sched::assign(jobs, machines, teams, f64::INFINITY, reserve);
     for i in sched::order(jobs) {
         while !jobs[i].waiting.is_empty() && jobs[i].team_allows(teams) {
             if wanted.iter().map(|(_, n)| n).sum::<u32>() >= MAX_RENT {
@@ -125,7 +126,7 @@
                 sched::put(job, i, new, machines, teams);
             }
             // What is left of it is for those that come after.
-            sched::assign(jobs, &mut machines[new..], teams, f64::INFINITY);
+            sched::assign(jobs, &mut machines[new..], teams, f64::INFINITY, 0.0);
         }
     }
     wanted
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1393,7 +1393,13 @@
             })
             .sum();
         let training = fleet * ctx.config.tuning.training_share - in_training;
-        let made = sched::assign(&mut jobs, &mut machines, &mut teams, training);
+        let made = sched::assign(
+            &mut jobs,
+            &mut machines,
+            &mut teams,
+            training,
+            self.reserve(ctx.config),
+        );
         let made: Vec<(TaskKey, String)> = made
             .into_iter()
             .map(|a| {
@@ -1408,6 +1414,29 @@
         }
     }
 
+    /// Room for some replicas of each class of services that is expected to
+    /// start sooner than any machine boots.
+    fn reserve(&self, config: &Config) -> f64 {
+        let boot = self
+            .types
+            .iter()
+            .flat_map(|ts| ts.iter())
+            .map(|t| t.boot_s)
+            .fold(f64::INFINITY, f64::min);
+        config
+            .waits
+            .iter()
+            .filter(|(_, within)| seconds(*within) < boot)
+            .map(|(class, _)| {
+                self.jobs
+                    .values()
+                    .filter(|j| j.spec.kind == Kind::Service && j.spec.class == *class)
+                    .map(|j| f64::from(config.tuning.reserve_replicas) * j.spec.cpus)
+                    .fold(0.0, f64::max)
+            })
+            .sum()
+    }
+
     fn place(&mut self, key: &TaskKey, machine: &str) {
         let Some(job) = self.jobs.get_mut(&key.0) else {
             return;
@@ -1499,6 +1528,7 @@
             &mut teams,
             &types,
             &self.refusals,
+            self.reserve(ctx.config),
             now,
         );
         for ((machine_type, zone, spot), count) in wanted {
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -154,8 +154,19 @@
 /// Spot machines take what may run there, so that ordinary room is left for
 /// services; a held image saves a fetch; the fullest machine that still has
 /// room is taken, so that others empty and can be returned.
-fn best_machine(job: &JobView, machines: &[MachineView]) -> Option<usize> {
+fn best_machine(job: &JobView, machines: &[MachineView], reserve: f64) -> Option<usize> {
     let need = job.room();
+    let kept = |m: &MachineView| {
+        if reserve <= 0.0 || m.spot || !job.spec.spot || job.spec.kind == Kind::Service {
+            return true;
+        }
+        let free: f64 = machines
+            .iter()
+            .filter(|o| !o.spot && o.zone == m.zone)
+            .map(|o| o.free.cpus)
+            .sum();
+        free - need.cpus + EPS >= reserve
+    };
     let rank = |m: &MachineView| {
         let image = m.images.contains(&job.spec.image);
         let spot = m.spot == job.spec.spot;
@@ -164,7 +175,7 @@
     machines
         .iter()
         .enumerate()
-        .filter(|(_, m)| m.free.holds(&need) && job.allows(m))
+        .filter(|(_, m)| m.free.holds(&need) && job.allows(m) && kept(m))
         .max_by(|(_, a), (_, b)| {
             rank(a)
                 .partial_cmp(&rank(b))
@@ -178,11 +189,12 @@
     index: usize,
     machines: &mut [MachineView],
     teams: &mut [TeamView],
+    reserve: f64,
 ) -> Option<Assignment> {
     if job.waiting.is_empty() || !job.team_allows(teams) {
         return None;
     }
-    let machine = best_machine(job, machines)?;
+    let machine = best_machine(job, machines, reserve)?;
     Some(put(job, index, machine, machines, teams))
 }
 
@@ -229,12 +241,15 @@
 }
 
 /// One pass: fills free room. `training_cpus` is what training tasks may still
-/// take. The views are left as they are after the pass.
+/// take. `reserve` is the ordinary room per zone, in CPUs, that work which may
+/// run on spot machines leaves to services that must start sooner than any
+/// machine can be rented. The views are left as they are after the pass.
 pub fn assign(
     jobs: &mut [JobView],
     machines: &mut [MachineView],
     teams: &mut [TeamView],
     mut training_cpus: f64,
+    reserve: f64,
 ) -> Vec<Assignment> {
     let mut made = Vec::new();
     let order = order(jobs);
@@ -244,7 +259,7 @@
         .filter(|&&i| goes_first(&jobs[i]))
         .collect::<Vec<_>>()
     {
-        while let Some(a) = place(&mut jobs[i], i, machines, teams) {
+        while let Some(a) = place(&mut jobs[i], i, machines, teams, reserve) {
             made.push(a);
         }
     }
@@ -263,7 +278,7 @@
     });
     for i in training {
         while jobs[i].training > 0 && training_cpus + EPS >= jobs[i].spec.cpus {
-            let Some(a) = place(&mut jobs[i], i, machines, teams) else {
+            let Some(a) = place(&mut jobs[i], i, machines, teams, reserve) else {
                 break;
             };
             training_cpus -= jobs[i].spec.cpus;
@@ -271,7 +286,7 @@
         }
     }
     for &i in &order {
-        while let Some(a) = place(&mut jobs[i], i, machines, teams) {
+        while let Some(a) = place(&mut jobs[i], i, machines, teams, reserve) {
             made.push(a);
         }
     }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -298,6 +298,7 @@
         cloud_rps: 2.0,
         list_lag: 4 * SECOND,
         memory_mb: 72.0,
+        waits: vec![("web".into(), SECOND)],
         tuning: Tuning::default(),
     }
 }
