Measure job sizes in CPU-seconds

Cause: ageing cuts a job by elapsed seconds times the fleet's CPUs over the active jobs, but sizes were in task-seconds: with tasks of 4 CPUs every job had aged to zero within half a minute, and the order was that of arrival.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -98,7 +98,7 @@
     fn new(open: OpenJob, version: u64, team: usize, guess: f64) -> Job {
         let n = open.spec.tasks;
         let chunk_tasks = open.chunk.max(1);
-        let size = f64::from(n) * guess;
+        let size = f64::from(n) * open.spec.cpus * guess;
         Job {
             team,
             version,
@@ -646,7 +646,7 @@
                 if job.samples.len() >= t.min(job.tasks.len()) {
                     let mean = job.samples.iter().sum::<f64>() / job.samples.len() as f64;
                     job.trained = true;
-                    let size = f64::from(job.spec.tasks) * mean;
+                    let size = f64::from(job.spec.tasks) * job.spec.cpus * mean;
                     job.virtual_size = (size - job.credit).max(0.0);
                 }
             }
