Leaders that no worker reaches step down; one rental plan at a time

A new leader was blind to half of its machines for 16 s (they hung: connections came to nothing from every node), and two machines that never came up were paid for 310 s because each of six leaders began to count their boot time anew. Changes: boot time is counted from the cloud's own age; beats say whether workers reach a node, and a leader that hears none makes way; a rental plan is answered in full before the next one, since refusals change it (the log showed a dozen refused rentals of up to 50 machines per second). Ruled out: the change of leaders itself (0.3 s from restart to take-up).

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -47,8 +47,6 @@
     Outdated,
     /// Somebody showed this higher term.
     Higher(u64),
-    /// No worker is heard while siblings may hear them.
-    Deaf,
 }
 
 #[derive(Debug, Clone)]
@@ -1268,6 +1266,12 @@
         }
     }
 
+    /// Since when reports of several machines should have come in.
+    pub fn expects_reports_since(&self) -> Option<Micros> {
+        let expected = self.machines.values().filter(|m| m.recorded && !m.leaving);
+        (self.stage == Stage::Ready && expected.count() >= 2).then_some(self.ready_since)
+    }
+
     /// Machines that hold a cancelled job's tasks and do not show their end
     /// are deleted well before the time is up.
     fn clear_unreachable(&mut self, ctx: &Ctx) {
@@ -1517,7 +1521,8 @@
                 });
             }
         }
-        if self.desk.rentals.len() > 8 {
+        // What is asked for is answered first: refusals change the plan.
+        if !self.desk.rentals.is_empty() {
             return;
         }
         let mut teams = self.team_views(ctx.config);
@@ -1597,15 +1602,6 @@
             .filter(|m| m.up && !m.leaving && now >= m.heard_at + silence)
             .map(|m| m.name.clone())
             .collect();
-        if up >= 2
-            && silent.len() == up
-            && now >= self.ready_since + ctx.config.lease
-            && self.entitled(ctx)
-        {
-            // More likely this node is cut off than all of them at once.
-            self.notes.push(Note::Deaf);
-            return;
-        }
         // Many at once look like a cut that may heal before leases run out.
         let patient = silent.len() > 2.max(up * 2 / 5);
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
@@ -1804,6 +1800,13 @@
                 m.zone = l.zone;
                 m.spot = l.spot;
             }
+            if !m.up && l.condition == Condition::Booting {
+                // Leaders change; how long it has been booting does not. A
+                // machine that never comes up is paid for until it is deleted.
+                let age = micros(l.age_s).min(now);
+                m.known_since = m.known_since.min(now - age);
+                m.heard_at = m.heard_at.min(now - age);
+            }
             if m.addr.is_none()
                 && let Some(addr) = l.addr.filter(|a| !a.is_empty())
                 && l.condition == Condition::Running
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -325,7 +325,8 @@
         }
     }
 
-    pub const ABSTAIN: Micros = 20 * SECOND;
+    /// Long enough for a sibling to be elected; if none is, better this one.
+    pub const ABSTAIN: Micros = 3 * SECOND;
 }
 
 impl Default for Leadership {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -20,6 +20,7 @@
 struct Sibling {
     heard: Micros,
     served: bool,
+    hears: bool,
 }
 
 #[derive(Debug)]
@@ -33,6 +34,8 @@
     /// When the state service last answered this node.
     served_at: Option<Micros>,
     beat_at: Micros,
+    /// When a worker last reported to this node.
+    worker_at: Micros,
 }
 
 impl Node {
@@ -45,6 +48,7 @@
             siblings: HashMap::new(),
             served_at: None,
             beat_at: 0,
+            worker_at: 0,
             config,
         }
     }
@@ -73,6 +77,7 @@
                 if now.steady >= self.beat_at {
                     self.beat_at = now.steady + BEAT;
                     self.beat(&mut out, now);
+                    change = self.deaf(now, &mut out);
                 }
             }
             Input::Request {
@@ -168,12 +173,6 @@
                 Note::Higher(term) => {
                     change = self.leadership.outdated(&mut ctx, term).or(change);
                 }
-                Note::Deaf => {
-                    change = self
-                        .leadership
-                        .step_down(&mut ctx, "no worker is heard", Leadership::ABSTAIN)
-                        .or(change);
-                }
             }
         }
         self.follow(now, out, change);
@@ -239,9 +238,40 @@
         now.steady < served + 3 * SECOND || !alone
     }
 
+    /// A leader that no worker reaches makes way for a sibling that they
+    /// reach: their leases run on, and with them everything on the machines.
+    fn deaf(&mut self, now: Now, out: &mut Vec<Output>) -> Option<Change> {
+        const FRESH: Micros = 2 * SECOND;
+        let since = self.leader.as_ref()?.expects_reports_since()?;
+        let patience = self.config.report * 5 / 4 + 3 * SECOND / 2;
+        if now.steady < since.max(self.worker_at) + patience {
+            return None;
+        }
+        let mut recent = self
+            .siblings
+            .values()
+            .filter(|s| now.steady < s.heard + FRESH)
+            .peekable();
+        let apart = recent.peek().is_none();
+        if !apart && !recent.any(|s| s.hears) {
+            return None;
+        }
+        let mut ctx = Ctx {
+            now,
+            config: &self.config,
+            out,
+            calls: &mut self.calls,
+        };
+        self.leadership
+            .step_down(&mut ctx, "no worker is heard", Leadership::ABSTAIN)
+    }
+
     fn report(&mut self, now: Now, out: &mut Vec<Output>, body: &[u8]) -> Answer {
         let report = match dillcleat_wire::decode::<Report>(body) {
-            Ok(r) => r,
+            Ok(r) => {
+                self.worker_at = now.steady;
+                r
+            }
             Err(e) => {
                 log::error!("a report is not one: {e}");
                 return Answer::refusal(400, e.to_string());
@@ -278,6 +308,7 @@
                 term: self.leadership.term(),
                 leads: self.leader.is_some(),
                 served: self.served(now),
+                hears: now.steady < self.worker_at + 3 * SECOND,
             },
         });
         if let Some(leader) = &mut self.leader {
@@ -298,9 +329,18 @@
     fn mesh(&mut self, now: Now, out: &mut Vec<Output>, from: String, message: Message) {
         match message {
             Message::Hello { .. } => {}
-            Message::Beat { term, served, .. } => {
-                let heard = now.steady;
-                self.siblings.insert(from, Sibling { heard, served });
+            Message::Beat {
+                term,
+                served,
+                hears,
+                ..
+            } => {
+                let sibling = Sibling {
+                    heard: now.steady,
+                    served,
+                    hears,
+                };
+                self.siblings.insert(from, sibling);
                 let mut ctx = Ctx {
                     now,
                     config: &self.config,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -26,11 +26,13 @@
     /// The first frame of a connection: who speaks.
     Hello { member: String },
     /// Sent about twice a second: the highest term seen, whether the sender
-    /// leads in it, and whether the state service serves the sender.
+    /// leads in it, whether the state service serves the sender, and whether
+    /// workers reach it.
     Beat {
         term: u64,
         leads: bool,
         served: bool,
+        hears: bool,
     },
     /// From the leader: the progress of some jobs.
     Progress(Vec<Progress>),
@@ -85,11 +87,13 @@
                 term,
                 leads,
                 served,
+                hears,
             } => {
                 out.push(2);
                 out.extend_from_slice(&term.to_be_bytes());
                 out.push(u8::from(*leads));
                 out.push(u8::from(*served));
+                out.push(u8::from(*hears));
             }
             Message::Progress(jobs) => {
                 out.push(3);
@@ -120,6 +124,7 @@
                 term: r.u64()?,
                 leads: r.flag()?,
                 served: r.flag()?,
+                hears: r.flag()?,
             },
             3 => {
                 let n = r.u16()? as usize;
@@ -204,6 +209,7 @@
                 term: u64::MAX,
                 leads: true,
                 served: false,
+                hears: true,
             },
             Message::Progress(vec![Progress {
                 job: "req-1".into(),
