--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -21,7 +21,7 @@
 )]
 pub struct Cli {
     /// Serve as a controller with the platform's settings file
-    #[arg(long, value_name = "FILE", conflicts_with = "command")]
+    #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
     /// The operator's own settings (TOML); also DILLCLEAT_TUNING
     #[arg(long, value_name = "FILE", global = true)]
--- /dev/null
+++ b/crates/dillcleat/tests/loopback.rs
@@ -0,0 +1,291 @@
+//! Whole processes on the loopback interface: three controllers, the command
+//! line, stand-ins for everything else, and a leader that is killed.
+
+use dillcleat_core::SECOND;
+use dillcleat_rehearsal::loopback::{Loopback, exchange, post};
+use dillcleat_rehearsal::worker::Play;
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::user::{JobSpec, Kind, Priority};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_dillcleat");
+
+/// A process that ends with the test, however that ends.
+struct Node(Child);
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&path, text).expect("a file in the target folder");
+    path
+}
+
+fn settings(
+    i: usize,
+    clients: &[SocketAddr],
+    mesh: &[SocketAddr],
+    world: Option<&Loopback>,
+) -> String {
+    let siblings: String = (0..clients.len())
+        .filter(|j| *j != i)
+        .map(|j| {
+            format!(
+                "[[siblings]]\nmember = \"n{j}\"\nsite = \"a\"\npeer_addr = \"{}\"\n",
+                mesh[j]
+            )
+        })
+        .collect();
+    let (state, cloud) = world.map_or((mesh[0], mesh[0]), |w| (w.state_addr, w.cloud_addr));
+    format!(
+        "member = \"n{i}\"\nsite = \"a\"\nclient_listen = \"{}\"\nmesh_addr = \"{}\"\nnew_field = 1\n{siblings}
+[endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n
+[cluster]\nsize = 3\nzones = [\"a\"]\nclock_error_ms = 250.0\n
+[[cluster.teams]]\nname = \"t\"\ncpus = 4.0\ncpus_max = 8.0\n
+[cluster.workers]\nreport_s = 1.0\nlease_s = 14.0\ncancel_s = 44.0\n
+[cluster.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 16.0\ntxn_ops = 48\n
+[cluster.cloud]\nrps = 4.0\nlist_lag_s = 1.0\n
+[cluster.quota]\ncpu_share = 0.5\nmem_mb = 72.0\nmax_connections = 200\n",
+        clients[i], mesh[i]
+    )
+}
+
+fn serve(path: &PathBuf) -> Node {
+    let child = Command::new(PROGRAM)
+        .arg("--config")
+        .arg(path)
+        .env("LOG_LEVEL", "error")
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    Node(child)
+}
+
+fn run(args: &[&str]) -> Output {
+    Command::new(PROGRAM)
+        .args(args)
+        .output()
+        .expect("the program runs")
+}
+
+fn stdout(args: &[&str]) -> String {
+    let o = run(args);
+    assert!(
+        o.status.success(),
+        "{args:?}: {}",
+        String::from_utf8_lossy(&o.stderr)
+    );
+    String::from_utf8_lossy(&o.stdout).trim().to_string()
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(
+            start.elapsed() < Duration::from_secs(60),
+            "not within 60 s: {what}"
+        );
+        std::thread::sleep(Duration::from_millis(200));
+    }
+}
+
+fn play(id: &str, kind: Kind) -> Play {
+    Play {
+        spec: JobSpec {
+            id: id.into(),
+            class: "c".into(),
+            team: "t".into(),
+            kind,
+            priority: Priority::Normal,
+            tasks: 2,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "img".into(),
+            image_gb: 0.1,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        },
+        run: 2 * SECOND,
+        fails: false,
+    }
+}
+
+#[test]
+fn jobs_run_through_three_processes_and_a_killed_leader() {
+    let clients: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let mesh: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let names = (0..3).map(|i| (format!("n{i}"), clients[i])).collect();
+    let machine = MachineType {
+        name: "m".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: None,
+        boot_s: 1.0,
+        zones: vec!["a".into()],
+    };
+    let world = Loopback::start(vec![machine], names).expect("stand-ins");
+    world.knows(play("req-1", Kind::Batch));
+    world.knows(play("req-2", Kind::Service));
+    let files: Vec<PathBuf> = (0..3)
+        .map(|i| {
+            file(
+                &format!("n{i}.toml"),
+                &settings(i, &clients, &mesh, Some(&world)),
+            )
+        })
+        .collect();
+    let mut nodes: Vec<Option<Node>> = files.iter().map(|f| Some(serve(f))).collect();
+    let server = clients.map_to_string();
+    until("a job is accepted", || {
+        run(&[
+            "submit", "--server", &server[0], "req-1", "--class", "c", "--team", "t", "--tasks",
+            "2", "--image", "img",
+        ])
+        .status
+        .success()
+    });
+    let service = [
+        "submit",
+        "--server",
+        &server[1],
+        "req-2",
+        "--class",
+        "c",
+        "--team",
+        "t",
+        "--tasks",
+        "2",
+        "--image",
+        "img",
+        "--service",
+    ];
+    assert_eq!(stdout(&service), "req-2 pending");
+    until("the job is done", || {
+        stdout(&["status", "--server", &server[2], "req-1"])
+            == "req-1 done, 2 tasks done, 0 running"
+    });
+    until("the service runs", || {
+        stdout(&["status", "--server", &server[0], "req-2"]).starts_with("req-2 running")
+    });
+    // A retry of what is over is answered as over, whatever it holds.
+    let again = run(&[
+        "submit", "--server", &server[1], "req-1", "--class", "c", "--team", "nobody", "--image",
+        "x",
+    ]);
+    assert_eq!(
+        String::from_utf8_lossy(&again.stdout).trim(),
+        "req-1 done, 2 tasks done, 0 running"
+    );
+    // Every node in turn, so the leader for sure.
+    for i in 0..3 {
+        nodes[i] = None;
+        let other = &server[(i + 1) % 3];
+        assert!(stdout(&["status", "--server", other, "req-1"]).starts_with("req-1 done"));
+        nodes[i] = Some(serve(&files[i]));
+        until("the node is back", || {
+            exchange(clients[i], b"GET /up HTTP/1.1\r\n\r\n").is_some_and(|(s, _)| s == 200)
+        });
+    }
+    assert!(stdout(&["abort", "--server", &server[0], "req-2"]).starts_with("req-2 aborted"));
+    for s in &server {
+        assert!(stdout(&["status", "--server", s, "req-2"]).starts_with("req-2 aborted"));
+    }
+    bad_requests(clients[0]);
+    let unknown = run(&["status", "--server", &server[0], "req-77"]);
+    assert_eq!(unknown.status.code(), Some(1));
+    assert_eq!(
+        String::from_utf8_lossy(&unknown.stderr).trim(),
+        "dillcleat: no such job"
+    );
+}
+
+trait MapToString {
+    fn map_to_string(&self) -> Vec<String>;
+}
+
+impl MapToString for Vec<SocketAddr> {
+    fn map_to_string(&self) -> Vec<String> {
+        self.iter().map(ToString::to_string).collect()
+    }
+}
+
+/// What must be refused at the door, by bytes.
+fn bad_requests(addr: SocketAddr) {
+    let status = |bytes: &[u8]| exchange(addr, bytes).map(|(s, _)| s);
+    assert_eq!(status(b"nonsense\r\n\r\n"), Some(400));
+    assert_eq!(status(b"GET /nowhere HTTP/1.1\r\n\r\n"), Some(404));
+    assert_eq!(status(b"DELETE /up HTTP/1.1\r\n\r\n"), Some(405));
+    assert_eq!(status(b"GET /v2/runs/x/y/z HTTP/1.1\r\n\r\n"), Some(404));
+    let large = b"POST /v2/runs HTTP/1.1\r\nContent-Length: 65537\r\n\r\n";
+    assert_eq!(status(large), Some(413));
+    let mut long = b"GET /up HTTP/1.1\r\nX: ".to_vec();
+    long.resize(9000, b'x');
+    assert_eq!(status(&long), Some(400));
+    let chunked = b"POST /v2/runs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(status(chunked), Some(400));
+    for body in [&b""[..], b"\xc1", b"\x93\x01\x02\x03", b"\x80"] {
+        assert_eq!(post(addr, "/v2/runs", body).map(|(s, _)| s), Some(400));
+        assert_eq!(post(addr, "/checkin", body).map(|(s, _)| s), Some(400));
+    }
+}
+
+#[test]
+fn settings_are_checked_before_any_socket_opens() {
+    let addrs: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let good = settings(0, &addrs, &addrs, None);
+    let path = file("good.toml", &good);
+    let path = path.to_str().expect("a path of text");
+    assert!(run(&["check", path]).status.success());
+    for (from, to, key) in [
+        ("lease_s = 14.0", "lease_s = -1.0", "lease_s"),
+        ("lease_s = 14.0", "lease_s = 60.0", "cancel_s"),
+        ("txn_ops = 48", "txn_ops = 0", "txn_ops"),
+        ("rps = 200.0", "rps = \"many\"", "rps"),
+        ("cpus_max = 8.0", "cpus_max = nan", "cpus_max"),
+        ("member = \"n0\"", "", "member"),
+    ] {
+        let bad = file("bad.toml", &good.replacen(from, to, 1));
+        let o = run(&["--config", bad.to_str().expect("text")]);
+        let said = String::from_utf8_lossy(&o.stderr).to_string();
+        assert_eq!(o.status.code(), Some(2), "{key}: {said}");
+        assert!(
+            said.contains(key) && said.trim().lines().count() == 1,
+            "{key}: {said}"
+        );
+    }
+    let tuning = file("tuning.toml", "idle_s = 5.0\ntypo = 1\n");
+    let o = run(&["check", path, "--tuning", tuning.to_str().expect("text")]);
+    assert_eq!(o.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&o.stderr).contains("typo"));
+    assert_eq!(run(&[]).status.code(), Some(2));
+    assert_eq!(
+        run(&["status", "--server", "x", "req-1"]).status.code(),
+        Some(2)
+    );
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 //! say nothing about real deployments; its verdict on the rules does.
 
 pub mod cloud;
+pub mod loopback;
 pub mod rules;
 pub mod state;
 pub mod worker;
--- /dev/null
+++ b/crates/rehearsal/src/loopback.rs
@@ -0,0 +1,410 @@
+//! The stand-ins on real sockets and real time, for one test of whole
+//! processes on the loopback interface.
+
+use crate::cloud::Cloud;
+use crate::rules::Place;
+use crate::state::StateService;
+use crate::worker::{Play, Worker};
+use dillcleat_core::{Micros, SECOND};
+use dillcleat_wire::cloud::{CloudCall, CloudReply, MachineType, Names, Rent};
+use dillcleat_wire::state::{StateCall, StateReply, Txn};
+use dillcleat_wire::worker::{COMMANDS_PATH, Elsewhere, Orders, REPORT_PATH, ReportAnswer};
+use dillcleat_wire::{decode, encode};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+const STEP: Duration = Duration::from_millis(20);
+
+struct Inner {
+    state: StateService,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    plays: BTreeMap<String, Play>,
+}
+
+/// A state service, a cloud and its workers, for as long as it lives.
+#[derive(Clone)]
+pub struct Loopback {
+    inner: Arc<Mutex<Inner>>,
+    start: Instant,
+    nodes: Vec<(String, SocketAddr)>,
+    pub state_addr: SocketAddr,
+    pub cloud_addr: SocketAddr,
+    workers_addr: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Ttl {
+    ttl_ms: u64,
+}
+
+#[derive(Serialize)]
+struct Revision {
+    ledger_no: u64,
+}
+
+#[derive(Serialize)]
+struct Failed {
+    failed: Vec<String>,
+    ledger_no: u64,
+}
+
+#[derive(Serialize)]
+struct Loan {
+    loan: u64,
+}
+
+impl Loopback {
+    /// Starts the stand-ins. `nodes` are the controllers that workers know.
+    pub fn start(
+        types: Vec<MachineType>,
+        nodes: Vec<(String, SocketAddr)>,
+    ) -> std::io::Result<Self> {
+        let state = TcpListener::bind("127.0.0.1:0")?;
+        let cloud = TcpListener::bind("127.0.0.1:0")?;
+        let workers = TcpListener::bind("127.0.0.1:0")?;
+        let world = Loopback {
+            inner: Arc::new(Mutex::new(Inner {
+                state: StateService::new(16 * 1024, 48),
+                cloud: Cloud::new(types, 4, 0),
+                workers: BTreeMap::new(),
+                plays: BTreeMap::new(),
+            })),
+            start: Instant::now(),
+            nodes,
+            state_addr: state.local_addr()?,
+            cloud_addr: cloud.local_addr()?,
+            workers_addr: workers.local_addr()?,
+        };
+        for (listener, serve) in [
+            (
+                state,
+                Self::serve_state as fn(&Self, &str, &str, &[u8]) -> (u16, Vec<u8>),
+            ),
+            (cloud, Self::serve_cloud),
+            (workers, Self::serve_orders),
+        ] {
+            let world = world.clone();
+            std::thread::spawn(move || {
+                for stream in listener.incoming().flatten() {
+                    let world = world.clone();
+                    std::thread::spawn(move || {
+                        serve_connection(stream, |m, t, b| serve(&world, m, t, b))
+                    });
+                }
+            });
+        }
+        let ticking = world.clone();
+        std::thread::spawn(move || ticking.run_workers());
+        Ok(world)
+    }
+
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros + SECOND
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Tells the workers what a job is like; users upload that elsewhere.
+    pub fn knows(&self, play: Play) {
+        self.inner().plays.insert(play.spec.id.clone(), play);
+    }
+
+    fn serve_state(&self, method: &str, target: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let Some(call) = state_call(method, target, body) else {
+            return (400, Vec::new());
+        };
+        let hold = match &call {
+            StateCall::Watch { hold_ms, .. } => Duration::from_millis(*hold_ms),
+            _ => Duration::ZERO,
+        };
+        let asked = Instant::now();
+        loop {
+            let mut inner = self.inner();
+            let now = self.now();
+            if let Some(reply) = inner.state.call(&call, now) {
+                return state_answer(reply);
+            }
+            if let StateCall::Watch { prefix, after, .. } = &call
+                && asked.elapsed() >= hold
+            {
+                return (200, encode(&inner.state.changes(prefix, *after)));
+            }
+            drop(inner);
+            std::thread::sleep(STEP / 4);
+        }
+    }
+
+    fn serve_cloud(&self, method: &str, target: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let call = match (method, target.split('?').next()) {
+            ("GET", Some("/flavors")) => CloudCall::Types,
+            ("POST", Some("/hosts")) => match decode::<Rent>(body) {
+                Ok(rent) => CloudCall::Rent(rent),
+                Err(_) => return (400, Vec::new()),
+            },
+            ("POST", Some("/hosts/delete")) => match decode::<Names>(body) {
+                Ok(names) => CloudCall::Delete(names.machines),
+                Err(_) => return (400, Vec::new()),
+            },
+            ("GET", Some("/hosts")) => CloudCall::List { after: None },
+            _ => return (404, Vec::new()),
+        };
+        let now = self.now();
+        let mut inner = self.inner();
+        inner.cloud.note(now);
+        let (reply, new, gone) = inner.cloud.call(&call, now, |_| Some(0));
+        for name in gone {
+            inner.workers.remove(&name);
+        }
+        for name in new {
+            let Some(h) = inner.cloud.hosts.get(&name).cloned() else {
+                continue;
+            };
+            let cpus = inner
+                .cloud
+                .types
+                .iter()
+                .find(|t| t.name == h.machine_type)
+                .map_or(0.0, |t| t.cpus);
+            let place = Place {
+                machine: name.clone(),
+                machine_type: h.machine_type,
+                zone: h.zone,
+                spot: h.spot,
+            };
+            inner.workers.insert(name, Worker::new(place, cpus, now, 0));
+        }
+        match reply {
+            CloudReply::Types(types) => {
+                (200, encode(&dillcleat_wire::cloud::MachineTypes { types }))
+            }
+            CloudReply::Rented(machines) => (200, encode(&Names { machines })),
+            CloudReply::Listed(list) => (200, encode(&list)),
+            CloudReply::Deleted => (200, Vec::new()),
+            CloudReply::NoCapacity => {
+                let error = "no capacity".to_string();
+                (503, encode(&dillcleat_wire::user::Refusal { error }))
+            }
+            CloudReply::Refused { status } => (status, Vec::new()),
+            CloudReply::Malformed => (400, Vec::new()),
+        }
+    }
+
+    /// All workers share one listener; the machine is told by the session's
+    /// tasks, so this kit knows one worker at a time.
+    fn serve_orders(&self, method: &str, target: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        if (method, target) != ("POST", COMMANDS_PATH) {
+            return (404, Vec::new());
+        }
+        let Ok(orders) = decode::<Orders>(body) else {
+            return (400, Vec::new());
+        };
+        let now = self.now();
+        let mut inner = self.inner();
+        let Inner { workers, plays, .. } = &mut *inner;
+        let Some(worker) = workers.values_mut().next() else {
+            return (503, Vec::new());
+        };
+        let (status, mut report, _) = worker.orders(&orders, now, plays);
+        report.addr = self.workers_addr.to_string();
+        (status, encode(&report))
+    }
+
+    fn run_workers(&self) {
+        loop {
+            std::thread::sleep(STEP);
+            let now = self.now();
+            let mut due = Vec::new();
+            {
+                let mut inner = self.inner();
+                let Inner { workers, plays, .. } = &mut *inner;
+                for w in workers.values_mut() {
+                    w.pass(now, 14 * SECOND, plays);
+                    if now >= w.report_at {
+                        let mut report = w.report(now);
+                        report.addr = self.workers_addr.to_string();
+                        w.report_at = now + SECOND;
+                        due.push((w.name.clone(), w.node, report));
+                    }
+                }
+            }
+            for (name, node, report) in due {
+                let addr = self.nodes[node % self.nodes.len()].1;
+                let answer = post(addr, REPORT_PATH, &encode(&report));
+                let mut inner = self.inner();
+                let Inner { workers, plays, .. } = &mut *inner;
+                let Some(w) = workers.get_mut(&name) else {
+                    continue;
+                };
+                match answer {
+                    Some((200, body)) => {
+                        if let Ok(a) = decode::<ReportAnswer>(&body) {
+                            w.answered(&a, report.session, now, self.now(), plays);
+                        }
+                    }
+                    Some((421, body)) => {
+                        let to = decode::<Elsewhere>(&body).ok().and_then(|e| e.report_to);
+                        let to = to.and_then(|m| self.nodes.iter().position(|(n, _)| *n == m));
+                        w.node = to.unwrap_or(node + 1);
+                    }
+                    _ => w.node = node + 1,
+                }
+            }
+        }
+    }
+}
+
+fn state_call(method: &str, target: &str, body: &[u8]) -> Option<StateCall> {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let param = |name: &str| {
+        query
+            .split('&')
+            .filter_map(|p| p.split_once('='))
+            .find(|(k, _)| *k == name)
+            .map(|(_, v)| v.to_string())
+    };
+    let lease = |rest: &str| rest.parse::<u64>().ok();
+    Some(match method {
+        "GET" if path == "/kv" => StateCall::List {
+            prefix: param("under")?,
+            after: param("from"),
+        },
+        "GET" if path == "/changes" => StateCall::Watch {
+            prefix: param("under")?,
+            after: param("from")?.parse().ok()?,
+            hold_ms: param("hold_ms")?.parse().ok()?,
+        },
+        "GET" => StateCall::Get {
+            key: path.strip_prefix("/kv/")?.to_string(),
+        },
+        "POST" if path == "/txn" => StateCall::Txn(decode::<Txn>(body).ok()?),
+        "POST" if path == "/holds" => StateCall::NewLease {
+            ttl_ms: decode::<Ttl>(body).ok()?.ttl_ms,
+        },
+        "POST" => StateCall::Extend {
+            lease: lease(path.strip_prefix("/holds/")?.strip_suffix("/extend")?)?,
+        },
+        "DELETE" => StateCall::EndLease {
+            lease: lease(path.strip_prefix("/holds/")?)?,
+        },
+        _ => return None,
+    })
+}
+
+fn state_answer(reply: StateReply) -> (u16, Vec<u8>) {
+    match reply {
+        StateReply::Found(row) => (200, encode(&row)),
+        StateReply::Absent { revision } => (
+            404,
+            encode(&Revision {
+                ledger_no: revision,
+            }),
+        ),
+        StateReply::Page(page) => (200, encode(&page)),
+        StateReply::Committed { revision } => (
+            200,
+            encode(&Revision {
+                ledger_no: revision,
+            }),
+        ),
+        StateReply::Conflict { failed, revision } => {
+            let ledger_no = revision;
+            (409, encode(&Failed { failed, ledger_no }))
+        }
+        StateReply::Lease { lease } => (200, encode(&Loan { loan: lease })),
+        StateReply::LeaseGone => (404, Vec::new()),
+        StateReply::Extended => (200, Vec::new()),
+        StateReply::Changes(changes) => (200, encode(&changes)),
+        StateReply::TooOld => (410, Vec::new()),
+        StateReply::TooMany => (429, Vec::new()),
+        StateReply::Unavailable => (503, Vec::new()),
+        StateReply::Malformed => (400, Vec::new()),
+    }
+}
+
+/// Head and body of one message; None when the connection has ended.
+fn read_message(stream: &mut TcpStream, request: bool) -> Option<(String, String, u16, Vec<u8>)> {
+    let mut buffer = Vec::new();
+    let mut chunk = [0u8; 4096];
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let head = if request {
+            let mut r = httparse::Request::new(&mut headers);
+            match r.parse(&buffer).ok()? {
+                httparse::Status::Complete(n) => {
+                    let (m, t) = (r.method?.to_string(), r.path?.to_string());
+                    Some((n, m, t, 0, body_length(r.headers)))
+                }
+                httparse::Status::Partial => None,
+            }
+        } else {
+            let mut r = httparse::Response::new(&mut headers);
+            match r.parse(&buffer).ok()? {
+                httparse::Status::Complete(n) => {
+                    let (t, code) = (r.reason?.to_string(), r.code?);
+                    Some((n, String::new(), t, code, body_length(r.headers)))
+                }
+                httparse::Status::Partial => None,
+            }
+        };
+        if let Some((n, method, target, code, length)) = head
+            && buffer.len() >= n + length
+        {
+            return Some((method, target, code, buffer[n..n + length].to_vec()));
+        }
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 => buffer.extend_from_slice(&chunk[..n]),
+            _ => return None,
+        }
+    }
+}
+
+fn body_length(headers: &[httparse::Header]) -> usize {
+    headers
+        .iter()
+        .find(|h| h.name.eq_ignore_ascii_case("content-length"))
+        .and_then(|h| std::str::from_utf8(h.value).ok()?.trim().parse().ok())
+        .unwrap_or(0)
+}
+
+fn serve_connection(mut stream: TcpStream, serve: impl Fn(&str, &str, &[u8]) -> (u16, Vec<u8>)) {
+    while let Some((method, target, _, body)) = read_message(&mut stream, true) {
+        let (status, body) = serve(&method, &target, &body);
+        let mut bytes = format!(
+            "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        )
+        .into_bytes();
+        bytes.extend_from_slice(&body);
+        if stream.write_all(&bytes).is_err() {
+            return;
+        }
+    }
+}
+
+/// One request on a connection of its own: status and body of the answer.
+pub fn post(addr: SocketAddr, target: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+    let head = format!(
+        "POST {target} HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    exchange(addr, &bytes)
+}
+
+/// Sends bytes as they are and reads one answer.
+pub fn exchange(addr: SocketAddr, bytes: &[u8]) -> Option<(u16, Vec<u8>)> {
+    let wait = Duration::from_secs(4);
+    let mut stream = TcpStream::connect_timeout(&addr, wait).ok()?;
+    stream.set_read_timeout(Some(wait)).ok()?;
+    stream.write_all(bytes).ok()?;
+    let (_, _, status, body) = read_message(&mut stream, false)?;
+    Some((status, body))
+}
