--- /dev/null
+++ b/crates/wire/tests/bad_input.rs
@@ -0,0 +1,182 @@
+//! Submissions as users may send them: what is refused, and what is not.
+
+use dillcleat_wire::state::json_size;
+use dillcleat_wire::user::{Route, Submission, is_job_id, parse_submission, route};
+use rmpv::Value;
+
+fn good() -> Vec<(Value, Value)> {
+    let s = Value::from;
+    vec![
+        (s("ref"), s("req-000412")),
+        (s("lot"), s("train")),
+        (s("desk"), s("vision")),
+        (s("binding"), s("batch")),
+        (s("urgency"), s("high")),
+        (s("leaves"), Value::from(16)),
+        (s("vcpus"), Value::from(8.0)),
+        (s("accelerators"), Value::from(0)),
+        (s("ram_gb"), Value::from(64.0)),
+        (s("edition"), s("img-07")),
+        (s("pull_gb"), Value::from(6.2)),
+        (s("formats"), Value::Array(vec![s("g8")])),
+        (s("room"), Value::Nil),
+        (s("same_place"), Value::from(true)),
+        (s("spread"), Value::from(false)),
+        (s("remainders"), Value::from(true)),
+        (s("reckon_s"), Value::from(240.0)),
+        (s("bookmark_s"), Value::from(30.0)),
+        (s("shelve_s"), Value::from(4.0)),
+        (s("due_s"), Value::from(900.0)),
+    ]
+}
+
+fn submit(fields: Vec<(Value, Value)>) -> Submission {
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, &Value::Map(fields)).expect("memory");
+    parse_submission(&bytes)
+}
+
+fn with(name: &str, value: Value) -> Submission {
+    let mut fields = good();
+    fields.retain(|(k, _)| k.as_str() != Some(name));
+    fields.push((name.into(), value));
+    submit(fields)
+}
+
+fn without(name: &str) -> Submission {
+    let mut fields = good();
+    fields.retain(|(k, _)| k.as_str() != Some(name));
+    submit(fields)
+}
+
+#[test]
+fn a_good_job_is_read_whole() {
+    let spec = submit(good()).spec.expect("good");
+    assert_eq!((spec.tasks, spec.cpus, spec.gpus), (16, 8.0, 0.0));
+    assert_eq!(spec.types, Some(vec!["g8".to_string()]));
+    assert_eq!((spec.zone, spec.deadline_s), (None, Some(900.0)));
+    // Unknown fields are ignored; what may be null may be absent.
+    assert!(with("novel", Value::from(7)).spec.is_ok());
+    for optional in ["formats", "room", "due_s"] {
+        assert!(without(optional).spec.is_ok(), "{optional}");
+        assert!(with(optional, Value::Nil).spec.is_ok(), "{optional}");
+    }
+}
+
+#[test]
+fn bad_fields_are_refused_and_the_id_is_still_known() {
+    let bad = [
+        ("leaves", Value::from(0)),
+        ("leaves", Value::from(-1)),
+        ("leaves", Value::from(100_001)),
+        ("leaves", Value::from(2.5)),
+        ("leaves", Value::from(u64::MAX)),
+        ("vcpus", Value::from(-1.0)),
+        ("vcpus", Value::from(f64::NAN)),
+        ("ram_gb", Value::from(f64::INFINITY)),
+        ("reckon_s", Value::from(f64::NEG_INFINITY)),
+        ("due_s", Value::from(-5.0)),
+        ("binding", Value::from("array")),
+        // Gangs are not in this protocol.
+        ("binding", Value::from("group")),
+        ("urgency", Value::from("urgent")),
+        ("edition", Value::from("")),
+        ("edition", Value::from("x".repeat(500))),
+        ("formats", Value::from("g8")),
+        ("spread", Value::from("yes")),
+        ("desk", Value::Nil),
+    ];
+    for (name, value) in bad {
+        let s = with(name, value.clone());
+        assert!(s.spec.is_err(), "{name} = {value}");
+        assert_eq!(s.id.as_deref(), Some("req-000412"), "{name} = {value}");
+    }
+    for (name, _) in good() {
+        let name = name.as_str().expect("text").to_string();
+        let optional = ["formats", "room", "due_s", "ref"].contains(&name.as_str());
+        if !optional {
+            assert!(without(&name).spec.is_err(), "{name}");
+        }
+    }
+    for id in [
+        "",
+        "req-",
+        "req-12a",
+        "job-1",
+        "req-1/2",
+        "req-..",
+        &"req-1".repeat(9),
+    ] {
+        let s = with("ref", Value::from(id));
+        assert!(s.spec.is_err() && s.id.is_none() && !is_job_id(id), "{id}");
+    }
+}
+
+#[test]
+fn bodies_that_are_no_maps_are_refused() {
+    let bodies: [&[u8]; 6] = [
+        b"",
+        b"\xc1",
+        b"\x90",
+        b"\xa3abc",
+        b"\x85\xa3ref",
+        b"{\"ref\":1}",
+    ];
+    for body in bodies {
+        let s = parse_submission(body);
+        assert!(s.spec.is_err() && s.id.is_none(), "{body:?}");
+    }
+}
+
+#[test]
+fn any_bytes_are_survived() {
+    // A fixed walk over mutations of a good body.
+    let mut bytes = Vec::new();
+    rmpv::encode::write_value(&mut bytes, &Value::Map(good())).expect("memory");
+    let mut x = 12345u64;
+    for _ in 0..20_000 {
+        x = x
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(1442695040888963407);
+        let mut b = bytes.clone();
+        let at = (x >> 33) as usize % b.len();
+        b[at] = (x >> 24) as u8;
+        b.truncate(b.len() - (x >> 60) as usize);
+        let _ = parse_submission(&b);
+        let _ = dillcleat_wire::decode::<dillcleat_wire::worker::Report>(&b);
+    }
+}
+
+#[test]
+fn paths_lead_where_they_should() {
+    assert_eq!(route("POST", "/v2/runs"), Route::Submit);
+    assert_eq!(route("GET", "/v2/runs/req-1"), Route::Poll("req-1".into()));
+    assert_eq!(
+        route("POST", "/v2/runs/req-1/abort"),
+        Route::Cancel("req-1".into())
+    );
+    assert_eq!(route("GET", "/up?x=1"), Route::Health);
+    assert_eq!(route("PUT", "/checkin"), Route::WrongMethod);
+    assert_eq!(route("GET", "/v2/runs"), Route::WrongMethod);
+    for path in [
+        "/",
+        "/v2/runsx",
+        "/v2/runs/",
+        "/v2/runs//abort",
+        "/v2/runs/req-1/stop",
+    ] {
+        assert_eq!(route("GET", path), Route::NotFound, "{path}");
+    }
+}
+
+#[test]
+fn sizes_are_never_underestimated() {
+    let v = Value::Map(vec![
+        ("a\"b".into(), Value::from(-12.5)),
+        (
+            "list".into(),
+            Value::Array(vec![Value::Nil, true.into(), 7.into()]),
+        ),
+    ]);
+    assert!(json_size(&v) >= r#"{"a\"b":-12.5,"list":[null,true,7]}"#.len());
+}
