Users' requests take at most their part of the state service's budget

Cause: nothing kept a flood of submissions or polls from using up the calls that the leader's lease and ledger need. Each node has a bucket of its third of 0.7 of the calls and writes; beyond it 503 with Retry-After at once.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -104,8 +104,45 @@
     }
 }
 
+/// This node's part of what the state service takes, for users' requests. The
+/// rest is the leader's: a flood of requests must not end its lease.
+#[derive(Debug)]
+struct Budget {
+    per_s: f64,
+    left: f64,
+    at: Micros,
+}
+
+impl Budget {
+    /// Part of the whole that users' requests of all nodes together may take.
+    const PART: f64 = 0.7;
+
+    fn new(whole: f64, config: &Config) -> Self {
+        let per_s = whole * Self::PART / (config.siblings.len() + 1) as f64;
+        Budget {
+            per_s,
+            left: per_s,
+            at: 0,
+        }
+    }
+
+    /// Takes `n` if there is as much.
+    fn take(&mut self, n: f64, now: Micros) -> bool {
+        let grown = crate::seconds(now.saturating_sub(self.at)) * self.per_s;
+        self.left = (self.left + grown).min(self.per_s.max(2.0));
+        self.at = now;
+        if self.left < n {
+            return false;
+        }
+        self.left -= n;
+        true
+    }
+}
+
 #[derive(Debug)]
 pub struct Admission {
+    calls: Budget,
+    writes: Budget,
     cache: Cache,
     /// Look-ups under way, by job, with everybody who waits for them.
     lookups: HashMap<String, Vec<Ask>>,
@@ -154,6 +191,8 @@
 impl Admission {
     pub fn new(config: &Config) -> Self {
         Admission {
+            calls: Budget::new(config.state_rps, config),
+            writes: Budget::new(config.state_write_rps, config),
             cache: Cache {
                 jobs: HashMap::new(),
                 order: VecDeque::new(),
@@ -237,7 +276,12 @@
                 refuse(400, "the job's description is too long".into()),
             );
         }
-        if self.under_way >= MAX_UNDER_WAY {
+        let now = ctx.now.steady;
+        // A submission writes two records.
+        if self.under_way >= MAX_UNDER_WAY
+            || !self.calls.take(1.0, now)
+            || !self.writes.take(2.0, now)
+        {
             return ctx.answer(request, Answer::later("too many requests"));
         }
         self.under_way += 1;
@@ -300,7 +344,7 @@
         // A look-up under way may have read before this request came in, but
         // then nobody can have been told more than this answer by now: what it
         // finds is kept only if open, and an open record is compared first.
-        if self.under_way >= MAX_UNDER_WAY {
+        if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, ctx.now.steady) {
             return ctx.answer(ask.request(), Answer::later("too many requests"));
         }
         self.under_way += 1;
@@ -313,7 +357,10 @@
     }
 
     fn check(&mut self, ctx: &mut Ctx) {
-        if self.waiting.is_empty() || self.checks >= MAX_CHECKS {
+        if self.waiting.is_empty()
+            || self.checks >= MAX_CHECKS
+            || !self.calls.take(1.0, ctx.now.steady)
+        {
             return;
         }
         let mut jobs: Vec<(String, u64)> = Vec::new();
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -293,6 +293,7 @@
         cancel: 44 * SECOND,
         clock_error: SECOND / 4,
         state_rps: 200.0,
+        state_write_rps: 80.0,
         value_bytes: 2048,
         txn_ops: 12,
         cloud_rps: 2.0,
