--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -90,6 +90,54 @@
     pub end: Micros,
 }
 
+impl Scenario {
+    /// A day of random troubles, several at a time.
+    pub fn random(seed: u64) -> Scenario {
+        let mut rng = Rng::with_seed(seed);
+        let busy = 200 * SECOND;
+        let faults = (0..rng.usize(4..14))
+            .map(|_| {
+                let at = rng.u64(15 * SECOND..busy - 10 * SECOND);
+                let time = rng.u64(2 * SECOND..50 * SECOND);
+                let n = rng.usize(..3);
+                let down = rng.u64(SECOND..8 * SECOND);
+                let nodes = |nodes: &[usize]| Fault::Crash {
+                    nodes: nodes.to_vec(),
+                    down,
+                };
+                let fault = match rng.u8(..13) {
+                    0 => nodes(&[n]),
+                    1 => nodes(&[n, n + 1]),
+                    2 => nodes(&[0, 1, 2]),
+                    3 => Fault::StateOutage { time: time / 2 },
+                    4 => Fault::Refused { node: n, time },
+                    5 => Fault::CutState { node: n, time },
+                    6 => Fault::CutWorkers { node: n, time },
+                    7 => Fault::CutZone { zone: n, time },
+                    8 => Fault::Hang {
+                        machines: 2 * n + 1,
+                        time,
+                    },
+                    9 => Fault::SpotTaken {
+                        notice: (n > 0).then_some(time / 3),
+                    },
+                    10 => Fault::CloudOutage { time },
+                    11 => Fault::Die { machines: n + 1 },
+                    _ => Fault::Flaky { time },
+                };
+                (at, fault)
+            })
+            .collect();
+        Scenario {
+            seed,
+            faults,
+            jobs: rng.usize(8..22),
+            busy,
+            end: busy + 500 * SECOND,
+        }
+    }
+}
+
 /// What a run has come to.
 #[derive(Debug)]
 pub struct Outcome {
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -197,35 +197,10 @@
 
 #[test]
 fn everything_at_once() {
-    for seed in 100..130 {
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let faults: Vec<(Micros, Fault)> = (0..9)
-            .map(|_| {
-                let at = rng.u64(s(20)..s(190));
-                let time = rng.u64(s(2)..s(50));
-                let n = rng.usize(..3);
-                let fault = match rng.u8(..11) {
-                    0 => crash(&[n]),
-                    1 => crash(&[n, n + 1]),
-                    2 => crash(&[0, 1, 2]),
-                    3 => Fault::StateOutage { time: time / 2 },
-                    4 => Fault::Refused { node: n, time },
-                    5 => Fault::CutState { node: n, time },
-                    6 => Fault::CutWorkers { node: n, time },
-                    7 => Fault::CutZone { zone: n, time },
-                    8 => Fault::Hang {
-                        machines: n + 1,
-                        time,
-                    },
-                    9 => Fault::SpotTaken {
-                        notice: (n > 0).then_some(time / 3),
-                    },
-                    _ => Fault::Flaky { time },
-                };
-                (at, fault)
-            })
-            .collect();
-        let o = play(seed, 14, faults.clone());
+    for seed in 100..140 {
+        let scenario = Scenario::random(seed);
+        let faults = scenario.faults.clone();
+        let o = World::new(scenario).run();
         assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
         assert_eq!(o.malformed, [""; 0], "seed {seed}");
         assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
