--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,43 @@
+//! A node with the settings of a small deployment.
+
+use dillcleat_core::{Config, Node, Tuning};
+use dillcleat_wire::platform::Platform;
+
+const SETTINGS: &str = r#"
+member = "n0"
+site = "a"
+client_listen = "127.0.0.1:1"
+mesh_addr = "127.0.0.1:2"
+siblings = [
+    { member = "n1", site = "a", peer_addr = "127.0.0.1:3" },
+    { member = "n2", site = "a", peer_addr = "127.0.0.1:4" },
+]
+[endpoints]
+cloud = "127.0.0.1:5"
+state = "127.0.0.1:6"
+[cluster]
+size = 3
+zones = ["a"]
+clock_error_ms = 250.0
+[cluster.workers]
+report_s = 2.0
+lease_s = 14.0
+cancel_s = 44.0
+[cluster.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 48
+[cluster.cloud]
+rps = 2.0
+list_lag_s = 4.0
+[cluster.quota]
+cpu_share = 0.1
+mem_mb = 72.0
+max_connections = 900
+"#;
+
+pub fn node() -> Node {
+    let platform = Platform::parse(SETTINGS).expect("good settings");
+    Node::new(Config::new(&platform, Tuning::default()))
+}
--- /dev/null
+++ b/crates/core/tests/proof.rs
@@ -0,0 +1,139 @@
+//! What counts as proof that a task is gone from a machine, and what does not.
+
+use dillcleat_core::sched::Room;
+use dillcleat_core::workers::{Machine, SlotEvent, Source, TaskKey};
+use dillcleat_core::{Micros, SECOND};
+use dillcleat_wire::worker::{Command, Report, TaskReport, TaskState, Why};
+use std::rc::Rc;
+
+const TERM: u64 = 5;
+const NOW: Micros = 1000 * SECOND;
+
+fn report(session: u64, seq: u64, token: u64, tasks: &[(u64, TaskState)]) -> Report {
+    Report {
+        machine: "m".into(),
+        addr: "a:1".into(),
+        machine_type: "t".into(),
+        zone: "z".into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks: tasks
+            .iter()
+            .map(|(attempt, state)| TaskReport {
+                task: "req-1/0".parse().expect("a task's name"),
+                attempt: *attempt,
+                state: *state,
+                why: (*state == TaskState::Exited).then_some(Why::Error),
+                saved: None,
+            })
+            .collect(),
+    }
+}
+
+fn key() -> TaskKey {
+    (Rc::from("req-1"), 0)
+}
+
+/// A machine that is up in session 1, with attempt 1 of a task on it.
+fn machine() -> Machine {
+    let mut m = Machine::new("m", "t", "z", false, NOW);
+    assert_eq!(
+        m.report(&report(1, 1, TERM, &[]), Source::Checkin, TERM, NOW),
+        []
+    );
+    let mut slot = Machine::slot(1, 1, Room::default(), true);
+    slot.seen = Some(TaskState::Running);
+    m.place(key(), slot, "img");
+    m
+}
+
+fn take(m: &mut Machine, r: &Report, source: Source) -> Vec<SlotEvent> {
+    m.report(r, source, TERM, NOW)
+}
+
+#[test]
+fn absence_counts_only_under_the_current_seal_and_from_a_newer_report() {
+    let mut m = machine();
+    // An earlier leader's launch may still be carried out under its seal.
+    assert_eq!(
+        take(&mut m, &report(1, 2, TERM - 1, &[]), Source::Checkin),
+        []
+    );
+    // Held up on its way: as old as it says.
+    assert_eq!(take(&mut m, &report(1, 1, TERM, &[]), Source::Checkin), []);
+    let events = take(&mut m, &report(1, 3, TERM, &[]), Source::Checkin);
+    assert!(matches!(events[..], [SlotEvent::Lost { attempt: 1, .. }]));
+}
+
+#[test]
+fn a_later_session_is_proof_by_itself() {
+    let mut m = machine();
+    let events = take(&mut m, &report(2, 9, TERM - 1, &[]), Source::Checkin);
+    assert!(matches!(events[..], [SlotEvent::Lost { attempt: 1, .. }]));
+}
+
+#[test]
+fn an_unanswered_launch_is_neither_given_up_nor_reaped() {
+    let mut m = machine();
+    m.slots.clear();
+    let slot = Machine::slot(1, 1, Room::default(), true);
+    m.place(key(), slot, "img");
+    let launch = m.commands(|_, _| true);
+    assert!(matches!(launch[..], [Command::Start { .. }]));
+    m.pushed(dillcleat_core::CallId(1), &launch);
+    m.push_ended(dillcleat_core::CallId(1), true);
+    if let Some(slot) = m.slots.get_mut(&key()) {
+        slot.cancelled = true;
+    }
+    // Absent, but it may start at any time.
+    assert_eq!(take(&mut m, &report(1, 2, TERM, &[]), Source::Checkin), []);
+    // It did, and failed: known to the worker, a late launch has no effect,
+    // and a reap would change that.
+    let exited = report(1, 3, TERM, &[(1, TaskState::Exited)]);
+    let events = take(&mut m, &exited, Source::Checkin);
+    assert!(matches!(events[..], [SlotEvent::Exited { attempt: 1, .. }]));
+    assert_eq!(m.commands(|_, _| true), []);
+    // In a new session the old launch is refused.
+    take(
+        &mut m,
+        &report(2, 4, TERM, &[(1, TaskState::Exited)]),
+        Source::Checkin,
+    );
+    assert!(matches!(
+        m.commands(|_, _| true)[..],
+        [Command::Forget { .. }]
+    ));
+}
+
+#[test]
+fn a_launch_in_an_answer_is_settled_by_the_next_checkin_only() {
+    let mut m = machine();
+    m.slots.clear();
+    m.place(key(), Machine::slot(1, 1, Room::default(), true), "img");
+    let commands = m.commands(|_, _| true);
+    m.answered_with(&commands);
+    if let Some(slot) = m.slots.get_mut(&key()) {
+        slot.cancelled = true;
+    }
+    // The answer to other orders may have overtaken it.
+    assert_eq!(take(&mut m, &report(1, 2, TERM, &[]), Source::Orders), []);
+    let events = take(&mut m, &report(1, 3, TERM, &[]), Source::Checkin);
+    assert!(matches!(events[..], [SlotEvent::Lost { .. }]));
+}
+
+#[test]
+fn nothing_is_launched_before_it_is_stored_and_nothing_reaped_before_it_is_settled() {
+    let mut m = machine();
+    m.slots.clear();
+    m.place(key(), Machine::slot(1, 1, Room::default(), false), "img");
+    assert_eq!(m.commands(|_, _| true), []);
+    take(
+        &mut m,
+        &report(1, 2, TERM, &[(7, TaskState::Exited)]),
+        Source::Checkin,
+    );
+    assert_eq!(m.commands(|_, _| false), []);
+}
--- a/crates/rehearsal/src/state.rs
+++ b/crates/rehearsal/src/state.rs
@@ -218,6 +218,17 @@
             ));
             return StateReply::Malformed;
         }
+        // Whatever only a leader writes is fenced by its term. Chunks carry
+        // versions besides, so no run would show the lack of it soon.
+        let leaders = |c: &Change| match c {
+            Change::Put { key, .. } | Change::Delete { key } => {
+                key.starts_with("t/") || key.starts_with("m/")
+            }
+        };
+        if txn.then.iter().any(leaders) && !txn.compare.iter().any(|c| c.key == "s/term") {
+            self.malformed
+                .push("a leader's write without its term".into());
+        }
         let failed: Vec<String> = txn
             .compare
             .iter()
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -195,6 +195,36 @@
     });
 }
 
+/// A leader that is refused by the state service while its successor reaches
+/// neither the workers nor the cloud: only its going quiet ends what is
+/// cancelled meanwhile.
+#[test]
+fn a_blind_leader_goes_quiet() {
+    for node in 0..3 {
+        let time = s(120);
+        holds("blind leader", |_| {
+            vec![
+                (s(45), Fault::Refused { node, time }),
+                (
+                    s(45),
+                    Fault::CutWorkers {
+                        node: node + 1,
+                        time,
+                    },
+                ),
+                (
+                    s(45),
+                    Fault::CutWorkers {
+                        node: node + 2,
+                        time,
+                    },
+                ),
+                (s(45), Fault::CloudOutage { time }),
+            ]
+        });
+    }
+}
+
 #[test]
 fn everything_at_once() {
     for seed in 100..140 {
