Clear a job whose cancellation overtook the record of its end; ask silent machines

Second: a silent machine is asked by empty orders after 1.5 report intervals and deleted after 0.4 of a lease instead of 0.6.

--- a/crates/core/src/leader/jobs.rs
+++ b/crates/core/src/leader/jobs.rs
@@ -6,6 +6,11 @@
     /// A job is cancelled: nothing of it starts, and what runs is stopped.
     pub(super) fn stop_job(&mut self, id: &Rc<str>) {
         log::info!("{id}: cancelled, stopping its tasks");
+        // The cancellation may have overtaken the record of its last
+        // completion: then that is not written, and the job is to be cleared.
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.ending = false;
+        }
         let unstored: Vec<u32> = self.mark_cancelled(id);
         for i in unstored {
             // A placement that is being written may already be stored.
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -109,7 +109,7 @@
     /// what was on them is gone.
     pub(super) fn drop_silent(&mut self, ctx: &Ctx) {
         let now = ctx.now.steady;
-        let silence = (ctx.config.lease * 6 / 10).max(3 * ctx.config.report);
+        let silence = (ctx.config.lease * 4 / 10).max(2 * ctx.config.report + SECOND);
         let up = self
             .machines
             .values()
@@ -125,6 +125,12 @@
         let patient = silent.len() > 2.max(up * 2 / 5);
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
             let quiet = now.saturating_sub(m.heard_at);
+            // One report that got lost costs a worker up to 5 s. Whether the
+            // machine is there shows sooner when it is asked.
+            if m.ready && quiet > ctx.config.report * 3 / 2 && !m.wants_push {
+                m.probe = true;
+                m.wants_push = true;
+            }
             let limit = if !m.up {
                 let boot = self
                     .types
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -133,7 +133,8 @@
                 continue;
             };
             m.wants_push = false;
-            if m.ready && commands.is_empty() {
+            let probe = std::mem::take(&mut m.probe);
+            if m.ready && commands.is_empty() && !probe {
                 continue;
             }
             let orders = Orders {
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -98,6 +98,8 @@
     pub push: Option<Push>,
     pub push_after: Micros,
     pub wants_push: bool,
+    /// Missed its report: asked by empty orders whether it is there at all.
+    pub probe: bool,
     /// Launches that may still be carried out in this session.
     unanswered: BTreeSet<Launch>,
     pub images: Vec<String>,
@@ -131,6 +133,7 @@
             push: None,
             push_after: 0,
             wants_push: false,
+            probe: false,
             unanswered: BTreeSet::new(),
             images: Vec::new(),
             empty_since: now,
--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -6,6 +6,10 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 fn main() -> ExitCode {
+    // LOG_LEVEL shows what the controllers say; of use with a single seed.
+    env_logger::Builder::new()
+        .parse_filters(&std::env::var("LOG_LEVEL").unwrap_or_else(|_| "off".into()))
+        .init();
     let bounds: Vec<u64> = std::env::args()
         .skip(1)
         .filter_map(|a| a.parse().ok())
@@ -29,11 +33,11 @@
                     let clean = o.breaches.is_empty()
                         && o.malformed.is_empty()
                         && o.unfinished.is_empty()
-                        && o.left == 0;
+                        && o.left.is_empty();
                     if !clean {
                         bad.fetch_add(1, Ordering::Relaxed);
                         println!(
-                            "seed {seed}: {:?} malformed {:?} unfinished {:?} left {}",
+                            "seed {seed}: {:?} malformed {:?} unfinished {:?} left {:?}",
                             o.breaches, o.malformed, o.unfinished, o.left
                         );
                     }
--- a/crates/rehearsal/src/state.rs
+++ b/crates/rehearsal/src/state.rs
@@ -275,7 +275,8 @@
     }
 
     /// Keys under a prefix, for looking at what a run leaves behind.
-    pub fn count(&self, prefix: &str) -> usize {
-        self.keys.keys().filter(|k| k.starts_with(prefix)).count()
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.keys.keys();
+        keys.filter(|k| k.starts_with(prefix)).cloned().collect()
     }
 }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -149,7 +149,7 @@
     /// Requests that broke a limit of the state service.
     pub malformed: Vec<String>,
     /// Keys of tasks, and of open and cancelled jobs, left behind.
-    pub left: usize,
+    pub left: Vec<String>,
     /// A digest of everything told to users: equal seeds give equal digests.
     pub digest: u64,
 }
@@ -528,7 +528,7 @@
             starts: self.checker.starts_seen(),
             accepted: self.users.iter().filter(|u| u.accepted).count(),
             unfinished,
-            left: self.state.count("t/") + self.state.count("q/"),
+            left: [self.state.keys("t/"), self.state.keys("q/")].concat(),
             malformed: self.state.malformed,
             breaches: self.checker.breaches,
             digest: self.digest,
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -29,7 +29,7 @@
         );
         assert!(o.starts > 20, "{name}, seed {seed}: {} starts", o.starts);
         assert_eq!(o.unfinished, [""; 0], "{name}, seed {seed}");
-        assert_eq!(o.left, 0, "{name}, seed {seed}: keys left");
+        assert_eq!(o.left, [""; 0], "{name}, seed {seed}: keys left");
     }
 }
 
@@ -225,15 +225,17 @@
     }
 }
 
+/// 1560 and 1869: a cancellation that overtook the record of the last task's
+/// completion once left the job's records behind for ever.
 #[test]
 fn everything_at_once() {
-    for seed in 100..140 {
+    for seed in (100..140).chain([1560, 1869]) {
         let scenario = Scenario::random(seed);
         let faults = scenario.faults.clone();
         let o = World::new(scenario).run();
         assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
         assert_eq!(o.malformed, [""; 0], "seed {seed}");
         assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
-        assert_eq!(o.left, 0, "seed {seed}: keys left, {faults:?}");
+        assert_eq!(o.left, [""; 0], "seed {seed}: keys left, {faults:?}");
     }
 }
