Count silent machines from their first missed report before deleting them

Ruled out: the leader being cut off from all workers. Patience now ends a report interval after the lease.

--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -115,19 +115,22 @@
             .values()
             .filter(|m| m.up && !m.leaving)
             .count();
-        let silent: Vec<String> = self
+        // Many at once look like a cut or a stall that may heal before leases
+        // run out; after that what was on them is gone in any case. They are
+        // counted as soon as they miss a report: one by one they would be
+        // deleted before they are many.
+        let missing = ctx.config.report * 3 / 2;
+        let suspects = self
             .machines
             .values()
-            .filter(|m| m.up && !m.leaving && now >= m.heard_at + silence)
-            .map(|m| m.name.clone())
-            .collect();
-        // Many at once look like a cut that may heal before leases run out.
-        let patient = silent.len() > 2.max(up * 2 / 5);
+            .filter(|m| m.up && !m.leaving && now >= m.heard_at + missing)
+            .count();
+        let patient = suspects > 2.max(up * 3 / 10);
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
             let quiet = now.saturating_sub(m.heard_at);
             // One report that got lost costs a worker up to 5 s. Whether the
             // machine is there shows sooner when it is asked.
-            if m.ready && quiet > ctx.config.report * 3 / 2 && !m.wants_push {
+            if m.ready && quiet > missing && !m.wants_push {
                 m.probe = true;
                 m.wants_push = true;
             }
@@ -144,7 +147,7 @@
                     silence + boot
                 }
             } else if patient {
-                ctx.config.lease * 3 / 2
+                ctx.config.lease + ctx.config.report
             } else {
                 silence
             };
