--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// The usual boot time of a type; a guess while the types are not known.
+fn boot_time(types: Option<&Vec<MachineType>>, machine_type: &str) -> Micros {
+    types
+        .and_then(|ts| ts.iter().find(|t| t.name == machine_type))
+        .map_or(30 * SECOND, |t| micros(t.boot_s))
+}
+
 impl Leader {
     pub(super) fn tend_fleet(&mut self, ctx: &Ctx) {
         let now = ctx.now.steady;
@@ -20,6 +27,9 @@
             .machines
             .values()
             .filter(|m| !m.ready && !m.leaving && (m.expected || m.recorded))
+            // Usual boots are over by now: some take several times as long,
+            // some never end, and neither is waited for.
+            .filter(|m| now < m.known_since + boot_time(Some(&types), &m.machine_type) * 7 / 4)
             .filter_map(|m| self.view(m))
             .collect();
         coming.extend(self.freeing(ctx, &types));
@@ -135,11 +145,7 @@
                 m.wants_push = true;
             }
             let limit = if !m.up {
-                let boot = self
-                    .types
-                    .as_ref()
-                    .and_then(|ts| ts.iter().find(|t| t.name == m.machine_type))
-                    .map_or(30 * SECOND, |t| micros(t.boot_s));
+                let boot = boot_time(self.types.as_deref(), &m.machine_type);
                 if m.expected {
                     boot * 4 + 10 * SECOND
                 } else {
