--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -85,6 +85,8 @@
     pub seed: u64,
     pub faults: Vec<(Micros, Fault)>,
     pub jobs: usize,
+    /// Tasks of the first job, if it is to be a very large array.
+    pub large: Option<u32>,
     /// Users and troubles stop here; the rest is for the work to finish.
     pub busy: Micros,
     pub end: Micros,
@@ -132,6 +134,7 @@
             seed,
             faults,
             jobs: rng.usize(8..22),
+            large: None,
             busy,
             end: busy + 500 * SECOND,
         }
@@ -442,6 +445,10 @@
             deadline_s: None,
         };
         let mut spec = spec;
+        if let (0, Some(tasks)) = (job, self.scenario.large) {
+            spec.kind = Kind::Batch;
+            spec.tasks = tasks;
+        }
         if spec.spread && spec.tasks > 1 {
             // In one zone alone a spread has no room for its second half.
             spec.zone = None;
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -11,6 +11,7 @@
         seed,
         faults,
         jobs,
+        large: None,
         busy: BUSY,
         end: BUSY + 500 * SECOND,
     })
@@ -225,6 +226,26 @@
     }
 }
 
+/// Chunks keep a job of the largest size within the store's limits, and a new
+/// leader reads only those that were begun.
+#[test]
+fn a_job_of_the_largest_size() {
+    for seed in [5, 9] {
+        let o = World::new(Scenario {
+            seed,
+            faults: vec![(s(90), crash(&[0, 1, 2])), (s(150), crash(&[0]))],
+            jobs: 6,
+            large: Some(100_000),
+            busy: BUSY,
+            end: BUSY + s(200),
+        })
+        .run();
+        assert_eq!(o.breaches, [], "seed {seed}");
+        assert_eq!(o.malformed, [""; 0], "seed {seed}");
+        assert!(o.starts > 200, "seed {seed}: {} starts", o.starts);
+    }
+}
+
 /// 1560 and 1869: a cancellation that overtook the record of the last task's
 /// completion once left the job's records behind for ever.
 #[test]
