--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -39,7 +39,7 @@
             training_share: 0.3,
             pass_s: 1.0,
             first_guess_s: 60.0,
-            lead_ttl_s: 4.0,
+            lead_ttl_s: 2.5,
             idle_s: 20.0,
             fetch_s: 4.0,
             patience: 1.0,
