Jobs about to miss their deadline rent ordinary machines

Change: a job whose deadline is nearer than 1.5 times boot, fetch and run time may rent ordinary machines when no spot machine is to be had. What is rented changes, the order does not. The classes and the last useful time come from the objectives of the settings.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -28,6 +28,10 @@
     /// Replicas per zone for which ordinary room is kept from spot work, for
     /// services that must start sooner than a machine boots.
     pub reserve_replicas: u32,
+    /// How many times as long as its tasks take, from the rental of a machine
+    /// to their end, a job's deadline must be away for the job to go on
+    /// waiting for spot machines.
+    pub late_factor: f64,
     /// Pause after a rental was refused for want of machines, in seconds.
     pub refused_pause_s: f64,
 }
@@ -44,6 +48,7 @@
             fetch_s: 4.0,
             patience: 1.0,
             reserve_replicas: 3,
+            late_factor: 1.5,
             refused_pause_s: 15.0,
         }
     }
@@ -64,6 +69,7 @@
             ("idle_s", t.idle_s, 0.0, 86400.0),
             ("fetch_s", t.fetch_s, 0.0, 3600.0),
             ("patience", t.patience, 0.0, 100.0),
+            ("late_factor", t.late_factor, 0.0, 100.0),
             ("refused_pause_s", t.refused_pause_s, 0.5, 3600.0),
         ] {
             if !v.is_finite() || v < low || v > high {
@@ -95,6 +101,9 @@
     pub memory_mb: f64,
     /// Classes whose tasks are to start within a given time.
     pub waits: Vec<(String, Micros)>,
+    /// Classes with aims for their deadlines, with the greatest multiple of
+    /// the deadline by which a job's end is still of use.
+    pub deadlines: Vec<(String, f64)>,
     pub tuning: Tuning,
 }
 
@@ -122,6 +131,18 @@
                 .filter(|o| o.kind == "wait")
                 .filter_map(|o| Some((o.class.clone()?, micros(o.within_s?))))
                 .collect(),
+            deadlines: c
+                .objectives
+                .iter()
+                .filter(|o| o.kind == "deadline")
+                .filter_map(|o| Some((o.class.clone()?, o.times.unwrap_or(1.0))))
+                .fold(Vec::new(), |mut all, (class, times)| {
+                    match all.iter_mut().find(|(c, _)| *c == class) {
+                        Some((_, t)) => *t = times.max(*t),
+                        None => all.push((class, times)),
+                    }
+                    all
+                }),
             tuning,
         }
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -75,8 +75,11 @@
     let need = job.room();
     let waiting = job.waiting.len() as u32;
     // Work that may run on spot machines waits for them rather than pay the
-    // ordinary price; where there are none at all, it does not.
+    // ordinary price, as long as it can; where there are none at all, it does
+    // not. With every spot machine taken, rosterwise-nz-grown once missed a
+    // third of its deadlines beside idle ordinary offers.
     let cheap_only = job.spec.spot
+        && !job.late
         && types
             .iter()
             .any(|t| t.spot_price.is_some() && Room::of_type(t).holds(&need));
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -107,10 +107,41 @@
                 initial_size: j.initial_size,
                 virtual_size: j.virtual_size,
                 submitted: j.submitted,
+                late: self.late(ctx, j),
             })
             .collect()
     }
 
+    /// Whether a job will miss its deadline if it goes on waiting. One that is
+    /// past every use of its end is in no hurry any more.
+    fn late(&self, ctx: &Ctx, job: &Job) -> bool {
+        let config = ctx.config;
+        let Some(due) = job.spec.deadline_s else {
+            return false;
+        };
+        let aim = config.deadlines.iter().find(|(c, _)| *c == job.spec.class);
+        let Some((_, times)) = aim else {
+            return false;
+        };
+        let age = seconds(ctx.now.wall.saturating_sub(job.submitted));
+        let need = self.run_time(config, job) + self.soonest_boot() + config.tuning.fetch_s;
+        due - age < need * config.tuning.late_factor && age < due * times
+    }
+
+    /// What a task of the job takes, as far as is known.
+    pub(super) fn run_time(&self, config: &Config, job: &Job) -> f64 {
+        match job.samples.len() {
+            0 => self.guess(config, &job.spec.class),
+            n => job.samples.iter().sum::<f64>() / n as f64,
+        }
+    }
+
+    /// The boot time of the type that is up soonest, in seconds.
+    pub(super) fn soonest_boot(&self) -> f64 {
+        let types = self.types.iter().flat_map(|ts| ts.iter());
+        types.map(|t| t.boot_s).fold(f64::INFINITY, f64::min)
+    }
+
     /// Where a job's tasks are or may be. Only the rules of a spread and of a
     /// single zone ask for it.
     fn zones(&self, job: &Job) -> BTreeMap<Rc<str>, u32> {
@@ -215,12 +246,7 @@
     /// Room for some replicas of each class of services that is expected to
     /// start sooner than any machine boots.
     pub(super) fn reserve(&self, config: &Config) -> f64 {
-        let boot = self
-            .types
-            .iter()
-            .flat_map(|ts| ts.iter())
-            .map(|t| t.boot_s)
-            .fold(f64::INFINITY, f64::min);
+        let boot = self.soonest_boot();
         config
             .waits
             .iter()
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -32,7 +32,7 @@
             .filter(|m| now < m.known_since + boot_time(Some(&types), &m.machine_type) * 7 / 4)
             .filter_map(|m| self.view(m))
             .collect();
-        coming.extend(self.freeing(ctx, &types));
+        coming.extend(self.freeing(ctx));
         for r in &self.desk.rentals {
             let r = &r.rent;
             let Some(free) = self.total(&r.machine_type) else {
@@ -84,10 +84,10 @@
 
     /// Machines with the room that will be free by the time that a rented one
     /// could be up: renting for what fits there would gain nothing.
-    pub(super) fn freeing(&self, ctx: &Ctx, types: &[MachineType]) -> Vec<MachineView> {
+    pub(super) fn freeing(&self, ctx: &Ctx) -> Vec<MachineView> {
         let now = ctx.now.steady;
-        let boot = types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
-        let horizon = (boot + ctx.config.tuning.fetch_s) * ctx.config.tuning.patience;
+        let horizon =
+            (self.soonest_boot() + ctx.config.tuning.fetch_s) * ctx.config.tuning.patience;
         let mut views = Vec::new();
         for m in self.machines.values().filter(|m| m.open(now)) {
             let Some(mut view) = self.view(m) else {
@@ -97,10 +97,7 @@
                 let Some(job) = self.jobs.get(id).filter(|j| j.spec.kind == Kind::Batch) else {
                     continue;
                 };
-                let run = match job.samples.len() {
-                    0 => self.guess(ctx.config, &job.spec.class),
-                    n => job.samples.iter().sum::<f64>() / n as f64,
-                };
+                let run = self.run_time(ctx.config, job);
                 let elapsed = slot
                     .running_since
                     .map_or(0.0, |since| seconds(now.saturating_sub(since)));
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -351,6 +351,7 @@
         list_lag: 4 * SECOND,
         memory_mb: 72.0,
         waits: vec![("web".into(), SECOND)],
+        deadlines: vec![("merge".into(), 1.5)],
         tuning: Tuning::default(),
     }
 }
@@ -442,7 +443,7 @@
             estimate_s: 10.0,
             checkpoint_s: 0.0,
             save_s: 0.0,
-            deadline_s: None,
+            deadline_s: (!service).then_some(60.0),
         };
         let mut spec = spec;
         if let (0, Some(tasks)) = (job, self.scenario.large) {
