Ordinary room for the next services is rented ahead

Cause: searches and portals that are to start within 2 s and 1 s found the reserve empty: it was kept from spot work, but nothing was rented for it, and three replicas per zone are fewer than the half of a service of 12 that may come to one zone. Change: each zone is kept at the larger of `reserve_replicas` and half of the largest service, in free ordinary CPUs, rented ahead; machines that make it up are not returned as idle.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -106,6 +106,35 @@
     best.map(|(_, _, i)| i)
 }
 
+/// Rents ordinary room ahead of the services that must start sooner than any
+/// machine boots, until each zone has `reserve` CPUs of it free: kept from
+/// other work alone, the room is used up by the first service that comes.
+fn spare(
+    choices: &[Choice],
+    wanted: &mut [u32],
+    mut ordinary: BTreeMap<Rc<str>, f64>,
+    reserve: f64,
+) {
+    if reserve <= 0.0 {
+        return;
+    }
+    let per_cpu = |c: &Choice| c.price / c.machine.free.cpus.max(1e-6);
+    let zones: BTreeSet<Rc<str>> = choices.iter().map(|c| c.machine.zone.clone()).collect();
+    for zone in zones {
+        let free = ordinary.entry(zone.clone()).or_default();
+        let cheapest = (0..choices.len())
+            .filter(|&i| !choices[i].machine.spot && choices[i].machine.zone == zone)
+            .min_by(|&a, &b| per_cpu(&choices[a]).total_cmp(&per_cpu(&choices[b])));
+        let Some(c) = cheapest else {
+            continue;
+        };
+        while *free + 1e-6 < reserve && choices[c].machine.free.cpus > 0.0 && wanted[c] < MAX_RENT {
+            wanted[c] += 1;
+            *free += choices[c].machine.free.cpus;
+        }
+    }
+}
+
 /// The machines to rent for what is left waiting, up to one rental's worth of
 /// each offer. `machines` holds those that are still booting; what fits there
 /// waits for them.
@@ -122,8 +151,12 @@
     let choices = choices(types, refusals, now);
     let mut wanted = vec![0; choices.len()];
     let mut there: BTreeMap<Rc<str>, u32> = BTreeMap::new();
+    let mut ordinary: BTreeMap<Rc<str>, f64> = BTreeMap::new();
     for m in machines.iter() {
         *there.entry(m.zone.clone()).or_default() += 1;
+        if !m.spot {
+            *ordinary.entry(m.zone.clone()).or_default() += m.free.cpus;
+        }
     }
     for i in sched::order(jobs) {
         while !jobs[i].waiting.is_empty() && jobs[i].team_allows(teams) {
@@ -144,8 +177,12 @@
             if new[0].free.cpus > 0.0 {
                 sched::assign(jobs, &mut new, teams, f64::INFINITY, 0.0);
             }
+            if !new[0].spot {
+                *ordinary.entry(new[0].zone.clone()).or_default() += new[0].free.cpus;
+            }
         }
     }
+    spare(&choices, &mut wanted, ordinary, reserve);
     let all = choices.into_iter().zip(wanted);
     all.filter(|(_, n)| *n > 0)
         .map(|(c, n)| (c.offer, n))
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -252,10 +252,14 @@
             .iter()
             .filter(|(_, within)| seconds(*within) < boot)
             .map(|(class, _)| {
+                // A zone takes up to half of a spread service.
                 self.jobs
                     .values()
                     .filter(|j| j.spec.kind == Kind::Service && j.spec.class == *class)
-                    .map(|j| f64::from(config.tuning.reserve_replicas) * j.spec.cpus)
+                    .map(|j| {
+                        let share = j.spec.tasks.div_ceil(2);
+                        f64::from(config.tuning.reserve_replicas.max(share)) * j.spec.cpus
+                    })
                     .fold(0.0, f64::max)
             })
             .sum()
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -167,6 +167,17 @@
     pub(super) fn return_idle(&mut self, ctx: &Ctx) {
         let now = ctx.now.steady;
         let idle = micros(ctx.config.tuning.idle_s);
+        // What the reserve needs stays: it would be rented again at once.
+        let reserve = self.reserve(ctx.config);
+        let mut spare: BTreeMap<Rc<str>, f64> = BTreeMap::new();
+        if reserve > 0.0 {
+            for m in self.machines.values().filter(|m| !m.spot && m.open(now)) {
+                if let Some(total) = self.total(&m.machine_type) {
+                    *spare.entry(m.zone.clone()).or_default() += m.free(total).cpus;
+                }
+            }
+        }
+        let types = self.types.clone();
         for m in self.machines.values_mut() {
             if !m.ready || m.leaving || !m.slots.is_empty() || !m.strays.is_empty() {
                 continue;
@@ -174,7 +185,21 @@
             let empty = now.saturating_sub(m.empty_since);
             // A machine costs a minute at least, so it may as well wait for it.
             let minute = now >= m.known_since + 55 * SECOND;
-            if m.condemned || m.gone_by.is_some() || (empty >= idle && minute) {
+            let tired = m.condemned || m.gone_by.is_some();
+            if !tired && empty >= idle && minute && !m.spot && reserve > 0.0 {
+                let room = types
+                    .iter()
+                    .flat_map(|ts| ts.iter())
+                    .find(|t| *t.name == *m.machine_type)
+                    .map_or(0.0, |t| t.cpus);
+                if let Some(free) = spare.get_mut(&m.zone) {
+                    if *free - room + 1e-6 < reserve {
+                        continue;
+                    }
+                    *free -= room;
+                }
+            }
+            if tired || (empty >= idle && minute) {
                 log::info!("{}: idle, returning it", m.name);
                 m.leaving = true;
                 self.desk.deletes.insert(m.name.clone());
