A zone that falls silent: rent ahead, elsewhere, and let its replicas serve

Rentals for arrays also went out before those for services. Change: a zone of which most machines are silent is held to be cut off: replacements for its replicas are rented at once, in other zones; machines with replicas there are deleted when their lease is over; nothing is rented there until it is heard again or a minute has passed. A machine that missed a report takes no new task. Rentals keep the order of the plan.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -35,11 +35,16 @@
     machine: MachineView,
 }
 
-fn choices(types: &[MachineType], refusals: &Refusals, now: Micros) -> Vec<Choice> {
+fn choices(
+    types: &[MachineType],
+    refusals: &Refusals,
+    dark: &BTreeSet<Rc<str>>,
+    now: Micros,
+) -> Vec<Choice> {
     let mut choices = Vec::new();
     for t in types {
         let machine_type: Rc<str> = Rc::from(t.name.as_str());
-        for zone in &t.zones {
+        for zone in t.zones.iter().filter(|z| !dark.contains(z.as_str())) {
             for spot in [true, false] {
                 let offer = (t.name.clone(), zone.clone(), spot);
                 let Some(price) = price(t, spot).filter(|_| refusals.open(&offer, now)) else {
@@ -136,20 +141,24 @@
 }
 
 /// The machines to rent for what is left waiting, up to one rental's worth of
-/// each offer. `machines` holds those that are still booting; what fits there
-/// waits for them.
+/// each offer, most urgent first. `machines` holds those that are still
+/// booting; what fits there waits for them. Nothing is rented in `dark` zones.
+#[allow(clippy::too_many_arguments)]
 pub fn plan(
     jobs: &mut [JobView],
     machines: &mut Vec<MachineView>,
     teams: &mut [TeamView],
     types: &[MachineType],
     refusals: &Refusals,
+    dark: &BTreeSet<Rc<str>>,
     reserve: f64,
     now: Micros,
 ) -> Vec<(Offer, u32)> {
     sched::assign(jobs, machines, teams, f64::INFINITY, reserve);
-    let choices = choices(types, refusals, now);
+    let choices = choices(types, refusals, dark, now);
     let mut wanted = vec![0; choices.len()];
+    // Which was wanted first: the cloud takes a call or two a second.
+    let mut first: Vec<usize> = Vec::new();
     let mut there: BTreeMap<Rc<str>, u32> = BTreeMap::new();
     let mut ordinary: BTreeMap<Rc<str>, f64> = BTreeMap::new();
     for m in machines.iter() {
@@ -165,6 +174,9 @@
             };
             let m = choices[c].machine.clone();
             wanted[c] += 1;
+            if !first.contains(&c) {
+                first.push(c);
+            }
             *there.entry(m.zone.clone()).or_default() += 1;
             let mut new = [m];
             let need = jobs[i].room();
@@ -183,9 +195,11 @@
         }
     }
     spare(&choices, &mut wanted, ordinary, reserve);
-    let all = choices.into_iter().zip(wanted);
-    all.filter(|(_, n)| *n > 0)
-        .map(|(c, n)| (c.offer, n))
+    let rest = (0..choices.len()).filter(|c| wanted[*c] > 0 && !first.contains(c));
+    let order: Vec<usize> = first.iter().copied().chain(rest).collect();
+    order
+        .into_iter()
+        .map(|c| (choices[c].offer.clone(), wanted[c]))
         .collect()
 }
 
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -28,6 +28,8 @@
 const RETRY: Micros = 100 * MILLISECOND;
 /// Waiting tasks of one job that a pass looks at.
 const PASS_TASKS: usize = 200;
+/// How long a zone that fell silent is not rented in, unless it is heard.
+const DARK: Micros = 60 * SECOND;
 /// Part of the store's writes that records nobody waits for may take.
 const LATER_PART: f64 = 0.3;
 /// Bound of a transaction's size; the rest of the limit is for its frame.
@@ -212,6 +214,9 @@
     ledger: Ledger,
     desk: Desk,
     refusals: Refusals,
+    /// Zones that fell silent as a whole, and when: what is rented there would
+    /// be paid for and never heard of.
+    dark: BTreeMap<Rc<str>, Micros>,
     types: Option<Rc<Vec<MachineType>>>,
     types_stored: bool,
     /// Mean run time per class, learned from finished tasks, in seconds.
@@ -256,6 +261,7 @@
             ledger: Ledger::default(),
             desk: Desk::new(ctx.config.cloud_rps, now),
             refusals: Refusals::default(),
+            dark: BTreeMap::new(),
             types_stored: types.is_some(),
             types,
             guesses: HashMap::new(),
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -71,6 +71,38 @@
         }
     }
 
+    /// After this long without a word from it a machine has missed a report.
+    pub(super) fn missing(config: &Config) -> Micros {
+        config.report * 3 / 2
+    }
+
+    /// Machines of zones that have fallen silent as a whole. What runs there
+    /// runs on for the rest of its lease, but is as good as lost. If most of
+    /// the fleet is silent, it is rather this node that is cut off.
+    pub(super) fn cut_off(&self, ctx: &Ctx) -> BTreeSet<Rc<str>> {
+        let now = ctx.now.steady;
+        let missing = Self::missing(ctx.config);
+        let mut zones: BTreeMap<&str, (usize, Vec<&Rc<str>>)> = BTreeMap::new();
+        let mut up = 0;
+        for m in self.machines.values().filter(|m| m.up && !m.leaving) {
+            up += 1;
+            let (all, silent) = zones.entry(&m.zone).or_default();
+            *all += 1;
+            if now >= m.heard_at + missing {
+                silent.push(&m.name);
+            }
+        }
+        let cut: BTreeSet<Rc<str>> = zones
+            .into_values()
+            .filter(|(all, silent)| silent.len() >= 3 && silent.len() * 2 > *all)
+            .flat_map(|(_, silent)| silent.into_iter().cloned())
+            .collect();
+        if cut.len() * 2 > up {
+            return BTreeSet::new();
+        }
+        cut
+    }
+
     pub(super) fn team_views(&self, config: &Config) -> Vec<TeamView> {
         let left = |max: f64| if max > 0.0 { max } else { f64::INFINITY };
         let mut teams: Vec<TeamView> = config
@@ -89,19 +121,37 @@
         teams
     }
 
-    pub(super) fn job_views(&self, ctx: &Ctx) -> Vec<JobView<'_>> {
+    /// Jobs with waiting tasks. Replicas on machines that are `cut_off` count
+    /// as waiting as well: a plan rents for them ahead.
+    pub(super) fn job_views(&self, ctx: &Ctx, cut_off: &BTreeSet<Rc<str>>) -> Vec<JobView<'_>> {
         let now = ctx.now.steady;
+        let mut lost: BTreeMap<&Rc<str>, Vec<u32>> = BTreeMap::new();
+        for m in cut_off.iter().filter_map(|m| self.machines.get(m)) {
+            for (id, i) in m.slots.keys() {
+                if self.is_service(id) {
+                    lost.entry(id).or_default().push(*i);
+                }
+            }
+        }
         self.jobs
             .iter()
-            .filter(|(_, j)| {
-                j.cancelled.is_none() && !j.waiting.is_empty() && now >= j.blocked_until
+            .filter(|(id, j)| {
+                j.cancelled.is_none()
+                    && (!j.waiting.is_empty() || lost.contains_key(id))
+                    && now >= j.blocked_until
             })
             .map(|(id, j)| JobView {
                 id,
                 spec: &j.spec,
                 team: j.team,
-                waiting: j.waiting.iter().take(PASS_TASKS).copied().collect(),
-                zones: self.zones(j),
+                waiting: j
+                    .waiting
+                    .iter()
+                    .take(PASS_TASKS)
+                    .chain(lost.get(id).into_iter().flatten())
+                    .copied()
+                    .collect(),
+                zones: self.zones(j, cut_off),
                 training: j.training(ctx.config),
                 tiny: j.tiny(ctx.config),
                 initial_size: j.initial_size,
@@ -142,15 +192,21 @@
         types.map(|t| t.boot_s).fold(f64::INFINITY, f64::min)
     }
 
+    pub(super) fn is_service(&self, id: &Rc<str>) -> bool {
+        let job = self.jobs.get(id);
+        job.is_some_and(|j| j.spec.kind == Kind::Service && j.cancelled.is_none())
+    }
+
     /// Where a job's tasks are or may be. Only the rules of a spread and of a
     /// single zone ask for it.
-    fn zones(&self, job: &Job) -> BTreeMap<Rc<str>, u32> {
+    fn zones(&self, job: &Job, cut_off: &BTreeSet<Rc<str>>) -> BTreeMap<Rc<str>, u32> {
         let mut zones = BTreeMap::new();
         if !job.spec.spread && !job.spec.one_zone {
             return zones;
         }
         for task in &job.tasks {
             if let TaskState::Placed(m) = &task.state
+                && !cut_off.contains(m)
                 && let Some(m) = self.machines.get(m)
             {
                 *zones.entry(m.zone.clone()).or_default() += 1;
@@ -193,11 +249,12 @@
         if !self.fresh(ctx) || self.types.is_none() {
             return;
         }
-        let mut jobs = self.job_views(ctx);
+        let mut jobs = self.job_views(ctx, &BTreeSet::new());
         if jobs.is_empty() {
             return;
         }
         let reserve = self.reserve(ctx.config);
+        let missing = Self::missing(ctx.config);
         // Most of a busy fleet is full: what holds none of the waiting tasks
         // is left out, but for what the reserve counts.
         let least = jobs
@@ -207,7 +264,9 @@
         let mut machines: Vec<MachineView> = self
             .machines
             .values()
-            .filter(|m| m.open(now))
+            // A launch to a machine that is gone, or behind a cut, would hold
+            // its task until there is proof that it did not arrive.
+            .filter(|m| m.open(now) && now < m.heard_at + missing)
             .filter_map(|m| {
                 let free = m.free(self.total(&m.machine_type)?);
                 let counts = free.cpus + 1e-6 >= least || (reserve > 0.0 && !m.spot);
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -32,7 +32,14 @@
             .filter(|m| now < m.known_since + boot_time(Some(&types), &m.machine_type) * 7 / 4)
             .filter_map(|m| self.view(m))
             .collect();
-        coming.extend(self.freeing(ctx));
+        let cut_off = self.cut_off(ctx);
+        for m in cut_off.iter().filter_map(|m| self.machines.get(m)) {
+            if self.dark.insert(m.zone.clone(), now).is_none() {
+                log::info!("zone {} has fallen silent", m.zone);
+            }
+        }
+        self.dark.retain(|_, at| now < *at + DARK);
+        coming.extend(self.freeing(ctx, &cut_off));
         for r in &self.desk.rentals {
             let r = &r.rent;
             let Some(free) = self.total(&r.machine_type) else {
@@ -55,13 +62,22 @@
             return;
         }
         let mut teams = self.team_views(ctx.config);
-        let mut jobs = self.job_views(ctx);
+        for m in cut_off.iter().filter_map(|m| self.machines.get(m)) {
+            for (id, _) in m.slots.keys().filter(|(id, _)| self.is_service(id)) {
+                if let Some(job) = self.jobs.get(id) {
+                    teams[job.team].cpus_left += job.spec.cpus;
+                    teams[job.team].gpus_left += job.spec.gpus;
+                }
+            }
+        }
+        let mut jobs = self.job_views(ctx, &cut_off);
         let wanted = fleet::plan(
             &mut jobs,
             &mut coming,
             &mut teams,
             &types,
             &self.refusals,
+            &self.dark.keys().cloned().collect(),
             self.reserve(ctx.config),
             now,
         );
@@ -84,12 +100,13 @@
 
     /// Machines with the room that will be free by the time that a rented one
     /// could be up: renting for what fits there would gain nothing.
-    pub(super) fn freeing(&self, ctx: &Ctx) -> Vec<MachineView> {
+    fn freeing(&self, ctx: &Ctx, cut_off: &BTreeSet<Rc<str>>) -> Vec<MachineView> {
         let now = ctx.now.steady;
         let horizon =
             (self.soonest_boot() + ctx.config.tuning.fetch_s) * ctx.config.tuning.patience;
         let mut views = Vec::new();
-        for m in self.machines.values().filter(|m| m.open(now)) {
+        let there = |m: &&Machine| m.open(now) && !cut_off.contains(&m.name);
+        for m in self.machines.values().filter(there) {
             let Some(mut view) = self.view(m) else {
                 continue;
             };
@@ -126,13 +143,28 @@
         // run out; after that what was on them is gone in any case. They are
         // counted as soon as they miss a report: one by one they would be
         // deleted before they are many.
-        let missing = ctx.config.report * 3 / 2;
+        let missing = Self::missing(ctx.config);
         let suspects = self
             .machines
             .values()
             .filter(|m| m.up && !m.leaving && now >= m.heard_at + missing)
             .count();
         let patient = suspects > 2.max(up * 3 / 10);
+        // Replicas behind a cut serve until their lease ends. To delete them
+        // sooner once cost a third of all replicas the time that others took
+        // to boot (rough, brunnmatt-books-grown).
+        let serving: BTreeSet<Rc<str>> = self
+            .cut_off(ctx)
+            .into_iter()
+            .filter(|m| {
+                let slots = self
+                    .machines
+                    .get(m)
+                    .into_iter()
+                    .flat_map(|m| m.slots.keys());
+                slots.into_iter().any(|(id, _)| self.is_service(id))
+            })
+            .collect();
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
             let quiet = now.saturating_sub(m.heard_at);
             // One report that got lost costs a worker up to 5 s. Whether the
@@ -150,6 +182,8 @@
                     // A record or a listing only: it should report right away.
                     silence + boot
                 }
+            } else if serving.contains(&m.name) {
+                ctx.config.lease
             } else if patient {
                 ctx.config.lease + ctx.config.report
             } else {
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -58,6 +58,9 @@
             return;
         };
         m.describe(&r.machine_type, &r.zone, r.spot);
+        if !self.dark.is_empty() && self.dark.remove(&m.zone).is_some() {
+            log::info!("zone {} is heard again", m.zone);
+        }
         if !m.up {
             log::info!(
                 "{} is up in {} after {} s",
