Jobs aged to zero go by what is left of them; five controllers in the rehearsal

Cause: in a backlog most waiting jobs have aged to zero, and ties went by submission: what could no longer be of use went before what still could. Change: among equal virtual sizes the job with the least left to run goes first, one past every use of its end last. The order by virtual size stays.

--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -158,6 +158,7 @@
                 virtual_size: j.virtual_size,
                 submitted: j.submitted,
                 late: self.late(ctx, j),
+                remaining: self.remaining(ctx, j),
             })
             .collect()
     }
@@ -169,13 +170,36 @@
         let Some(due) = job.spec.deadline_s else {
             return false;
         };
-        let aim = config.deadlines.iter().find(|(c, _)| *c == job.spec.class);
-        let Some((_, times)) = aim else {
+        if config.deadlines.iter().all(|(c, _)| *c != job.spec.class) {
             return false;
-        };
+        }
         let age = seconds(ctx.now.wall.saturating_sub(job.submitted));
         let need = self.run_time(config, job) + self.soonest_boot() + config.tuning.fetch_s;
-        due - age < need * config.tuning.late_factor && age < due * times
+        due - age < need * config.tuning.late_factor && !self.overdue(ctx, job)
+    }
+
+    /// What is left of a job, in CPU-seconds. Beyond every use of its end it
+    /// comes last of those that have aged to zero.
+    fn remaining(&self, ctx: &Ctx, job: &Job) -> f64 {
+        if job.spec.kind == Kind::Service {
+            return 0.0;
+        }
+        if self.overdue(ctx, job) {
+            return f64::INFINITY;
+        }
+        let left = job.tasks.len() as f64 - f64::from(job.done);
+        left * job.spec.cpus * self.run_time(ctx.config, job)
+    }
+
+    /// Past the last time at which the end of the job is still of use.
+    fn overdue(&self, ctx: &Ctx, job: &Job) -> bool {
+        let age = seconds(ctx.now.wall.saturating_sub(job.submitted));
+        let aims = &ctx.config.deadlines;
+        let times = aims.iter().find(|(c, _)| *c == job.spec.class);
+        match (job.spec.deadline_s, times) {
+            (Some(due), Some((_, times))) => age >= due * times,
+            _ => false,
+        }
     }
 
     /// What a task of the job takes, as far as is known.
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -116,6 +116,8 @@
     /// ordinary machines where spot machines are not to be had. This changes
     /// what is rented, never the order.
     pub late: bool,
+    /// What is left to run: orders jobs whose virtual size has aged to zero.
+    pub remaining: f64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -293,6 +295,7 @@
             .then(b.spec.priority.cmp(&a.spec.priority))
             .then(b.tiny.cmp(&a.tiny))
             .then(a.virtual_size.total_cmp(&b.virtual_size))
+            .then(a.remaining.total_cmp(&b.remaining))
             .then(a.submitted.cmp(&b.submitted))
             .then(a.id.cmp(b.id))
     });
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -43,6 +43,7 @@
         virtual_size: size,
         submitted: 0,
         late: false,
+        remaining: 0.0,
     }
 }
 
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -20,7 +20,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-pub const NODES: usize = 3;
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 const WORKER_TIMEOUT: Micros = 4 * SECOND;
 const USER_TIMEOUT: Micros = 5 * SECOND;
@@ -87,6 +86,10 @@
     pub jobs: usize,
     /// Tasks of the first job, if it is to be a very large array.
     pub large: Option<u32>,
+    /// Controllers.
+    pub nodes: usize,
+    /// How many times as large as usual jobs, limits and the cloud are.
+    pub scale: u32,
     /// Users and troubles stop here; the rest is for the work to finish.
     pub busy: Micros,
     pub end: Micros,
@@ -135,6 +138,8 @@
             faults,
             jobs: rng.usize(8..22),
             large: None,
+            nodes: 3,
+            scale: 1,
             busy,
             end: busy + 500 * SECOND,
         }
@@ -155,6 +160,8 @@
     pub left: Vec<String>,
     /// A digest of everything told to users: equal seeds give equal digests.
     pub digest: u64,
+    /// The most machines that were up at once.
+    pub machines: usize,
 }
 
 #[derive(Debug, Clone)]
@@ -306,6 +313,7 @@
     checker: Checker,
     scenario: Scenario,
     digest: u64,
+    most_machines: usize,
 }
 
 fn types() -> Vec<MachineType> {
@@ -326,7 +334,7 @@
 
 /// Settings of a rehearsal: like a deployment's, with small limits so that
 /// every run meets them.
-pub fn config(member: usize) -> Config {
+pub fn config(member: usize, nodes: usize, scale: u32) -> Config {
     let name = |i: usize| format!("node-{i}");
     let team = |name: &str, max: f64| Team {
         name: name.into(),
@@ -337,8 +345,8 @@
     };
     Config {
         member: name(member),
-        siblings: (0..NODES).filter(|i| *i != member).map(name).collect(),
-        teams: vec![team("bound", 12.0), team("free", 0.0)],
+        siblings: (0..nodes).filter(|i| *i != member).map(name).collect(),
+        teams: vec![team("bound", 12.0 * f64::from(scale)), team("free", 0.0)],
         report: 2 * SECOND,
         lease: 14 * SECOND,
         cancel: 44 * SECOND,
@@ -358,7 +366,7 @@
 
 impl World {
     pub fn new(scenario: Scenario) -> World {
-        let config = config(0);
+        let config = config(0, scenario.nodes, scenario.scale);
         let limits = config
             .teams
             .iter()
@@ -371,7 +379,7 @@
             events: BinaryHeap::new(),
             what: BTreeMap::new(),
             rng: Rng::with_seed(scenario.seed),
-            nodes: (0..NODES)
+            nodes: (0..scenario.nodes)
                 .map(|_| Host {
                     node: None,
                     epoch: 0,
@@ -381,7 +389,7 @@
                 })
                 .collect(),
             state: StateService::new(config.value_bytes, config.txn_ops),
-            cloud: Cloud::new(types(), 4, config.list_lag),
+            cloud: Cloud::new(types(), 4 * scenario.scale, config.list_lag),
             workers: BTreeMap::new(),
             watches: BTreeMap::new(),
             next: 0,
@@ -393,9 +401,10 @@
             checker: Checker::new(config.cancel, limits),
             config,
             digest: 0,
+            most_machines: 0,
             scenario,
         };
-        for node in 0..NODES {
+        for node in 0..w.scenario.nodes {
             w.at(0, Ev::Restart { node });
         }
         for (at, fault) in w.scenario.faults.clone() {
@@ -416,7 +425,7 @@
         let tasks = if service {
             rng.u32(1..4)
         } else {
-            rng.u32(1..15)
+            rng.u32(1..15) * self.scenario.scale
         };
         let one_zone = rng.u8(..6) == 0;
         let spec = JobSpec {
@@ -540,6 +549,7 @@
             malformed: self.state.malformed,
             breaches: self.checker.breaches,
             digest: self.digest,
+            machines: self.most_machines,
         }
     }
 
@@ -626,7 +636,7 @@
                 self.input(self.now + timeout, node, epoch, Input::Orders { id, reply });
             }
             Output::Mesh { message } => {
-                for to in (0..NODES).filter(|to| *to != node) {
+                for to in (0..self.nodes.len()).filter(|to| *to != node) {
                     let (at, whole) = self.passage(0);
                     let frame = message.encode();
                     if whole && let Ok(message) = Message::decode(&frame[4..]) {
@@ -749,7 +759,10 @@
                     );
                 }
             }
-            Ev::Workers => self.pass_workers(),
+            Ev::Workers => {
+                self.most_machines = self.most_machines.max(self.workers.len());
+                self.pass_workers();
+            }
             Ev::Checkin {
                 machine,
                 node,
@@ -784,7 +797,7 @@
                 if self.now < self.scenario.busy {
                     let id = format!("req-{}", 500_000 + self.rng.u32(..1000));
                     let path = poll_path(&id);
-                    let node = self.rng.usize(..NODES);
+                    let node = self.rng.usize(..self.nodes.len());
                     self.ask(node, Asker::Stranger { id }, "GET", path, Vec::new());
                     self.at(self.now + 9 * SECOND, Ev::Stranger);
                 }
@@ -803,7 +816,7 @@
                     zone: h.zone,
                     spot: h.spot,
                 };
-                let node = self.rng.usize(..NODES);
+                let node = self.rng.usize(..self.nodes.len());
                 self.workers
                     .insert(machine, Worker::new(place, cpus, self.now, node));
             }
@@ -814,7 +827,8 @@
             Ev::Restart { node } => {
                 let host = &mut self.nodes[node];
                 host.epoch += 1;
-                host.node = Some(Node::new(config(node)));
+                let config = config(node, self.scenario.nodes, self.scenario.scale);
+                host.node = Some(Node::new(config));
                 let epoch = host.epoch;
                 let at = self.now + self.rng.u64(..50 * MILLISECOND);
                 self.at(at, Ev::Tick { node, epoch });
@@ -924,7 +938,7 @@
                     .is_some_and(|(_, _, sent)| self.now > sent + WORKER_TIMEOUT)
                 {
                     w.under_way = None;
-                    w.node = (w.node + 1) % NODES;
+                    w.node = (w.node + 1) % self.nodes.len();
                     w.report_at = self.now + SECOND;
                 }
                 if w.under_way.is_none() && self.now >= w.report_at {
@@ -1019,13 +1033,13 @@
                         w.report_at = self.now + self.rng.u64(..500) * MILLISECOND;
                     }
                     None => {
-                        w.node = (node + 1) % NODES;
+                        w.node = (node + 1) % self.nodes.len();
                         w.report_at = self.now + SECOND;
                     }
                 }
             }
             _ => {
-                w.node = (node + 1) % NODES;
+                w.node = (node + 1) % self.nodes.len();
                 w.report_at = self.now + SECOND;
             }
         }
@@ -1088,7 +1102,7 @@
     }
 
     fn user(&mut self, job: usize) {
-        let node = self.rng.usize(..NODES);
+        let node = self.rng.usize(..self.nodes.len());
         let now = self.now;
         let u = &mut self.users[job];
         let id = u.spec.id.clone();
@@ -1203,9 +1217,11 @@
 
     fn fault(&mut self, fault: Fault) {
         let now = self.now;
+        let count = self.nodes.len();
         match fault {
             Fault::Crash { nodes, down } => {
-                let nodes: BTreeSet<usize> = nodes.into_iter().map(|n| n % NODES).collect();
+                let nodes: BTreeSet<usize> =
+                    nodes.into_iter().map(|n| n % self.nodes.len()).collect();
                 for node in nodes {
                     self.nodes[node].node = None;
                     self.nodes[node].epoch += 1;
@@ -1213,9 +1229,9 @@
                 }
             }
             Fault::StateOutage { time } => self.state.outage(now, now + time),
-            Fault::Refused { node, time } => self.nodes[node % NODES].refused_until = now + time,
-            Fault::CutState { node, time } => self.nodes[node % NODES].state_cut = now + time,
-            Fault::CutWorkers { node, time } => self.nodes[node % NODES].workers_cut = now + time,
+            Fault::Refused { node, time } => self.nodes[node % count].refused_until = now + time,
+            Fault::CutState { node, time } => self.nodes[node % count].state_cut = now + time,
+            Fault::CutWorkers { node, time } => self.nodes[node % count].workers_cut = now + time,
             Fault::CutZone { zone, time } => self.zone_cut[zone % 3] = now + time,
             Fault::Hang { machines, time } => {
                 for name in self.some_machines(machines) {
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -12,6 +12,8 @@
         faults,
         jobs,
         large: None,
+        nodes: 3,
+        scale: 1,
         busy: BUSY,
         end: BUSY + 500 * SECOND,
     })
@@ -236,6 +238,8 @@
             faults: vec![(s(90), crash(&[0, 1, 2])), (s(150), crash(&[0]))],
             jobs: 6,
             large: Some(100_000),
+            nodes: 3,
+            scale: 1,
             busy: BUSY,
             end: BUSY + s(200),
         })
@@ -260,3 +264,46 @@
         assert_eq!(o.left, [""; 0], "seed {seed}: keys left, {faults:?}");
     }
 }
+
+/// The rules hold with five controllers of which two or more end at once, and
+/// on a fleet of several hundred machines, with a zone cut off and a wave of
+/// spot machines taken.
+#[test]
+fn five_controllers_and_hundreds_of_machines() {
+    for (seed, scale, jobs) in [(1, 1, 14), (2, 1, 14), (3, 1, 14), (4, 24, 30)] {
+        let o = World::new(Scenario {
+            seed,
+            faults: vec![
+                (s(30), crash(&[0, 1])),
+                (s(50), crash(&[0, 1, 2, 3, 4])),
+                (
+                    s(60),
+                    Fault::CutZone {
+                        zone: 1,
+                        time: s(30),
+                    },
+                ),
+                (s(66), crash(&[1, 2, 3])),
+                (
+                    s(80),
+                    Fault::SpotTaken {
+                        notice: Some(s(10)),
+                    },
+                ),
+            ],
+            jobs,
+            large: None,
+            nodes: 5,
+            scale,
+            busy: s(100),
+            end: s(100) + s(500),
+        })
+        .run();
+        assert_eq!(o.breaches, [], "seed {seed}");
+        assert_eq!(o.malformed, [""; 0], "seed {seed}");
+        assert_eq!(o.unfinished, [""; 0], "seed {seed}");
+        assert_eq!(o.left, [""; 0], "seed {seed}: keys left");
+        let least = if scale > 1 { 150 } else { 5 };
+        assert!(o.machines > least, "seed {seed}: {} machines", o.machines);
+    }
+}
