Arrays' tasks on ordinary machines make room for replicas in a hurry

Change: the smallest exception to "running work is never stopped": replicas of a class that must start sooner than any machine boots stop tasks of lower priority on machines where they may run, the least work lost first and no more than they need.

--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -1,16 +1,18 @@
 //! The leader of a term: jobs, machines, and everything done for them.
 
+mod cut;
 mod jobs;
 mod load;
 mod pass;
 mod rent;
 mod reports;
+mod room;
 mod write;
 
 use crate::calls::{CallError, Ctx, Waiter};
 use crate::fleet::{self, Desk, Errand, Refusals, Rental};
 use crate::ledger::{Batch, Item, Ledger};
-use crate::sched::{self, JobView, MachineView, Room, TeamView};
+use crate::sched::{self, JobView, MachineView, Room, TeamView, Victim};
 use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob};
 use crate::workers::{Machine, SlotEvent, Source, TaskKey};
 use crate::{Answer, CallId, Config, MILLISECOND, Micros, SECOND, micros, seconds};
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -71,38 +71,6 @@
         }
     }
 
-    /// After this long without a word from it a machine has missed a report.
-    pub(super) fn missing(config: &Config) -> Micros {
-        config.report * 3 / 2
-    }
-
-    /// Machines of zones that have fallen silent as a whole. What runs there
-    /// runs on for the rest of its lease, but is as good as lost. If most of
-    /// the fleet is silent, it is rather this node that is cut off.
-    pub(super) fn cut_off(&self, ctx: &Ctx) -> BTreeSet<Rc<str>> {
-        let now = ctx.now.steady;
-        let missing = Self::missing(ctx.config);
-        let mut zones: BTreeMap<&str, (usize, Vec<&Rc<str>>)> = BTreeMap::new();
-        let mut up = 0;
-        for m in self.machines.values().filter(|m| m.up && !m.leaving) {
-            up += 1;
-            let (all, silent) = zones.entry(&m.zone).or_default();
-            *all += 1;
-            if now >= m.heard_at + missing {
-                silent.push(&m.name);
-            }
-        }
-        let cut: BTreeSet<Rc<str>> = zones
-            .into_values()
-            .filter(|(all, silent)| silent.len() >= 3 && silent.len() * 2 > *all)
-            .flat_map(|(_, silent)| silent.into_iter().cloned())
-            .collect();
-        if cut.len() * 2 > up {
-            return BTreeSet::new();
-        }
-        cut
-    }
-
     pub(super) fn team_views(&self, config: &Config) -> Vec<TeamView> {
         let left = |max: f64| if max > 0.0 { max } else { f64::INFINITY };
         let mut teams: Vec<TeamView> = config
@@ -270,9 +238,14 @@
         self.age(now);
         self.pass_at = Micros::MAX;
         self.passed_at = now;
-        if !self.fresh(ctx) || self.types.is_none() {
-            return;
+        if self.fresh(ctx) && self.types.is_some() {
+            self.fill(ctx);
+            self.make_room(ctx);
         }
+    }
+
+    fn fill(&mut self, ctx: &Ctx) {
+        let now = ctx.now.steady;
         let mut jobs = self.job_views(ctx, &BTreeSet::new());
         if jobs.is_empty() {
             return;
@@ -326,28 +299,6 @@
         }
     }
 
-    /// Room for some replicas of each class of services that is expected to
-    /// start sooner than any machine boots.
-    pub(super) fn reserve(&self, config: &Config) -> f64 {
-        let boot = self.soonest_boot();
-        config
-            .waits
-            .iter()
-            .filter(|(_, within)| seconds(*within) < boot)
-            .map(|(class, _)| {
-                // A zone takes up to half of a spread service.
-                self.jobs
-                    .values()
-                    .filter(|j| j.spec.kind == Kind::Service && j.spec.class == *class)
-                    .map(|j| {
-                        let share = j.spec.tasks.div_ceil(2);
-                        f64::from(config.tuning.reserve_replicas.max(share)) * j.spec.cpus
-                    })
-                    .fold(0.0, f64::max)
-            })
-            .sum()
-    }
-
     pub(super) fn place(&mut self, key: &TaskKey, machine: &Rc<str>) {
         let Some(job) = self.jobs.get_mut(&key.0) else {
             return;
--- /dev/null
+++ b/crates/core/src/leader/room.rs
@@ -0,0 +1,90 @@
+//! Room for services that must start sooner than any machine boots.
+
+use super::*;
+
+impl Leader {
+    /// Whether replicas of the class are to start sooner than any machine
+    /// boots.
+    fn hurried(&self, config: &Config, class: &str) -> bool {
+        let boot = self.soonest_boot();
+        let mut waits = config.waits.iter();
+        waits.any(|(c, within)| c == class && seconds(*within) < boot)
+    }
+
+    /// Stops arrays' tasks on machines where waiting replicas may run.
+    ///
+    /// Running work is not stopped otherwise. But ordinary machines are rented
+    /// for late arrays as well, and with the cloud's ordinary machines at an
+    /// end, replicas waited behind them (rough, brunnmatt-books-grown).
+    pub(super) fn make_room(&mut self, ctx: &Ctx) {
+        let now = ctx.now.steady;
+        let missing = Self::missing(ctx.config);
+        let mut jobs = self.job_views(ctx, &BTreeSet::new());
+        jobs.retain(|j| j.spec.kind == Kind::Service && self.hurried(ctx.config, &j.spec.class));
+        if jobs.is_empty() {
+            return;
+        }
+        let mut machines = Vec::new();
+        let mut victims = Vec::new();
+        let mut keys: Vec<(Rc<str>, TaskKey)> = Vec::new();
+        for m in self.machines.values() {
+            let there = m.open(now) && now < m.heard_at + missing;
+            let Some(mut view) = self.view(m).filter(|_| there) else {
+                continue;
+            };
+            for (key, slot) in &m.slots {
+                if slot.yielding {
+                    view.free.give(&slot.room);
+                    continue;
+                }
+                let Some(job) = self.jobs.get(&key.0) else {
+                    continue;
+                };
+                if job.spec.kind == Kind::Batch && slot.stored && slot.seen.is_some() {
+                    keys.push((m.name.clone(), key.clone()));
+                    victims.push(Victim {
+                        machine: machines.len(),
+                        room: slot.room,
+                        priority: job.spec.priority,
+                        ran: slot.running_since.map_or(0, |at| now.saturating_sub(at)),
+                    });
+                }
+            }
+            machines.push(view);
+        }
+        let mut teams = self.team_views(ctx.config);
+        let stopped = sched::make_room(&mut jobs, &mut machines, &mut teams, &victims);
+        for (machine, key) in stopped.into_iter().map(|v| keys[v].clone()) {
+            let Some(m) = self.machines.get_mut(&machine) else {
+                continue;
+            };
+            if let Some(slot) = m.slots.get_mut(&key) {
+                log::info!("{}/{} on {machine} makes room for replicas", key.0, key.1);
+                slot.yielding = true;
+                m.wants_push = true;
+                self.pushes.insert(machine);
+            }
+        }
+    }
+
+    /// Room for some replicas of each class of services that is expected to
+    /// start sooner than any machine boots.
+    pub(super) fn reserve(&self, config: &Config) -> f64 {
+        config
+            .waits
+            .iter()
+            .filter(|(class, _)| self.hurried(config, class))
+            .map(|(class, _)| {
+                // A zone takes up to half of a spread service.
+                self.jobs
+                    .values()
+                    .filter(|j| j.spec.kind == Kind::Service && j.spec.class == *class)
+                    .map(|j| {
+                        let share = j.spec.tasks.div_ceil(2);
+                        f64::from(config.tuning.reserve_replicas.max(share)) * j.spec.cpus
+                    })
+                    .fold(0.0, f64::max)
+            })
+            .sum()
+    }
+}
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -5,7 +5,7 @@
 //! smallest aged virtual size. Jobs whose team is at its limit are skipped.
 
 use dillcleat_wire::cloud::MachineType;
-use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::user::{JobSpec, Kind, Priority};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -356,3 +356,79 @@
     }
     made
 }
+
+/// A running task that may be stopped to make room.
+#[derive(Debug, Clone)]
+pub struct Victim {
+    pub machine: usize,
+    pub room: Room,
+    pub priority: Priority,
+    /// How long it has run, in microseconds: the work that is lost.
+    pub ran: u64,
+}
+
+/// Which running tasks to stop so that waiting replicas find room, as indices
+/// of `victims`. Only work of lower priority is stopped, where the least of it
+/// is lost. `machines` counts as free what has been told to stop already, so
+/// that one replica stops no second task while the first one ends.
+pub fn make_room(
+    jobs: &mut [JobView],
+    machines: &mut [MachineView],
+    teams: &mut [TeamView],
+    victims: &[Victim],
+) -> Vec<usize> {
+    let mut on: Vec<Vec<usize>> = vec![Vec::new(); machines.len()];
+    for (i, v) in victims.iter().enumerate() {
+        on[v.machine].push(i);
+    }
+    for list in &mut on {
+        list.sort_by_key(|&i| victims[i].ran);
+    }
+    let mut stopped = Vec::new();
+    for i in order(jobs) {
+        if jobs[i].spec.kind != Kind::Service {
+            continue;
+        }
+        let need = jobs[i].room();
+        while !jobs[i].waiting.is_empty() && jobs[i].team_allows(teams) {
+            let job = &jobs[i];
+            let mut best: Option<((bool, bool, u64), usize, Vec<usize>)> = None;
+            for (m, view) in machines.iter().enumerate() {
+                if !job.allows(view) {
+                    continue;
+                }
+                let mut free = view.free;
+                let mut chosen = Vec::new();
+                let mut lost = 0;
+                for &v in on[m]
+                    .iter()
+                    .filter(|&&v| victims[v].priority < job.spec.priority)
+                {
+                    if free.holds(&need) {
+                        break;
+                    }
+                    free.give(&victims[v].room);
+                    lost += victims[v].ran;
+                    chosen.push(v);
+                }
+                if !free.holds(&need) {
+                    continue;
+                }
+                let cost = (!chosen.is_empty(), !view.holds_image(&job.spec.image), lost);
+                if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                    best = Some((cost, m, chosen));
+                }
+            }
+            let Some((_, m, chosen)) = best else {
+                break;
+            };
+            for v in chosen {
+                machines[m].free.give(&victims[v].room);
+                on[m].retain(|o| *o != v);
+                stopped.push(v);
+            }
+            put(&mut jobs[i], i, m, machines, teams);
+        }
+    }
+    stopped
+}
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -24,6 +24,8 @@
     pub stored: bool,
     /// Its job is cancelled: it is to be stopped, and never launched.
     pub cancelled: bool,
+    /// It makes room for a replica: it is to be stopped, to run elsewhere.
+    pub yielding: bool,
     pub seen: Option<TaskState>,
     pub running_since: Option<Micros>,
     /// The whole run was watched, so its time may be learned from.
@@ -171,6 +173,7 @@
             room,
             stored,
             cancelled: false,
+            yielding: false,
             seen: None,
             running_since: None,
             watched: !stored,
@@ -353,7 +356,7 @@
             if slot.session != self.session || !slot.stored {
                 continue;
             }
-            if slot.cancelled {
+            if slot.cancelled || slot.yielding {
                 if slot.seen.is_some() {
                     commands.push(Command::Stop {
                         task: name(key),
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -1,6 +1,8 @@
 //! Who gets room, on small snapshots.
 
-use dillcleat_core::sched::{self, Assignment, JobView, MachineView, Room, TeamView, assign};
+use dillcleat_core::sched::{
+    self, Assignment, JobView, MachineView, Room, TeamView, Victim, assign,
+};
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -320,3 +322,49 @@
     }
     assert!(placed > 4000, "{placed} placed");
 }
+
+/// Replicas once waited behind late arrays on the last ordinary machines.
+#[test]
+fn replicas_stop_the_least_work_and_no_more_than_they_need() {
+    let mut service = spec("service", 3);
+    service.kind = Kind::Service;
+    service.priority = Priority::Production;
+    service.spot = false;
+    service.image = "held".into();
+    let machines = || {
+        let mut m = vec![
+            machine("x", "a", 0.0, false),
+            machine("y", "a", 1.0, false),
+            machine("spot", "a", 0.0, true),
+        ];
+        m[0].images = vec![Rc::from("held")];
+        m
+    };
+    let victim = |machine: usize, priority: Priority, ran: u64| Victim {
+        machine,
+        room: Room {
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+        },
+        priority,
+        ran,
+    };
+    let victims = [
+        victim(0, Priority::Normal, 50),
+        victim(0, Priority::Normal, 20),
+        victim(0, Priority::Production, 1),
+        victim(1, Priority::Normal, 5),
+        victim(2, Priority::Normal, 1),
+    ];
+    let mut jobs = vec![view(&service, 0.0, 0)];
+    let stopped = sched::make_room(&mut jobs, &mut machines(), &mut team(99.0), &victims);
+    // One takes the free room of y, which so has its image; the others stop
+    // what has run least, there and on x.
+    assert_eq!(stopped, [3, 1]);
+    assert_eq!(jobs[0].waiting.len(), 0);
+    // A team at its limit stops nobody.
+    let mut jobs = vec![view(&service, 0.0, 0)];
+    let stopped = sched::make_room(&mut jobs, &mut machines(), &mut team(1.0), &victims);
+    assert_eq!(stopped, [0; 0]);
+}
