Reports queue apart from users' requests, passes at least 50 ms apart

Change: reports have a queue of their own that gives way to all else, the core gives way every 8 inputs, passes are at least `pass_gap_s` apart.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -14,6 +14,9 @@
     pub training_share: f64,
     /// Longest time between two scheduling passes, in seconds.
     pub pass_s: f64,
+    /// Shortest time between two passes, in seconds. A change causes a pass,
+    /// and on a large fleet there are dozens a second.
+    pub pass_gap_s: f64,
     /// First guess of a task's run time, in seconds, before anything is learned.
     pub first_guess_s: f64,
     /// Time-to-live of the leader's lease, in seconds.
@@ -42,6 +45,7 @@
             training_tasks: 2,
             training_share: 0.3,
             pass_s: 1.0,
+            pass_gap_s: 0.05,
             first_guess_s: 60.0,
             lead_ttl_s: 2.5,
             idle_s: 20.0,
@@ -64,6 +68,7 @@
         for (key, v, low, high) in [
             ("training_share", t.training_share, 0.0, 1.0),
             ("pass_s", t.pass_s, 0.02, 60.0),
+            ("pass_gap_s", t.pass_gap_s, 0.0, 60.0),
             ("first_guess_s", t.first_guess_s, 0.1, 86400.0),
             ("lead_ttl_s", t.lead_ttl_s, 0.5, 60.0),
             ("idle_s", t.idle_s, 0.0, 86400.0),
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -28,6 +28,15 @@
     if spot { t.spot_price } else { Some(t.price) }
 }
 
+/// What is known of what the cloud rents.
+pub struct Market<'a> {
+    pub types: &'a [MachineType],
+    pub refusals: &'a Refusals,
+    /// Zones in which nothing is rented.
+    pub dark: BTreeSet<Rc<str>>,
+    pub now: Micros,
+}
+
 /// An offer that is open, as a plan sees it.
 struct Choice {
     offer: Offer,
@@ -35,19 +44,15 @@
     machine: MachineView,
 }
 
-fn choices(
-    types: &[MachineType],
-    refusals: &Refusals,
-    dark: &BTreeSet<Rc<str>>,
-    now: Micros,
-) -> Vec<Choice> {
+fn choices(market: &Market) -> Vec<Choice> {
     let mut choices = Vec::new();
-    for t in types {
+    for t in market.types {
         let machine_type: Rc<str> = Rc::from(t.name.as_str());
-        for zone in t.zones.iter().filter(|z| !dark.contains(z.as_str())) {
+        for zone in t.zones.iter().filter(|z| !market.dark.contains(z.as_str())) {
             for spot in [true, false] {
                 let offer = (t.name.clone(), zone.clone(), spot);
-                let Some(price) = price(t, spot).filter(|_| refusals.open(&offer, now)) else {
+                let open = market.refusals.open(&offer, market.now);
+                let Some(price) = price(t, spot).filter(|_| open) else {
                     continue;
                 };
                 choices.push(Choice {
@@ -142,20 +147,16 @@
 
 /// The machines to rent for what is left waiting, up to one rental's worth of
 /// each offer, most urgent first. `machines` holds those that are still
-/// booting; what fits there waits for them. Nothing is rented in `dark` zones.
-#[allow(clippy::too_many_arguments)]
+/// booting; what fits there waits for them.
 pub fn plan(
     jobs: &mut [JobView],
-    machines: &mut Vec<MachineView>,
+    machines: &mut [MachineView],
     teams: &mut [TeamView],
-    types: &[MachineType],
-    refusals: &Refusals,
-    dark: &BTreeSet<Rc<str>>,
+    market: &Market,
     reserve: f64,
-    now: Micros,
 ) -> Vec<(Offer, u32)> {
     sched::assign(jobs, machines, teams, f64::INFINITY, reserve);
-    let choices = choices(types, refusals, dark, now);
+    let choices = choices(market);
     let mut wanted = vec![0; choices.len()];
     // Which was wanted first: the cloud takes a call or two a second.
     let mut first: Vec<usize> = Vec::new();
@@ -169,7 +170,7 @@
     }
     for i in sched::order(jobs) {
         while !jobs[i].waiting.is_empty() && jobs[i].team_allows(teams) {
-            let Some(c) = best_choice(&jobs[i], &choices, &wanted, &there, types) else {
+            let Some(c) = best_choice(&jobs[i], &choices, &wanted, &there, market.types) else {
                 break;
             };
             let m = choices[c].machine.clone();
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -21,7 +21,9 @@
             let waiter = self.waiter(Step::Watch);
             ctx.state(call, waiter);
         }
-        if now >= self.pass_at || now >= self.passed_at + micros(ctx.config.tuning.pass_s) {
+        let gap = micros(ctx.config.tuning.pass_gap_s);
+        let due = now >= self.pass_at && now >= self.passed_at + gap;
+        if due || now >= self.passed_at + micros(ctx.config.tuning.pass_s) {
             self.pass(ctx);
         }
         if now >= self.fleet_at {
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -71,15 +71,18 @@
             }
         }
         let mut jobs = self.job_views(ctx, &cut_off);
+        let market = fleet::Market {
+            types: &types,
+            refusals: &self.refusals,
+            dark: self.dark.keys().cloned().collect(),
+            now,
+        };
         let wanted = fleet::plan(
             &mut jobs,
             &mut coming,
             &mut teams,
-            &types,
-            &self.refusals,
-            &self.dark.keys().cloned().collect(),
+            &market,
             self.reserve(ctx.config),
-            now,
         );
         for ((machine_type, zone, spot), count) in wanted {
             let request = self.desk.name(self.term);
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -367,6 +367,46 @@
     pub ran: u64,
 }
 
+/// What stopping tasks on a machine costs: whether any is stopped, whether the
+/// image is missing there, and the work lost.
+type Loss = (bool, bool, u64);
+
+/// The machine on which room for one more task of the job costs least, and the
+/// tasks to be stopped there. `on` lists each machine's, the least work first.
+fn least_loss(
+    job: &JobView,
+    machines: &[MachineView],
+    on: &[Vec<usize>],
+    victims: &[Victim],
+) -> Option<(usize, Vec<usize>)> {
+    let need = job.room();
+    let mut best: Option<(Loss, usize, Vec<usize>)> = None;
+    for (m, view) in machines.iter().enumerate() {
+        if !job.allows(view) {
+            continue;
+        }
+        let mut free = view.free;
+        let mut chosen = Vec::new();
+        let mut lost = 0;
+        for &v in &on[m] {
+            if free.holds(&need) {
+                break;
+            }
+            if victims[v].priority < job.spec.priority {
+                free.give(&victims[v].room);
+                lost += victims[v].ran;
+                chosen.push(v);
+            }
+        }
+        let image = view.holds_image(&job.spec.image);
+        let loss = (!chosen.is_empty(), !image, lost);
+        if free.holds(&need) && best.as_ref().is_none_or(|(least, _, _)| loss < *least) {
+            best = Some((loss, m, chosen));
+        }
+    }
+    best.map(|(_, m, chosen)| (m, chosen))
+}
+
 /// Which running tasks to stop so that waiting replicas find room, as indices
 /// of `victims`. Only work of lower priority is stopped, where the least of it
 /// is lost. `machines` counts as free what has been told to stop already, so
@@ -389,37 +429,8 @@
         if jobs[i].spec.kind != Kind::Service {
             continue;
         }
-        let need = jobs[i].room();
         while !jobs[i].waiting.is_empty() && jobs[i].team_allows(teams) {
-            let job = &jobs[i];
-            let mut best: Option<((bool, bool, u64), usize, Vec<usize>)> = None;
-            for (m, view) in machines.iter().enumerate() {
-                if !job.allows(view) {
-                    continue;
-                }
-                let mut free = view.free;
-                let mut chosen = Vec::new();
-                let mut lost = 0;
-                for &v in on[m]
-                    .iter()
-                    .filter(|&&v| victims[v].priority < job.spec.priority)
-                {
-                    if free.holds(&need) {
-                        break;
-                    }
-                    free.give(&victims[v].room);
-                    lost += victims[v].ran;
-                    chosen.push(v);
-                }
-                if !free.holds(&need) {
-                    continue;
-                }
-                let cost = (!chosen.is_empty(), !view.holds_image(&job.spec.image), lost);
-                if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-                    best = Some((cost, m, chosen));
-                }
-            }
-            let Some((_, m, chosen)) = best else {
+            let Some((m, chosen)) = least_loss(&jobs[i], machines, &on, victims) else {
                 break;
             };
             for v in chosen {
--- a/crates/dillcleat/src/serve.rs
+++ b/crates/dillcleat/src/serve.rs
@@ -10,7 +10,8 @@
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::platform::Platform;
 use dillcleat_wire::state::StateCall;
-use dillcleat_wire::worker::{COMMANDS_PATH, Orders};
+use dillcleat_wire::worker::{COMMANDS_PATH, Orders, REPORT_PATH};
+use futures_lite::FutureExt;
 use smol::channel::{Receiver, Sender};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
@@ -20,8 +21,11 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const TICK: Duration = Duration::from_millis(50);
-/// Inputs that may wait for the core.
+/// Inputs of one kind that may wait for the core.
 const MAX_INPUTS: usize = 4096;
+/// Inputs that the core takes before others get their turn: answers leave the
+/// process only then.
+const TURN: u32 = 8;
 /// Messages that may wait for a sibling.
 const MAX_MESSAGES: usize = 256;
 /// Frames that a sibling's connection may have open.
@@ -29,6 +33,9 @@
 
 struct Shared {
     inputs: Sender<Input>,
+    /// Workers' reports wait apart: after a pause hundreds come at once, and
+    /// users' requests and the lease's renewal do not stand in line behind.
+    reports: Sender<Input>,
     answers: RefCell<HashMap<RequestId, Sender<Answer>>>,
     next_request: Cell<u64>,
     clients: Cell<u32>,
@@ -59,9 +66,11 @@
     let clients = bind(&platform.client_listen).await?;
     let siblings = bind(&platform.mesh_addr).await?;
     let (inputs, core_inputs) = smol::channel::bounded(MAX_INPUTS);
+    let (reports, core_reports) = smol::channel::bounded(MAX_INPUTS);
     let max = platform.cluster.quota.max_connections;
     let shared = Rc::new(Shared {
         inputs,
+        reports,
         answers: RefCell::default(),
         next_request: Cell::new(0),
         clients: Cell::new(0),
@@ -91,7 +100,8 @@
         .detach();
     ex.spawn(tick(shared.clone())).detach();
     log::info!("{} serves on {}", config.member, platform.client_listen);
-    core(ex, shared, config, core_inputs, speakers).await;
+    let inputs = [core_inputs, core_reports];
+    core(ex, shared, config, inputs, speakers).await;
     Ok(())
 }
 
@@ -119,12 +129,25 @@
     ex: Executor,
     shared: Rc<Shared>,
     config: Config,
-    inputs: Receiver<Input>,
+    [inputs, reports]: [Receiver<Input>; 2],
     speakers: Vec<Sender<Message>>,
 ) {
     let mut node = Node::new(config);
     let start = Instant::now();
-    while let Ok(input) = inputs.recv().await {
+    let mut turn = 0;
+    loop {
+        let next = match inputs.try_recv().or_else(|_| reports.try_recv()) {
+            Ok(input) => Ok(input),
+            Err(_) => inputs.recv().or(reports.recv()).await,
+        };
+        let Ok(input) = next else {
+            return;
+        };
+        turn += 1;
+        if turn >= TURN {
+            turn = 0;
+            smol::future::yield_now().await;
+        }
         let now = Now {
             // Zero would look like "never" to what compares times.
             steady: start.elapsed().as_micros() as Micros + 1_000_000_000,
@@ -285,13 +308,17 @@
         shared.next_request.set(id.0 + 1);
         let (tx, rx) = smol::channel::bounded(1);
         shared.answers.borrow_mut().insert(id, tx);
+        let queue = match request.target.as_str() {
+            REPORT_PATH => &shared.reports,
+            _ => &shared.inputs,
+        };
         let input = Input::Request {
             id,
             method: request.method,
             target: request.target,
             body: request.body,
         };
-        if shared.inputs.send(input).await.is_err() {
+        if queue.send(input).await.is_err() {
             return;
         }
         let Ok(answer) = rx.recv().await else {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -19,6 +19,7 @@
 use fastrand::Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::{Duration, Instant};
 
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 const WORKER_TIMEOUT: Micros = 4 * SECOND;
@@ -162,6 +163,24 @@
     pub digest: u64,
     /// The most machines that were up at once.
     pub machines: usize,
+    /// How many inputs of each kind the nodes took, and how long that took.
+    pub costs: Costs,
+}
+
+/// Number of inputs and time by kind of input.
+pub type Costs = BTreeMap<&'static str, (u64, Duration)>;
+
+fn kind(input: &Input, leads: bool) -> &'static str {
+    match input {
+        _ if !leads => "a follower's input",
+        Input::Tick => "tick",
+        Input::Request { target, .. } if target == REPORT_PATH => "report",
+        Input::Request { .. } => "user's request",
+        Input::State { .. } => "answer of the state service",
+        Input::Cloud { .. } => "answer of the cloud",
+        Input::Orders { .. } => "answer to orders",
+        Input::Mesh { .. } => "sibling's message",
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -314,6 +333,7 @@
     scenario: Scenario,
     digest: u64,
     most_machines: usize,
+    costs: Costs,
 }
 
 fn types() -> Vec<MachineType> {
@@ -402,6 +422,7 @@
             config,
             digest: 0,
             most_machines: 0,
+            costs: Costs::new(),
             scenario,
         };
         for node in 0..w.scenario.nodes {
@@ -550,6 +571,7 @@
             breaches: self.checker.breaches,
             digest: self.digest,
             machines: self.most_machines,
+            costs: self.costs,
         }
     }
 
@@ -562,7 +584,12 @@
         let Some(n) = self.nodes[node].node.as_mut() else {
             return;
         };
+        let kind = kind(&input, n.leading().is_some());
+        let begun = Instant::now();
         let outputs = n.handle(now, input);
+        let cost = self.costs.entry(kind).or_default();
+        cost.0 += 1;
+        cost.1 += begun.elapsed();
         let epoch = self.nodes[node].epoch;
         for output in outputs {
             self.carry(node, epoch, output);
