--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -13,6 +13,9 @@
 use std::collections::HashMap;
 
 const BEAT: Micros = 500 * MILLISECOND;
+/// How long a worker waits for an answer, and then pauses, before it goes to
+/// the next node.
+const WORKER_PATIENCE: Micros = 5 * SECOND;
 /// Progress that a node keeps for display.
 const MAX_PROGRESS: usize = 20_000;
 
@@ -243,7 +246,13 @@
     fn deaf(&mut self, now: Now, out: &mut Vec<Output>) -> Option<Change> {
         const FRESH: Micros = 2 * SECOND;
         let since = self.leader.as_ref()?.expects_reports_since()?;
-        let patience = self.config.report * 5 / 4 + 3 * SECOND / 2;
+        let mut patience = self.config.report * 5 / 4 + 3 * SECOND / 2;
+        if self.worker_at < since {
+            // Its workers may still be waiting for the leader before it. To
+            // make way sooner once left a fleet without a leader for 7 s
+            // (incident 1ec8).
+            patience += WORKER_PATIENCE;
+        }
         if now.steady < since.max(self.worker_at) + patience {
             return None;
         }
--- a/crates/core/tests/blind.rs
+++ b/crates/core/tests/blind.rs
@@ -3,57 +3,21 @@
 
 mod common;
 
-use dillcleat_core::{Input, Micros, Node, Now, Output, RequestId, SECOND};
+use common::step;
+use dillcleat_core::{Input, RequestId, SECOND};
 use dillcleat_wire::encode;
-use dillcleat_wire::state::{Page, StateCall, StateReply};
 use dillcleat_wire::worker::Report;
 
-/// Answers every call but watches, so that the node leads and stays leader.
-fn step(node: &mut Node, at: Micros, input: Input) -> Vec<u16> {
-    let now = Now {
-        steady: at,
-        wall: at,
-    };
-    let mut statuses = Vec::new();
-    let mut inputs = vec![input];
-    while let Some(input) = inputs.pop() {
-        for output in node.handle(now, input) {
-            match output {
-                Output::Answer { answer, .. } => statuses.push(answer.status),
-                Output::State { id, call, .. } => {
-                    let reply = match call {
-                        StateCall::List { .. } => StateReply::Page(Page {
-                            rows: vec![],
-                            more: false,
-                            revision: 1,
-                        }),
-                        StateCall::NewLease { .. } => StateReply::Lease { lease: 1 },
-                        StateCall::Txn(_) => StateReply::Committed { revision: 2 },
-                        StateCall::Extend { .. } => StateReply::Extended,
-                        _ => continue,
-                    };
-                    inputs.push(Input::State {
-                        id,
-                        reply: Ok(reply),
-                    });
-                }
-                _ => {}
-            }
-        }
-    }
-    statuses
-}
-
 #[test]
 fn reports_are_answered_only_while_a_cancellation_could_still_be_obeyed() {
     let mut node = common::node();
     let start = 1000 * SECOND;
-    step(&mut node, start, Input::Tick);
+    step(&mut node, start, Input::Tick, &[]);
     assert_eq!(node.leading(), Some(1));
     let mut last_answered = 0;
     for s in 1..60 {
         let at = start + s * SECOND;
-        step(&mut node, at, Input::Tick);
+        step(&mut node, at, Input::Tick, &[]);
         let report = Report {
             machine: "m".into(),
             addr: "127.0.0.1:7".into(),
@@ -72,7 +36,7 @@
             target: "/checkin".into(),
             body: encode(&report),
         };
-        match step(&mut node, at, input)[..] {
+        match step(&mut node, at, input, &[])[..] {
             [200] => last_answered = s,
             [503] => {}
             ref other => panic!("unexpected {other:?}"),
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,7 +1,11 @@
 //! A node with the settings of a small deployment.
 
-use dillcleat_core::{Config, Node, Tuning};
+// Each test file uses a part of this.
+#![allow(dead_code)]
+
+use dillcleat_core::{Config, Input, Micros, Node, Now, Output, Tuning, store};
 use dillcleat_wire::platform::Platform;
+use dillcleat_wire::state::{Page, Row, StateCall, StateReply};
 
 const SETTINGS: &str = r#"
 member = "n0"
@@ -41,3 +45,43 @@
     let platform = Platform::parse(SETTINGS).expect("good settings");
     Node::new(Config::new(&platform, Tuning::default()))
 }
+
+/// Answers every call but watches, so that the node leads and stays leader.
+/// `machines` are on record in the store.
+pub fn step(node: &mut Node, at: Micros, input: Input, machines: &[Row]) -> Vec<u16> {
+    let now = Now {
+        steady: at,
+        wall: at,
+    };
+    let mut statuses = Vec::new();
+    let mut inputs = vec![input];
+    while let Some(input) = inputs.pop() {
+        for output in node.handle(now, input) {
+            match output {
+                Output::Answer { answer, .. } => statuses.push(answer.status),
+                Output::State { id, call, .. } => {
+                    let reply = match call {
+                        StateCall::List { prefix, .. } => StateReply::Page(Page {
+                            rows: match prefix.as_str() {
+                                store::MACHINES => machines.to_vec(),
+                                _ => vec![],
+                            },
+                            more: false,
+                            revision: 1,
+                        }),
+                        StateCall::NewLease { .. } => StateReply::Lease { lease: 1 },
+                        StateCall::Txn(_) => StateReply::Committed { revision: 2 },
+                        StateCall::Extend { .. } => StateReply::Extended,
+                        _ => continue,
+                    };
+                    inputs.push(Input::State {
+                        id,
+                        reply: Ok(reply),
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+    statuses
+}
--- a/crates/rehearsal/src/state.rs
+++ b/crates/rehearsal/src/state.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the state service.
 
-use dillcleat_core::{MILLISECOND, Micros};
+use dillcleat_core::{MILLISECOND, Micros, store};
 use dillcleat_wire::state::{Change, Changes, Event, Page, Row, StateCall, StateReply, Txn, Value};
 use dillcleat_wire::state::{TXN_BYTES, json_size};
 use std::collections::BTreeMap;
@@ -275,6 +275,13 @@
     }
 
     /// Keys under a prefix, for looking at what a run leaves behind.
+    /// The latest term of the controllers.
+    pub fn term(&self) -> u64 {
+        let row = self.keys.get(store::TERM);
+        row.and_then(|e| dillcleat_wire::state::read::<store::Term>(&e.value))
+            .map_or(0, |t| t.term)
+    }
+
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let keys = self.keys.keys();
         keys.filter(|k| k.starts_with(prefix)).cloned().collect()
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -163,6 +163,8 @@
     pub digest: u64,
     /// The most machines that were up at once.
     pub machines: usize,
+    /// Leaders that were elected.
+    pub terms: u64,
     /// How many inputs of each kind the nodes took, and how long that took.
     pub costs: Costs,
 }
@@ -562,6 +564,7 @@
             })
             .map(|u| format!("{} ({:?})", u.spec.id, u.ended))
             .collect();
+        let terms = self.state.term();
         Outcome {
             starts: self.checker.starts_seen(),
             accepted: self.users.iter().filter(|u| u.accepted).count(),
@@ -571,6 +574,7 @@
             breaches: self.checker.breaches,
             digest: self.digest,
             machines: self.most_machines,
+            terms,
             costs: self.costs,
         }
     }
