--- a/crates/core/src/leader/late.rs
+++ b/crates/core/src/leader/late.rs
@@ -45,9 +45,8 @@
     /// The time within which the job's tasks must start, in seconds; None if
     /// no money is spent on it, be it that it has no deadline, that its class
     /// has no strict aim for it, or that a machine rented now would come too
-    /// late. A
-    /// job that cannot meet its deadline any more is counted against the last
-    /// time at which its end is of use.
+    /// late. A job that cannot meet its deadline any more is counted against
+    /// the last time at which its end is of use.
     fn slack(&self, ctx: &Ctx, job: &Job, run: f64) -> Option<f64> {
         let due = job.spec.deadline_s?;
         let mut aims = ctx.config.deadlines.iter();
