Idle followers stay healthy: the watch of the lead is held for 1 s instead of 5 s

A follower without users hears of the state service only when its watch ends, after 5 s, but counted as cut off after 3 s: /up said 503 for two of each five seconds, so the load balancer dropped it and kept everything on one or two nodes, each with a fifth of the budget.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -13,7 +13,11 @@
 use std::rc::Rc;
 
 const RETRY: Micros = 250 * MILLISECOND;
-const WATCH_MS: u64 = 5_000;
+/// How long a watch is held. An idle follower hears of the state service by
+/// nothing else: held for 5 s, it once called itself cut off for two of each
+/// five seconds, and the load balancer left all users to one or two busy nodes
+/// (operations, rosterwise-nz-ops).
+const WATCH_MS: u64 = 1_000;
 
 #[derive(Debug, Clone)]
 pub enum Step {
--- /dev/null
+++ b/crates/core/tests/idle.rs
@@ -0,0 +1,93 @@
+//! A follower that nobody asks anything.
+
+mod common;
+
+use dillcleat_core::store::{self, Lead, Term, Types};
+use dillcleat_core::{Input, MILLISECOND, Micros, Now, Output, RequestId, SECOND};
+use dillcleat_mesh::Message;
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::state::{Changes, Page, Row, StateCall, StateReply, value};
+
+/// Users go where `/up` says 200. A follower whose watch was held for longer
+/// than it takes to be called cut off was in and out of the load balancer.
+#[test]
+fn an_idle_follower_stays_healthy() {
+    let row = |key: &str, value| Row {
+        key: key.into(),
+        value,
+        version: 1,
+        lease: None,
+    };
+    let lead = Lead {
+        member: "n1".into(),
+        lease: 7,
+        term: 1,
+    };
+    let types = Types {
+        types: Vec::<MachineType>::new(),
+    };
+    let rows = vec![
+        row(store::LEAD, value(&lead)),
+        row(store::TERM, value(&Term { term: 1 })),
+        row(store::TYPES, value(&types)),
+    ];
+    let mut node = common::node();
+    let start = 1000 * SECOND;
+    let mut watch: Option<(Micros, Input)> = None;
+    for at in (start..start + 60 * SECOND).step_by(50 * MILLISECOND as usize) {
+        let beat = Input::Mesh {
+            from: "n1".into(),
+            message: Message::Beat {
+                term: 1,
+                leads: true,
+                served: true,
+                hears: true,
+            },
+        };
+        let health = Input::Request {
+            id: RequestId(at),
+            method: "GET".into(),
+            target: "/up".into(),
+            body: Vec::new(),
+        };
+        let mut inputs = vec![Input::Tick, beat];
+        if at > start {
+            inputs.insert(0, health);
+        }
+        if watch.as_ref().is_some_and(|(due, _)| at >= *due) {
+            inputs.extend(watch.take().map(|(_, input)| input));
+        }
+        while let Some(input) = inputs.pop() {
+            let now = Now {
+                steady: at,
+                wall: at,
+            };
+            for output in node.handle(now, input) {
+                match output {
+                    Output::Answer { answer, .. } => assert_eq!(answer.status, 200, "at {at}"),
+                    Output::State { id, call, .. } => match call {
+                        StateCall::List { .. } => inputs.push(Input::State {
+                            id,
+                            reply: Ok(StateReply::Page(Page {
+                                rows: rows.clone(),
+                                more: false,
+                                revision: 1,
+                            })),
+                        }),
+                        // Nothing changes: a watch is answered when its time is up.
+                        StateCall::Watch { hold_ms, .. } => {
+                            let reply = Ok(StateReply::Changes(Changes {
+                                revision: 1,
+                                events: Vec::new(),
+                            }));
+                            let due = at + hold_ms * MILLISECOND;
+                            watch = Some((due, Input::State { id, reply }));
+                        }
+                        other => panic!("a follower calls {other:?}"),
+                    },
+                    _ => {}
+                }
+            }
+        }
+    }
+}
