Users' budget goes where the users are; polls leave half of it to submissions

Change: beats carry how many requests users make (mesh version 2), a node's share goes by it; what siblings that are not heard might take stays theirs. Polls stop at half of a second's worth.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -41,6 +41,13 @@
 }
 
 impl Ask {
+    fn need(&self) -> Need {
+        match self {
+            Ask::Tell(_) => Need::Poll,
+            Ask::Refuse { .. } | Ask::Cancel { .. } => Need::Change,
+        }
+    }
+
     fn request(&self) -> RequestId {
         match self {
             Ask::Tell(request) | Ask::Refuse { request, .. } | Ask::Cancel { request, .. } => {
@@ -108,30 +115,58 @@
 /// rest is the leader's: a flood of requests must not end its lease.
 #[derive(Debug)]
 struct Budget {
+    /// What the users' requests of all nodes together may take.
+    all_per_s: f64,
     per_s: f64,
     left: f64,
     at: Micros,
 }
 
+/// Whom a call is for: what is turned away first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Need {
+    /// Submissions and cancellations.
+    Change,
+    /// Polls, which leave half of a second's worth to those. In a storm of
+    /// polls each call went to a poll the moment that it was to be had, and
+    /// three of four submissions were turned away (rosterwise-nz-ops).
+    Poll,
+}
+
 impl Budget {
     /// Part of the whole that users' requests of all nodes together may take.
     const PART: f64 = 0.7;
 
     fn new(whole: f64, config: &Config) -> Self {
-        let per_s = whole * Self::PART / (config.siblings.len() + 1) as f64;
+        let all_per_s = whole * Self::PART;
+        let per_s = all_per_s / (config.siblings.len() + 1) as f64;
         Budget {
+            all_per_s,
             per_s,
             left: per_s,
             at: 0,
         }
     }
 
-    /// Takes `n` if there is as much.
-    fn take(&mut self, n: f64, now: Micros) -> bool {
+    fn share(&mut self, share: f64, now: Micros) {
+        self.refill(now);
+        self.per_s = self.all_per_s * share;
+    }
+
+    fn refill(&mut self, now: Micros) {
         let grown = crate::seconds(now.saturating_sub(self.at)) * self.per_s;
         self.left = (self.left + grown).min(self.per_s.max(2.0));
         self.at = now;
-        if self.left < n {
+    }
+
+    /// Takes `n` if there is as much.
+    fn take(&mut self, n: f64, need: Need, now: Micros) -> bool {
+        self.refill(now);
+        let kept = match need {
+            Need::Change => 0.0,
+            Need::Poll => self.per_s / 2.0,
+        };
+        if self.left < n + kept.min(self.per_s - n) {
             return false;
         }
         self.left -= n;
@@ -151,6 +186,9 @@
     checking: HashMap<String, Vec<Ask>>,
     checks: usize,
     under_way: usize,
+    /// Users' requests since the last beat, and how many come in a second.
+    asked: u32,
+    asked_per_s: f64,
     /// The leader's word on how far jobs are, for display.
     pub progress: HashMap<String, (u32, u32)>,
 }
@@ -204,10 +242,26 @@
             checking: HashMap::new(),
             checks: 0,
             under_way: 0,
+            asked: 0,
+            asked_per_s: 0.0,
             progress: HashMap::new(),
         }
     }
 
+    /// Users' requests a second, of late; to be asked at every beat.
+    pub fn demand(&mut self, since_last: Micros) -> f64 {
+        let count = f64::from(std::mem::take(&mut self.asked));
+        let rate = count / crate::seconds(since_last).max(0.1);
+        self.asked_per_s = (self.asked_per_s + rate) / 2.0;
+        self.asked_per_s
+    }
+
+    /// This node's share of what users' requests may take of the state service.
+    pub fn share(&mut self, share: f64, now: Micros) {
+        self.calls.share(share, now);
+        self.writes.share(share, now);
+    }
+
     /// The leader of this process has stored a job's end.
     pub fn ended(&mut self, id: &str, mark: JobMark) {
         self.cache.put(id, Known { mark, version: 0 });
@@ -237,6 +291,7 @@
         body: &[u8],
         types: Option<&[MachineType]>,
     ) {
+        self.asked += 1;
         let submission = parse_submission(body);
         let Some(id) = submission.id else {
             let cause = submission
@@ -279,8 +334,8 @@
         let now = ctx.now.steady;
         // A submission writes two records.
         if self.under_way >= MAX_UNDER_WAY
-            || !self.calls.take(1.0, now)
-            || !self.writes.take(2.0, now)
+            || !self.calls.take(1.0, Need::Change, now)
+            || !self.writes.take(2.0, Need::Change, now)
         {
             return ctx.answer(request, Answer::later("too many requests"));
         }
@@ -307,6 +362,7 @@
     }
 
     pub fn poll(&mut self, ctx: &mut Ctx, request: RequestId, id: String) {
+        self.asked += 1;
         if !is_job_id(&id) {
             return ctx.answer(request, Answer::refusal(404, "no such job"));
         }
@@ -314,6 +370,7 @@
     }
 
     pub fn cancel(&mut self, ctx: &mut Ctx, request: RequestId, id: String) {
+        self.asked += 1;
         if !is_job_id(&id) {
             return ctx.answer(request, Answer::refusal(404, "no such job"));
         }
@@ -344,7 +401,7 @@
         // A look-up under way may have read before this request came in, but
         // then nobody can have been told more than this answer by now: what it
         // finds is kept only if open, and an open record is compared first.
-        if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, ctx.now.steady) {
+        if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, ask.need(), ctx.now.steady) {
             return ctx.answer(ask.request(), Answer::later("too many requests"));
         }
         self.under_way += 1;
@@ -359,7 +416,7 @@
     fn check(&mut self, ctx: &mut Ctx) {
         if self.waiting.is_empty()
             || self.checks >= MAX_CHECKS
-            || !self.calls.take(1.0, ctx.now.steady)
+            || !self.calls.take(1.0, Need::Poll, ctx.now.steady)
         {
             return;
         }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -24,6 +24,7 @@
     heard: Micros,
     served: bool,
     hears: bool,
+    asked: u32,
 }
 
 #[derive(Debug)]
@@ -79,7 +80,8 @@
                 }
                 if now.steady >= self.beat_at {
                     self.beat_at = now.steady + BEAT;
-                    self.beat(&mut out, now);
+                    let asked = self.share(now);
+                    self.beat(&mut out, now, asked);
                     change = self.deaf(now, &mut out);
                 }
             }
@@ -311,13 +313,38 @@
             .is_some_and(|at| now.steady < at + 3 * SECOND)
     }
 
-    fn beat(&mut self, out: &mut Vec<Output>, now: Now) {
+    /// Takes this node's share of the state service's budget for users: users
+    /// do not spread evenly, and a storm of them may meet a single node. Of what
+    /// siblings that are not heard might take nothing is touched, and nobody
+    /// goes below half of an equal share, to be ready. Returns how many requests
+    /// a second users make here.
+    fn share(&mut self, now: Now) -> u32 {
+        let asked = self.admission.demand(BEAT);
+        let nodes = (self.config.siblings.len() + 1) as f64;
+        let heard = self
+            .siblings
+            .values()
+            .filter(|s| now.steady < s.heard + 2 * SECOND);
+        let (mut known, mut all) = (1.0, asked);
+        for s in heard {
+            known += 1.0;
+            all += f64::from(s.asked);
+        }
+        let part = if all < 1.0 { 1.0 / known } else { asked / all };
+        let share = (part * known / nodes).max(0.5 / nodes);
+        self.admission.share(share, now.steady);
+        // A float's cast to an integer saturates.
+        asked.ceil() as u32
+    }
+
+    fn beat(&mut self, out: &mut Vec<Output>, now: Now, asked: u32) {
         out.push(Output::Mesh {
             message: Message::Beat {
                 term: self.leadership.term(),
                 leads: self.leader.is_some(),
                 served: self.served(now),
                 hears: now.steady < self.worker_at + 3 * SECOND,
+                asked,
             },
         });
         if let Some(leader) = &mut self.leader {
@@ -342,12 +369,14 @@
                 term,
                 served,
                 hears,
+                asked,
                 ..
             } => {
                 let sibling = Sibling {
                     heard: now.steady,
                     served,
                     hears,
+                    asked,
                 };
                 self.siblings.insert(from, sibling);
                 let mut ctx = Ctx {
--- a/crates/core/tests/deaf.rs
+++ b/crates/core/tests/deaf.rs
@@ -39,6 +39,7 @@
                 leads: false,
                 served: true,
                 hears: true,
+                asked: 0,
             },
         };
         step(&mut node, start + at, beat, &machines);
--- a/crates/core/tests/idle.rs
+++ b/crates/core/tests/idle.rs
@@ -42,6 +42,7 @@
                 leads: true,
                 served: true,
                 hears: true,
+                asked: 0,
             },
         };
         let health = Input::Request {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,7 +7,7 @@
 //! lost or forged hint costs time only.
 
 /// Version of the format; frames of another version close the connection.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bound of one frame's length field.
 pub const MAX_FRAME: usize = 64 * 1024;
 /// Bound of the jobs in one progress message.
@@ -26,13 +26,14 @@
     /// The first frame of a connection: who speaks.
     Hello { member: String },
     /// Sent about twice a second: the highest term seen, whether the sender
-    /// leads in it, whether the state service serves the sender, and whether
-    /// workers reach it.
+    /// leads in it, whether the state service serves the sender, whether
+    /// workers reach it, and how many requests a second users make of it.
     Beat {
         term: u64,
         leads: bool,
         served: bool,
         hears: bool,
+        asked: u32,
     },
     /// From the leader: the progress of some jobs.
     Progress(Vec<Progress>),
@@ -88,12 +89,14 @@
                 leads,
                 served,
                 hears,
+                asked,
             } => {
                 out.push(2);
                 out.extend_from_slice(&term.to_be_bytes());
                 out.push(u8::from(*leads));
                 out.push(u8::from(*served));
                 out.push(u8::from(*hears));
+                out.extend_from_slice(&asked.to_be_bytes());
             }
             Message::Progress(jobs) => {
                 out.push(3);
@@ -125,6 +128,7 @@
                 leads: r.flag()?,
                 served: r.flag()?,
                 hears: r.flag()?,
+                asked: r.u32()?,
             },
             3 => {
                 let n = r.u16()? as usize;
@@ -210,6 +214,7 @@
                 leads: true,
                 served: false,
                 hears: true,
+                asked: 70_000,
             },
             Message::Progress(vec![Progress {
                 job: "req-1".into(),
