--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -300,8 +300,11 @@
         let apart = recent.peek().is_none();
         // The one sibling that hears them may not be heard itself. A leader cut
         // off from its workers once waited for its word until every lease had
-        // run out (incident e9a6).
-        let waited = now.steady >= since.max(self.worker_at) + self.config.lease * 3 / 5;
+        // run out (incident e9a6). Whoever has not heard any in its term stays:
+        // with every machine dead, leaders once made way for each other for
+        // ever, none of them long enough to find that out (seed 10052).
+        let heard = self.worker_at >= since;
+        let waited = heard && now.steady >= self.worker_at + self.config.lease * 3 / 5;
         if !apart && !waited && !recent.any(|s| s.hears) {
             return None;
         }
--- a/crates/core/tests/deaf.rs
+++ b/crates/core/tests/deaf.rs
@@ -4,14 +4,16 @@
 
 use common::step;
 use dillcleat_core::store::{self, MachineRecord};
-use dillcleat_core::{Input, MILLISECOND, Micros, SECOND};
+use dillcleat_core::{Input, MILLISECOND, Micros, RequestId, SECOND};
 use dillcleat_mesh::Message;
+use dillcleat_wire::encode;
 use dillcleat_wire::state::{Row, value};
+use dillcleat_wire::worker::Report;
 
 /// How long a leader with machines on record leads without hearing a worker,
-/// while a sibling says whether it hears any. `pause` is a gap in its ticks
-/// after two seconds.
-fn leads_for(hears: bool, pause: Micros) -> Micros {
+/// having `heard` one report or none, while a sibling says whether it hears any.
+/// `pause` is a gap in its ticks after two seconds.
+fn leads_for(heard: bool, hears: bool, pause: Micros) -> Micros {
     let machines: Vec<Row> = (0..3)
         .map(|i| Row {
             key: store::machine_key(&format!("m{i}")),
@@ -29,6 +31,27 @@
     let start = 1000 * SECOND;
     step(&mut node, start, Input::Tick, &machines);
     assert_eq!(node.leading(), Some(1));
+    if heard {
+        let report = Report {
+            machine: "m0".into(),
+            addr: "127.0.0.1:7".into(),
+            machine_type: "t".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: 1,
+            token: 1,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        let input = Input::Request {
+            id: RequestId(1),
+            method: "POST".into(),
+            target: "/checkin".into(),
+            body: encode(&report),
+        };
+        assert_eq!(step(&mut node, start, input, &machines), [200]);
+    }
     let mut led_for = 0;
     for at in (0..30 * SECOND).step_by(100 * MILLISECOND as usize) {
         if (2 * SECOND..2 * SECOND + pause).contains(&at) {
@@ -61,7 +84,7 @@
 fn a_new_leader_waits_for_the_workers_of_the_one_before() {
     // Long enough for a report, its time-out and the pause; well within a
     // lease of 14 s.
-    let led_for = leads_for(true, 0);
+    let led_for = leads_for(false, true, 0);
     assert!(
         (15 * SECOND / 2..10 * SECOND).contains(&led_for),
         "{led_for}"
@@ -72,14 +95,17 @@
 /// reach. A leader once waited on until every lease had run out (incident e9a6).
 #[test]
 fn a_leader_without_workers_makes_way_before_their_leases_end() {
-    let led_for = leads_for(false, 0);
+    let led_for = leads_for(true, false, 0);
     assert!((7 * SECOND..11 * SECOND).contains(&led_for), "{led_for}");
+    // But not again and again: with every machine dead somebody has to stay to
+    // find that out (seed 10052).
+    assert!(leads_for(false, false, 0) > 29 * SECOND);
 }
 
 /// After a gap longer than its lease it looks first (incident e9a6); after a
 /// shorter one it goes on.
 #[test]
 fn a_leader_that_was_not_running_steps_down_first() {
-    assert!(leads_for(true, 3 * SECOND) < 3 * SECOND);
-    assert!(leads_for(true, 2 * SECOND) > 7 * SECOND);
+    assert!(leads_for(false, true, 3 * SECOND) < 3 * SECOND);
+    assert!(leads_for(false, true, 2 * SECOND) > 7 * SECOND);
 }
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -304,10 +304,11 @@
 /// 4626: five machines hang for longer than `cancel_s` beside a cloud outage.
 /// 1560 and 1869: a cancellation that overtook the record of the last task's
 /// completion once left the job's records behind for ever. 4717: one that came
-/// between two attempts of a task did.
+/// between two attempts of a task did. 10052: with every machine dead no leader
+/// stayed for long enough to find out.
 #[test]
 fn everything_at_once() {
-    for seed in (100..140).chain([1560, 1869, 4626, 4717]) {
+    for seed in (100..140).chain([1560, 1869, 4626, 4717, 10_052]) {
         let scenario = Scenario::random(seed);
         let faults = scenario.faults.clone();
         let o = World::new(scenario).run();
