Errors are blamed by where else the job and the machine work

Change: core::blame. A job that failed on two machines and ran nowhere is doubtful: one task at a time at growing intervals, rents nothing, is not active. An error strikes a machine only if its job runs elsewhere; two such jobs condemn it.

--- a/crates/core/src/leader/jobs.rs
+++ b/crates/core/src/leader/jobs.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// A replica that is up for so long is taken to serve.
+const SERVES: Micros = 10 * SECOND;
+
 impl Leader {
     /// A job is cancelled: nothing of it starts, and what runs is stopped.
     pub(super) fn stop_job(&mut self, id: &Rc<str>) {
@@ -175,7 +178,6 @@
         }
         task.state = TaskState::Done;
         job.done += 1;
-        job.errors = 0;
         if let Some(ran) = ran {
             let ran = seconds(ran);
             let t = ctx.config.tuning.training_tasks.max(1) as usize;
@@ -195,6 +197,7 @@
         if job.cancelled.is_some() {
             return self.check_clear(&key.0);
         }
+        self.proves(&key.0);
         self.check_done(&key.0);
         // The record of a job's end covers its last task as well.
         if self.jobs.get(&key.0).is_some_and(|j| !j.ending) {
@@ -202,31 +205,68 @@
         }
     }
 
-    /// Errors of one job on several machines are the job's, errors of several
-    /// jobs on one machine are the machine's.
+    /// A task of the job is known to have run, so its errors elsewhere were
+    /// those machines' own.
+    fn proves(&mut self, id: &Rc<str>) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.record.proven()) else {
+            return;
+        };
+        for machine in job.record.ran() {
+            self.strike(&machine, id);
+        }
+    }
+
+    fn strike(&mut self, machine: &Rc<str>, id: &Rc<str>) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        m.strikes.add(id);
+        if m.strikes.condemn() && !m.condemned {
+            m.condemned = true;
+            log::info!("{machine} fails several jobs: it takes no more and is returned");
+        }
+    }
+
+    /// Whether a replica of the job is up for longer than one that fails would
+    /// be: replicas never end by themselves, so nothing else proves a service.
+    fn serves(&self, job: &Job, id: &Rc<str>, now: Micros) -> bool {
+        job.running.iter().any(|i| {
+            let TaskState::Placed(m) = &job.tasks[*i as usize].state else {
+                return false;
+            };
+            let slot = self
+                .machines
+                .get(m)
+                .and_then(|m| m.slots.get(&(id.clone(), *i)));
+            let since = slot.and_then(|s| s.running_since);
+            since.is_some_and(|at| now >= at + SERVES)
+        })
+    }
+
     pub(super) fn blame(&mut self, ctx: &Ctx, machine: &str, key: &TaskKey, why: Why) {
         let now = ctx.now.steady;
-        let Some(job) = self.jobs.get_mut(&key.0) else {
+        let Some(job) = self.jobs.get(&key.0) else {
             return;
         };
-        let Some(m) = self.machines.get_mut(machine) else {
+        if why == Why::Error && job.spec.kind == Kind::Service && self.serves(job, &key.0, now) {
+            self.proves(&key.0);
+        }
+        let (Some(job), Some(m)) = (self.jobs.get_mut(&key.0), self.machines.get_mut(machine))
+        else {
             return;
         };
         match why {
             Why::NoRoom => m.blocked_until = now + 3 * SECOND,
             Why::Error => {
                 m.error_jobs.insert(key.0.clone());
-                job.error_machines.insert(machine.to_string());
-                job.errors += 1;
-                if m.error_jobs.len() >= 2 && !m.condemned {
-                    m.condemned = true;
-                    log::info!("{machine} fails several jobs: it takes no more and is returned");
-                }
-                if job.error_machines.len() >= 3 {
-                    let pause = SECOND << job.errors.min(6);
-                    job.blocked_until = now + pause;
+                let name = m.name.clone();
+                if job.record.proven() {
+                    self.strike(&name, &key.0);
+                } else if !m.strikes.any()
+                    && let Some(pause) = job.record.failed(&name, now)
+                {
                     log::info!(
-                        "{}: fails on several machines, paused for {} s",
+                        "{}: fails wherever it runs, tried again in {} s",
                         key.0,
                         seconds(pause)
                     );
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -198,6 +198,9 @@
                 job.done += 1;
             }
         }
+        if job.done > 0 {
+            job.record.ran();
+        }
         let room = Room::of_task(&job.spec);
         for (i, attempt, machine, session) in chunk.p {
             let Some(t) = job.tasks.get_mut(i as usize) else {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod room;
 mod write;
 
+use crate::blame::Record;
 use crate::calls::{CallError, Ctx, Waiter};
 use crate::fleet::{self, Desk, Errand, Refusals, Rental};
 use crate::ledger::{Batch, Item, Ledger};
@@ -101,8 +102,7 @@
     /// What ageing has taken off so far.
     credit: f64,
     trained: bool,
-    error_machines: BTreeSet<String>,
-    errors: u32,
+    record: Record,
     blocked_until: Micros,
     shown: (u32, u32),
 }
@@ -135,8 +135,7 @@
             virtual_size: size,
             credit: 0.0,
             trained: open.spec.kind == Kind::Service,
-            error_machines: BTreeSet::new(),
-            errors: 0,
+            record: Record::default(),
             blocked_until: 0,
             shown: (0, 0),
             image: Rc::from(open.spec.image.as_str()),
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -117,6 +117,7 @@
                 j.cancelled.is_none()
                     && (!j.waiting.is_empty() || lost.contains_key(id))
                     && now >= j.blocked_until
+                    && j.record.may_start(j.placed(), now)
             })
             .map(|(id, j)| JobView {
                 id,
@@ -125,7 +126,7 @@
                 waiting: j
                     .waiting
                     .iter()
-                    .take(PASS_TASKS)
+                    .take(if j.record.doubtful() { 1 } else { PASS_TASKS })
                     .chain(lost.get(id).into_iter().flatten())
                     .copied()
                     .collect(),
@@ -323,7 +324,9 @@
     /// Cuts every active job's virtual size by its fair share of the time.
     pub(super) fn age(&mut self, now: Micros) {
         let cpus = self.fleet_cpus();
-        let active = |j: &Job| j.spec.kind == Kind::Batch && j.cancelled.is_none() && !j.ending;
+        let active = |j: &Job| {
+            j.spec.kind == Kind::Batch && j.cancelled.is_none() && !j.ending && !j.record.doubtful()
+        };
         let n = self.jobs.values().filter(|j| active(j)).count();
         if n == 0 {
             return;
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -71,6 +71,8 @@
             }
         }
         let mut jobs = self.job_views(ctx, &cut_off);
+        // Nothing is rented for what fails wherever it runs.
+        jobs.retain(|v| self.jobs.get(v.id).is_some_and(|j| !j.record.doubtful()));
         self.count_late(ctx, &mut jobs);
         let market = fleet::Market {
             types: &types,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! records to write. The same code runs in the service and in the rehearsals.
 
 pub mod admission;
+pub mod blame;
 pub mod calls;
 pub mod config;
 pub mod fleet;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -5,6 +5,7 @@
 //! launch that could still be carried out; a later session; or the machine's
 //! end. Silence proves nothing.
 
+use crate::blame::Strikes;
 use crate::sched::Room;
 use crate::{CallId, Micros, micros};
 use dillcleat_wire::TaskName;
@@ -106,7 +107,9 @@
     unanswered: BTreeSet<Launch>,
     pub images: Vec<Rc<str>>,
     pub empty_since: Micros,
+    /// Jobs that failed here: they try another machine.
     pub error_jobs: BTreeSet<Rc<str>>,
+    pub strikes: Strikes,
     pub recorded: bool,
 }
 
@@ -140,6 +143,7 @@
             images: Vec::new(),
             empty_since: now,
             error_jobs: BTreeSet::new(),
+            strikes: Strikes::default(),
             recorded: false,
         }
     }
