A submission writes one record; the mark of a job is written when it ends

The state service takes 80 (100) changes a second; a job cost six, two of them its submission, and users' budget for changes was at its end. Change: a submission writes q/o/JOB only; j/JOB comes with the end, and its absence is what polls, placements and cancellations compare. Jobs stored before still run. Ruled out: processor time, requests a second (46 of 200 on average).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,9 +1,9 @@
 //! Submissions, polls and cancellations. Every node serves them by itself.
 //!
-//! A job's `j/` record is the one place that says whether it is open, done or
-//! cancelled, and it changes once. What has ended may be answered from memory
-//! for ever. Anything else is compared with the store after the request came
-//! in, because another node may just have told the user of its end.
+//! A job's mark, `j/`, says that it is done or cancelled, and is written once.
+//! What has ended may be answered from memory for ever. Of anything else the
+//! absence of a mark is compared with the store after the request came in,
+//! because another node may just have told the user of its end.
 
 use crate::calls::{CallError, Ctx, Waiter};
 use crate::store::{self, CancelledJob, JobMark, Mark, OpenJob};
@@ -59,9 +59,14 @@
 
 #[derive(Debug, Clone)]
 pub enum Step {
+    /// Is it open?
     Lookup {
         id: String,
     },
+    /// It is not open: has it ended?
+    Ended {
+        id: String,
+    },
     Check {
         jobs: Vec<(String, u64)>,
     },
@@ -80,6 +85,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     mark: JobMark,
+    /// Of an open job's mark; 0 if it has none.
     version: u64,
 }
 
@@ -159,6 +165,12 @@
         self.at = now;
     }
 
+    /// Takes `n`, be it from what comes next: for what has begun.
+    fn charge(&mut self, n: f64, now: Micros) {
+        self.refill(now);
+        self.left -= n;
+    }
+
     /// Takes `n` if there is as much.
     fn take(&mut self, n: f64, need: Need, now: Micros) -> bool {
         self.refill(now);
@@ -181,6 +193,8 @@
     cache: Cache,
     /// Look-ups under way, by job, with everybody who waits for them.
     lookups: HashMap<String, Vec<Ask>>,
+    /// The same for those that are not open.
+    marks: HashMap<String, Vec<Ask>>,
     /// Asks that wait for the next comparison.
     waiting: Vec<(String, Ask)>,
     checking: HashMap<String, Vec<Ask>>,
@@ -226,6 +240,17 @@
     None
 }
 
+/// The oldest ask of a job: each read answers one, so that none is answered by a
+/// read that began before the ask.
+fn next(asks: &mut HashMap<String, Vec<Ask>>, id: &str) -> Option<Ask> {
+    let of_job = asks.get_mut(id).filter(|a| !a.is_empty())?;
+    let ask = of_job.remove(0);
+    if of_job.is_empty() {
+        asks.remove(id);
+    }
+    Some(ask)
+}
+
 impl Admission {
     pub fn new(config: &Config) -> Self {
         Admission {
@@ -238,6 +263,7 @@
                 limit: (config.memory_mb * 1e6 / 8.0 / 200.0) as usize,
             },
             lookups: HashMap::new(),
+            marks: HashMap::new(),
             waiting: Vec::new(),
             checking: HashMap::new(),
             checks: 0,
@@ -323,6 +349,7 @@
             spec: *spec,
             at: ctx.now.wall,
             chunk: ctx.config.chunk_tasks(),
+            unmarked: true,
         };
         if state::json_size(&state::value(&job)) > ctx.config.value_bytes {
             return self.ask(
@@ -332,10 +359,9 @@
             );
         }
         let now = ctx.now.steady;
-        // A submission writes two records.
         if self.under_way >= MAX_UNDER_WAY
             || !self.calls.take(1.0, Need::Change, now)
-            || !self.writes.take(2.0, Need::Change, now)
+            || !self.writes.take(1.0, Need::Change, now)
         {
             return ctx.answer(request, Answer::later("too many requests"));
         }
@@ -345,13 +371,12 @@
 
     fn create(&self, ctx: &mut Ctx, request: RequestId, job: Rc<OpenJob>, since: Micros) {
         let id = &job.spec.id;
-        let mark = JobMark {
-            s: Mark::Open,
-            n: job.spec.tasks,
-        };
+        // One write: the state service's writes are what bounds submissions. With
+        // a mark of its own for each, a burst of small jobs waited for 10 s
+        // (incidents 1846, bdf3).
         let txn = Txn::default()
             .compare(store::job_key(id), 0)
-            .put(store::job_key(id), &mark)
+            .compare(store::open_key(id), 0)
             .put(store::open_key(id), &*job);
         let step = Step::Create {
             request,
@@ -406,13 +431,25 @@
         }
         self.under_way += 1;
         let call = StateCall::Get {
-            key: store::job_key(&id),
+            key: store::open_key(&id),
         };
         let asks = self.lookups.entry(id.clone()).or_default();
         asks.push(ask);
         ctx.state(call, Waiter::Admission(Step::Lookup { id }));
     }
 
+    /// Reads the mark of a job that is not open, or whose end has just come.
+    /// Whoever is not found here was not there when it was looked for.
+    fn look_for_mark(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
+        self.under_way += 1;
+        self.calls.charge(1.0, ctx.now.steady);
+        let call = StateCall::Get {
+            key: store::job_key(&id),
+        };
+        self.marks.entry(id.clone()).or_default().push(ask);
+        ctx.state(call, Waiter::Admission(Step::Ended { id }));
+    }
+
     fn check(&mut self, ctx: &mut Ctx) {
         if self.waiting.is_empty()
             || self.checks >= MAX_CHECKS
@@ -491,16 +528,15 @@
         match step {
             Step::Lookup { id } => {
                 self.under_way -= 1;
-                // Each look-up answers the oldest ask of its job, so that none
-                // is answered by a read that began before the ask.
-                let ask = match self.lookups.get_mut(&id) {
-                    Some(asks) if !asks.is_empty() => asks.remove(0),
-                    _ => return,
-                };
-                if self.lookups.get(&id).is_some_and(Vec::is_empty) {
-                    self.lookups.remove(&id);
+                if let Some(ask) = next(&mut self.lookups, &id) {
+                    self.looked_up(ctx, id, ask, reply);
+                }
+            }
+            Step::Ended { id } => {
+                self.under_way -= 1;
+                if let Some(ask) = next(&mut self.marks, &id) {
+                    self.found_mark(ctx, &id, ask, reply);
                 }
-                self.looked_up(ctx, &id, ask, reply);
             }
             Step::Check { jobs } => {
                 self.checks -= 1;
@@ -534,6 +570,7 @@
                                     Some(known) if !changed => {
                                         self.settle(ctx, &id, Some(known), ask);
                                     }
+                                    _ if changed => self.look_for_mark(ctx, id.clone(), ask),
                                     _ => self.lookup(ctx, id.clone(), ask),
                                 }
                             }
@@ -560,6 +597,41 @@
     }
 
     fn looked_up(
+        &mut self,
+        ctx: &mut Ctx,
+        id: String,
+        ask: Ask,
+        reply: Result<StateReply, CallError>,
+    ) {
+        match reply {
+            Ok(StateReply::Found(row)) => match row.read::<OpenJob>() {
+                Some(job) => {
+                    let known = Known {
+                        mark: JobMark {
+                            s: Mark::Open,
+                            n: job.spec.tasks,
+                        },
+                        version: job.mark_version(row.version),
+                    };
+                    self.cache.put(&id, known);
+                    // A cancelled job's description stays until its tasks are
+                    // gone: that there is one does not yet say that it is open.
+                    self.ask(ctx, id, ask);
+                }
+                None => {
+                    log::error!("{}: not a job's description", row.key);
+                    ctx.answer(
+                        ask.request(),
+                        Answer::later("the job's record is unreadable"),
+                    );
+                }
+            },
+            Ok(StateReply::Absent { .. }) => self.look_for_mark(ctx, id, ask),
+            _ => ctx.answer(ask.request(), Answer::later("the state is out of reach")),
+        }
+    }
+
+    fn found_mark(
         &mut self,
         ctx: &mut Ctx,
         id: &str,
@@ -599,19 +671,13 @@
     ) {
         let id = job.spec.id.clone();
         match reply {
-            Ok(StateReply::Committed { revision }) => {
+            Ok(StateReply::Committed { .. }) => {
                 self.under_way -= 1;
                 let mark = JobMark {
                     s: Mark::Open,
                     n: job.spec.tasks,
                 };
-                self.cache.put(
-                    &id,
-                    Known {
-                        mark,
-                        version: revision,
-                    },
-                );
+                self.cache.put(&id, Known { mark, version: 0 });
                 log::info!(
                     "accepted {id}: {} tasks of {}, due in {:?} s",
                     job.spec.tasks,
@@ -669,7 +735,9 @@
                 ctx.answer(request, Answer::body(200, &status));
             }
             // Its end came first, or an earlier try was carried out: read which.
-            Ok(StateReply::Conflict { .. }) => self.lookup(ctx, id, Ask::Cancel { request, since }),
+            Ok(StateReply::Conflict { .. }) => {
+                self.look_for_mark(ctx, id, Ask::Cancel { request, since });
+            }
             Err(_) if ctx.now.steady < since + CREATE_TIME => {
                 self.lookup(ctx, id, Ask::Cancel { request, since });
             }
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -142,6 +142,7 @@
                 log::error!("{id}: its team {} is not in the settings", open.spec.team);
                 return;
             };
+            let version = open.mark_version(version);
             let guess = self.guess(ctx.config, &open.spec.class);
             self.jobs
                 .insert(Rc::from(id), Job::new(open, version, team, guess));
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -83,7 +83,7 @@
     spec: JobSpec,
     image: Rc<str>,
     team: usize,
-    /// The version of both of its records.
+    /// The version of its mark as long as it is open.
     version: u64,
     submitted: u64,
     chunk_tasks: u32,
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -2,10 +2,13 @@
 //!
 //! - `s/lead`: the leader, bound to its lease; `s/term`: the durable, growing
 //!   term; `s/types`: the machine types as last heard from the cloud.
-//! - `j/JOB`: whether a job is open, done or cancelled. Kept for ever; changes
-//!   exactly once, when the job ends.
-//! - `q/o/JOB`: an open job's description, written together with `j/JOB` (so
-//!   both have one version) and dropped when the job has ended;
+//! - `q/o/JOB`: an open job's description: all that a submission writes. Dropped
+//!   when the job has ended;
+//! - `j/JOB`: that a job is done or cancelled. Written once, when it ends, and
+//!   kept for ever. A job is open if it is in `q/o/` and not in here: who reads
+//!   looks there first, since a job leaves `q/o/` no sooner than it is here.
+//!   (Before, a submission wrote an open mark here as well. Such jobs still run:
+//!   their mark has the version of their description.)
 //!   `q/c/JOB`: it is cancelled and its tasks have yet to be seen gone.
 //! - `t/JOB/CHUNK`: where the tasks of an unfinished job may be.
 //! - `m/MACHINE`: the address of a machine that has reported.
@@ -100,6 +103,18 @@
     /// Tasks per chunk. Fixed with the job, so that a later change of the
     /// settings does not move tasks between chunks.
     pub chunk: u32,
+    /// There is no mark of the job as long as it is open. False in descriptions
+    /// that an earlier version wrote.
+    #[serde(default)]
+    pub unmarked: bool,
+}
+
+impl OpenJob {
+    /// The version of the job's mark while it is open, for descriptions of the
+    /// given version.
+    pub fn mark_version(&self, version: u64) -> u64 {
+        if self.unmarked { 0 } else { version }
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/core/tests/marks.rs
@@ -0,0 +1,134 @@
+//! What makes a job open, done or unknown: its description and its mark.
+
+mod common;
+
+use dillcleat_core::store::{self, JobMark, Mark, OpenJob};
+use dillcleat_core::{Input, Now, Output, RequestId, SECOND};
+use dillcleat_wire::decode;
+use dillcleat_wire::state::{Row, StateCall, StateReply, Value, value};
+use dillcleat_wire::user::{JobSpec, JobState, JobStatus, Kind, Priority};
+use std::collections::BTreeMap;
+
+/// Polls a fresh node for the job with these records in the store, key to
+/// version and value. Returns the status and state it answers.
+fn poll(store: &BTreeMap<String, (u64, Value)>) -> (u16, Option<JobState>) {
+    let mut node = common::node();
+    let now = Now {
+        steady: 1000 * SECOND,
+        wall: 1000 * SECOND,
+    };
+    let mut inputs = vec![Input::Request {
+        id: RequestId(1),
+        method: "GET".into(),
+        target: "/v2/runs/req-1".into(),
+        body: Vec::new(),
+    }];
+    while let Some(input) = inputs.pop() {
+        for output in node.handle(now, input) {
+            let (id, call) = match output {
+                Output::State { id, call, .. } => (id, call),
+                Output::Answer { answer, .. } => {
+                    let status = decode::<JobStatus>(&answer.body).ok();
+                    return (answer.status, status.map(|s| s.state));
+                }
+                other => panic!("unexpected {other:?}"),
+            };
+            let reply = match call {
+                StateCall::Get { key } => match store.get(&key) {
+                    Some((version, value)) => StateReply::Found(Row {
+                        key,
+                        value: value.clone(),
+                        version: *version,
+                        lease: None,
+                    }),
+                    None => StateReply::Absent { revision: 9 },
+                },
+                StateCall::Txn(txn) => {
+                    let version = |key: &str| store.get(key).map_or(0, |(v, _)| *v);
+                    let failed: Vec<String> = txn
+                        .compare
+                        .iter()
+                        .filter(|c| c.version != version(&c.key))
+                        .map(|c| c.key.clone())
+                        .collect();
+                    if failed.is_empty() {
+                        StateReply::Committed { revision: 9 }
+                    } else {
+                        StateReply::Conflict {
+                            failed,
+                            revision: 9,
+                        }
+                    }
+                }
+                other => panic!("unexpected {other:?}"),
+            };
+            let reply = Ok(reply);
+            inputs.push(Input::State { id, reply });
+        }
+    }
+    panic!("no answer");
+}
+
+fn description(unmarked: bool) -> Value {
+    value(&OpenJob {
+        spec: JobSpec {
+            id: "req-1".into(),
+            class: "c".into(),
+            team: "t".into(),
+            kind: Kind::Batch,
+            priority: Priority::Normal,
+            tasks: 2,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        },
+        at: 1,
+        chunk: 8,
+        unmarked,
+    })
+}
+
+/// A cancelled job's description stays until its tasks are gone, and jobs that
+/// an earlier version stored have an open mark.
+#[test]
+fn a_job_is_open_while_it_is_described_and_has_no_mark_of_its_end() {
+    let open = store::open_key("req-1");
+    let mark = |s| value(&JobMark { s, n: 2 });
+    let key = store::job_key("req-1");
+    let found = |rows: Vec<(&String, u64, Value)>| {
+        let rows = rows.into_iter().map(|(k, n, v)| (k.clone(), (n, v)));
+        poll(&rows.collect())
+    };
+    assert_eq!(found(vec![]), (404, None));
+    let queued = (200, Some(JobState::Queued));
+    assert_eq!(found(vec![(&open, 3, description(true))]), queued);
+    assert_eq!(
+        found(vec![(&key, 7, mark(Mark::Done))]),
+        (200, Some(JobState::Done))
+    );
+    assert_eq!(
+        found(vec![
+            (&open, 3, description(true)),
+            (&key, 7, mark(Mark::Cancelled))
+        ]),
+        (200, Some(JobState::Cancelled))
+    );
+    let earlier = [(&open, 3, description(false)), (&key, 3, mark(Mark::Open))];
+    assert_eq!(found(earlier.to_vec()), queued);
+    let cancelled = [
+        (&open, 3, description(false)),
+        (&key, 8, mark(Mark::Cancelled)),
+    ];
+    assert_eq!(found(cancelled.to_vec()), (200, Some(JobState::Cancelled)));
+}
