Replicas that have to fetch their image go where most room is left

Change: without a machine that holds the image, a replica takes the emptiest one, so that the image is left to more free room.

--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -204,11 +204,19 @@
 /// services; a held image saves a fetch; the fullest machine that still has
 /// room is taken, so that others empty and can be returned.
 fn rank(job: &JobView, m: &MachineView) -> (bool, bool, f64, f64) {
+    let holds = m.holds_image(&job.spec.image);
+    // Where a replica has to fetch its image in any case, it leaves the image
+    // to as much free room as can be, for those that come after.
+    let sign = if job.spec.kind == Kind::Service && !holds {
+        1.0
+    } else {
+        -1.0
+    };
     (
         m.spot == job.spec.spot,
-        m.holds_image(&job.spec.image),
-        -m.free.cpus,
-        -m.free.memory_gb,
+        holds,
+        sign * m.free.cpus,
+        sign * m.free.memory_gb,
     )
 }
 
