Arrays leave the free room beside images of services; cold machines go back first

Change: on ordinary machines arrays take room where fewest images of services are held; idle machines with the fewest are returned first; images are remembered as far as they fit the type's cache.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! What to rent and what to return, and the desk that calls the cloud.
 
 use crate::sched::{self, JobView, MachineView, Room, TeamView};
+use crate::workers::Images;
 use crate::{Micros, SECOND};
 use dillcleat_wire::cloud::{CloudCall, MAX_DELETE, MAX_RENT, MachineType, Rent};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -64,7 +65,8 @@
                         zone: Rc::from(zone.as_str()),
                         spot,
                         free: Room::of_type(t),
-                        images: Vec::new(),
+                        images: Images::default(),
+                        warm: 0,
                         avoid: Vec::new(),
                     },
                 });
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -1,5 +1,6 @@
 //! What a new leader reads before it acts.
 
+use super::pass::cache_gb;
 use super::*;
 
 impl Leader {
@@ -180,6 +181,7 @@
             return;
         };
         let now = ctx.now.steady;
+        let types = self.types.clone();
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -219,7 +221,9 @@
                 .or_insert_with(|| Machine::new(&machine, "", "", false, now));
             m.session = m.session.max(session);
             let slot = Machine::slot(attempt, session, room, true);
-            m.place((id.clone(), i), slot, &job.image);
+            let image = (&job.image, job.spec.image_gb);
+            let cache = cache_gb(types.as_deref(), &m.machine_type);
+            m.place((id.clone(), i), slot, image, cache);
         }
     }
 }
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -16,7 +16,7 @@
 use crate::ledger::{Batch, Item, Ledger};
 use crate::sched::{self, JobView, MachineView, Room, TeamView, Victim};
 use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob};
-use crate::workers::{Machine, SlotEvent, Source, TaskKey};
+use crate::workers::{Images, Machine, SlotEvent, Source, TaskKey};
 use crate::{Answer, CallId, Config, MILLISECOND, Micros, SECOND, micros, seconds};
 use dillcleat_mesh::Progress;
 use dillcleat_wire::TaskName;
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// What may be counted on of a type's cache for images, in GB.
+pub(super) fn cache_gb(types: Option<&Vec<MachineType>>, machine_type: &str) -> f64 {
+    let mut types = types.into_iter().flatten();
+    let found = types.find(|t| t.name == machine_type);
+    found.map_or(0.0, |t| t.cache_gb * 0.9)
+}
+
 impl Leader {
     pub fn tick(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.steady;
@@ -224,6 +231,7 @@
             spot: m.spot,
             free,
             images: m.images.clone(),
+            warm: 0,
             avoid: m.error_jobs.iter().cloned().collect(),
         }
     }
@@ -269,6 +277,10 @@
         if machines.is_empty() {
             return;
         }
+        let used = self.service_images();
+        for m in machines.iter_mut().filter(|m| !m.spot) {
+            m.warm = m.images.iter().filter(|(i, _)| used.contains(i)).count() as u32;
+        }
         let mut teams = self.team_views(ctx.config);
         let fleet: f64 = self.fleet_cpus();
         let in_training: f64 = self
@@ -307,11 +319,28 @@
         task.state = TaskState::Placed(machine.clone());
         job.waiting.remove(&key.1);
         let slot = Machine::slot(task.attempt, m.session, Room::of_task(&job.spec), false);
-        log::debug!("placing {}/{} on {machine}", key.0, key.1);
-        m.place(key.clone(), slot, &job.image);
+        let held = m.images.iter().any(|(i, _)| *i == job.image);
+        let image = if held { "held" } else { "missing" };
+        log::debug!(
+            "placing {}/{} on {machine}, image {} {image}",
+            key.0,
+            key.1,
+            job.image
+        );
+        let image = (&job.image, job.spec.image_gb);
+        let cache = cache_gb(self.types.as_deref(), &m.machine_type);
+        m.place(key.clone(), slot, image, cache);
         self.touch(key);
     }
 
+    /// Images that services use.
+    pub(super) fn service_images(&self) -> BTreeSet<Rc<str>> {
+        let jobs = self.jobs.values();
+        jobs.filter(|j| j.spec.kind == Kind::Service && j.cancelled.is_none())
+            .map(|j| j.image.clone())
+            .collect()
+    }
+
     pub(super) fn fleet_cpus(&self) -> f64 {
         self.machines
             .values()
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -52,7 +52,8 @@
                     zone: Rc::from(r.zone.as_str()),
                     spot: r.spot,
                     free,
-                    images: Vec::new(),
+                    images: Images::default(),
+                    warm: 0,
                     avoid: Vec::new(),
                 });
             }
@@ -219,7 +220,20 @@
             }
         }
         let types = self.types.clone();
-        for m in self.machines.values_mut() {
+        // Those that hold the fewest images of services first.
+        let used = self.service_images();
+        let warm = |m: &Machine| m.images.iter().filter(|(i, _)| used.contains(i)).count();
+        let mut order: Vec<(usize, Rc<str>)> = self
+            .machines
+            .values()
+            .filter(|m| m.slots.is_empty())
+            .map(|m| (warm(m), m.name.clone()))
+            .collect();
+        order.sort();
+        for (_, name) in order {
+            let Some(m) = self.machines.get_mut(&name) else {
+                continue;
+            };
             if !m.ready || m.leaving || !m.slots.is_empty() || !m.strays.is_empty() {
                 continue;
             }
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -4,8 +4,10 @@
 //! smallest initial size while training slots are left, then the job of
 //! smallest aged virtual size. Jobs whose team is at its limit are skipped.
 
+use crate::workers::Images;
 use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -78,14 +80,16 @@
     pub spot: bool,
     pub free: Room,
     /// Images that it holds or is fetching.
-    pub images: Vec<Rc<str>>,
+    pub images: Images,
+    /// How many of them services use.
+    pub warm: u32,
     /// Jobs that failed on it.
     pub avoid: Vec<Rc<str>>,
 }
 
 impl MachineView {
     fn holds_image(&self, image: &str) -> bool {
-        self.images.iter().any(|i| &**i == image)
+        self.images.iter().any(|(i, _)| &**i == image)
     }
 }
 
@@ -203,18 +207,19 @@
 /// Spot machines take what may run there, so that ordinary room is left for
 /// services; a held image saves a fetch; the fullest machine that still has
 /// room is taken, so that others empty and can be returned.
-fn rank(job: &JobView, m: &MachineView) -> (bool, bool, f64, f64) {
+fn rank(job: &JobView, m: &MachineView) -> (bool, bool, Reverse<u32>, f64, f64) {
     let holds = m.holds_image(&job.spec.image);
     // Where a replica has to fetch its image in any case, it leaves the image
     // to as much free room as can be, for those that come after.
-    let sign = if job.spec.kind == Kind::Service && !holds {
-        1.0
-    } else {
-        -1.0
-    };
+    let service = job.spec.kind == Kind::Service;
+    let sign = if service && !holds { 1.0 } else { -1.0 };
+    // What may run on spot machines leaves free room beside images of services
+    // to those: a replica that has to fetch is late.
+    let warm = if service || m.spot { 0 } else { m.warm };
     (
         m.spot == job.spec.spot,
         holds,
+        Reverse(warm),
         sign * m.free.cpus,
         sign * m.free.memory_gb,
     )
@@ -279,7 +284,8 @@
     let m = &mut machines[machine];
     m.free.take(&job.room());
     if !m.holds_image(&job.spec.image) {
-        m.images.push(Rc::from(job.spec.image.as_str()));
+        let image = Rc::from(job.spec.image.as_str());
+        Rc::make_mut(&mut m.images).push((image, job.spec.image_gb));
     }
     *job.zones.entry(m.zone.clone()).or_default() += 1;
     teams[job.team].cpus_left -= job.spec.cpus;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -70,6 +70,12 @@
     },
 }
 
+/// Images and their sizes in GB, shared with the views of a pass.
+pub type Images = Rc<Vec<(Rc<str>, f64)>>;
+
+/// Images of a machine that are remembered.
+const MAX_IMAGES: usize = 32;
+
 #[derive(Debug)]
 pub struct Machine {
     pub name: Rc<str>,
@@ -105,7 +111,8 @@
     pub probe: bool,
     /// Launches that may still be carried out in this session.
     unanswered: BTreeSet<Launch>,
-    pub images: Vec<Rc<str>>,
+    /// Images that were used here, the latest last.
+    pub images: Images,
     pub empty_since: Micros,
     /// Jobs that failed here: they try another machine.
     pub error_jobs: BTreeSet<Rc<str>>,
@@ -140,7 +147,7 @@
             wants_push: false,
             probe: false,
             unanswered: BTreeSet::new(),
-            images: Vec::new(),
+            images: Images::default(),
             empty_since: now,
             error_jobs: BTreeSet::new(),
             strikes: Strikes::default(),
@@ -159,15 +166,20 @@
         self.spot = spot;
     }
 
-    pub fn place(&mut self, task: TaskKey, slot: Slot, image: &Rc<str>) {
+    /// Puts a task here. The worker keeps the images that it used most recently,
+    /// as many as fit its cache; `cache_gb` is what may be counted on.
+    pub fn place(&mut self, task: TaskKey, slot: Slot, image: (&Rc<str>, f64), cache_gb: f64) {
         self.slots.insert(task, slot);
-        self.images.retain(|i| i != image);
-        self.images.push(image.clone());
-        // The worker keeps what it used most recently; how many fit is not
-        // known, so only a handful is counted on.
-        if self.images.len() > 8 {
-            self.images.remove(0);
+        let images = Rc::make_mut(&mut self.images);
+        images.retain(|(i, _)| i != image.0);
+        images.push((image.0.clone(), image.1));
+        let mut total: f64 = images.iter().map(|(_, gb)| gb).sum();
+        let mut first = 0;
+        while first + 1 < images.len() && (total > cache_gb || images.len() - first > MAX_IMAGES) {
+            total -= images[first].1;
+            first += 1;
         }
+        images.drain(..first);
     }
 
     pub fn slot(attempt: u64, session: u64, room: Room, stored: bool) -> Slot {
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -3,6 +3,7 @@
 use dillcleat_core::sched::{
     self, Assignment, JobView, MachineView, Room, TeamView, Victim, assign,
 };
+use dillcleat_core::workers::Images;
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -60,7 +61,8 @@
             gpus: 0.0,
             memory_gb: 64.0,
         },
-        images: Vec::new(),
+        images: Images::default(),
+        warm: 0,
         avoid: Vec::new(),
     }
 }
@@ -215,9 +217,14 @@
             reserve <= 0.0 || !bound || free - need.cpus + 1e-6 >= reserve
         };
         let rank = |m: &MachineView| {
-            let image = m.images.iter().any(|i| **i == *job.spec.image);
+            let image = m.images.iter().any(|(i, _)| **i == *job.spec.image);
             let spot = m.spot == job.spec.spot;
-            (spot, image, -m.free.cpus, -m.free.memory_gb)
+            let service = job.spec.kind == Kind::Service;
+            let sign = if service && !image { 1.0 } else { -1.0 };
+            let warm = if service || m.spot { 0 } else { m.warm };
+            let cold = 9 - warm;
+            let (cpus, memory) = (m.free.cpus * sign, m.free.memory_gb * sign);
+            (spot, image, cold, cpus, memory)
         };
         let mut best: Option<usize> = None;
         for (m, view) in machines.iter().enumerate() {
@@ -304,7 +311,8 @@
                 let cpus = f64::from(rng.u32(..17));
                 let mut m = machine(&format!("m{i}"), zone, cpus, rng.bool());
                 m.free.memory_gb = f64::from(rng.u32(4..40));
-                m.images = vec![Rc::from(format!("i{}", rng.u8(..3)))];
+                m.warm = rng.u32(..3);
+                m.images = Rc::new(vec![(Rc::from(format!("i{}", rng.u8(..3))), 1.0)]);
                 m
             })
             .collect();
@@ -337,7 +345,7 @@
             machine("y", "a", 1.0, false),
             machine("spot", "a", 0.0, true),
         ];
-        m[0].images = vec![Rc::from("held")];
+        m[0].images = Rc::new(vec![(Rc::from("held"), 1.0)]);
         m
     };
     let victim = |machine: usize, priority: Priority, ran: u64| Victim {
--- a/crates/core/tests/proof.rs
+++ b/crates/core/tests/proof.rs
@@ -46,7 +46,7 @@
     );
     let mut slot = Machine::slot(1, 1, Room::default(), true);
     slot.seen = Some(TaskState::Running);
-    m.place(key(), slot, &Rc::from("img"));
+    m.place(key(), slot, (&Rc::from("img"), 1.0), 50.0);
     m
 }
 
@@ -80,7 +80,7 @@
     let mut m = machine();
     m.slots.clear();
     let slot = Machine::slot(1, 1, Room::default(), true);
-    m.place(key(), slot, &Rc::from("img"));
+    m.place(key(), slot, (&Rc::from("img"), 1.0), 50.0);
     let launch = m.commands(|_, _| true);
     assert!(matches!(launch[..], [Command::Start { .. }]));
     m.pushed(dillcleat_core::CallId(1), &launch);
@@ -115,7 +115,8 @@
     m.place(
         key(),
         Machine::slot(1, 1, Room::default(), true),
-        &Rc::from("img"),
+        (&Rc::from("img"), 1.0),
+        50.0,
     );
     let commands = m.commands(|_, _| true);
     m.answered_with(&commands);
@@ -135,7 +136,8 @@
     m.place(
         key(),
         Machine::slot(1, 1, Room::default(), false),
-        &Rc::from("img"),
+        (&Rc::from("img"), 1.0),
+        50.0,
     );
     assert_eq!(m.commands(|_, _| true), []);
     take(
