Boots are judged by those seen: spells are waited out, slow offers passed over

Change: leader::boots. A machine is late if one rented no sooner is up; if none is, all may be: they are waited for, up to twelve boot times, and one in eight replaced to see whether new ones come sooner. Services take offers that still arrive.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::workers::Images;
 use crate::{Micros, SECOND};
 use dillcleat_wire::cloud::{CloudCall, MAX_DELETE, MAX_RENT, MachineType, Rent};
+use dillcleat_wire::user::Kind;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -35,6 +36,8 @@
     pub refusals: &'a Refusals,
     /// Zones in which nothing is rented.
     pub dark: BTreeSet<Rc<str>>,
+    /// Types and zones in which what was rented last is late.
+    pub slow: BTreeSet<(Rc<str>, Rc<str>)>,
     pub now: Micros,
 }
 
@@ -42,6 +45,8 @@
 struct Choice {
     offer: Offer,
     price: f64,
+    /// What was rented last of it is late.
+    slow: bool,
     machine: MachineView,
 }
 
@@ -56,9 +61,11 @@
                 let Some(price) = price(t, spot).filter(|_| open) else {
                     continue;
                 };
+                let place = (machine_type.clone(), Rc::from(zone.as_str()));
                 choices.push(Choice {
                     offer,
                     price,
+                    slow: market.slow.contains(&place),
                     machine: MachineView {
                         name: Rc::from(""),
                         machine_type: machine_type.clone(),
@@ -76,6 +83,27 @@
     choices
 }
 
+/// How good an offer is for a job.
+struct Rated {
+    /// A service would wait for a machine that is late.
+    waits: bool,
+    /// Per task.
+    cost: f64,
+    /// Whether it is slow, and how many machines its zone has.
+    tie: (bool, u32),
+    choice: usize,
+}
+
+impl Rated {
+    fn beats(&self, other: &Rated) -> bool {
+        if self.waits != other.waits {
+            return other.waits;
+        }
+        let equal = (self.cost - other.cost).abs() <= 1e-9;
+        (!equal && self.cost < other.cost) || (equal && self.tie < other.tie)
+    }
+}
+
 /// The cheapest open offer for the next tasks of a job.
 fn best_choice(
     job: &JobView,
@@ -95,7 +123,10 @@
         && types
             .iter()
             .any(|t| t.spot_price.is_some() && Room::of_type(t).holds(&need));
-    let mut best: Option<(f64, u32, usize)> = None;
+    // Services do not wait for what is late while other offers arrive, and of
+    // equal offers nobody does.
+    let mut best: Option<Rated> = None;
+    let service = job.spec.kind == Kind::Service;
     let mut cheaper = f64::INFINITY;
     for (i, c) in choices.iter().enumerate() {
         // An ordinary machine is rented for late tasks only, so only they count.
@@ -119,14 +150,17 @@
         // Among equals the zone with the fewest machines, so that a
         // zone's loss takes as little as can be.
         let there = there.get(&c.machine.zone).copied().unwrap_or(0);
-        if best.is_none_or(|(c, n, _)| {
-            (cost, there) < (c - 1e-9, n) || (cost <= c + 1e-9 && there < n)
-        }) {
-            best = Some((cost, there, i));
+        let rated = Rated {
+            waits: service && c.slow,
+            cost,
+            tie: (c.slow, there),
+            choice: i,
+        };
+        if best.as_ref().is_none_or(|b| rated.beats(b)) {
+            best = Some(rated);
         }
     }
-    best.filter(|(cost, _, _)| *cost <= cheaper + 1e-9)
-        .map(|(_, _, i)| i)
+    best.filter(|b| b.cost <= cheaper + 1e-9).map(|b| b.choice)
 }
 
 /// Rents ordinary room ahead of the services that must start sooner than any
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! The leader of a term: jobs, machines, and everything done for them.
 
+mod boots;
 mod cut;
 mod jobs;
 mod late;
@@ -10,6 +11,7 @@
 mod room;
 mod write;
 
+use self::boots::Boots;
 use crate::blame::Record;
 use crate::calls::{CallError, Ctx, Waiter};
 use crate::fleet::{self, Desk, Errand, Refusals, Rental};
@@ -216,6 +218,7 @@
     ledger: Ledger,
     desk: Desk,
     refusals: Refusals,
+    boots: Boots,
     /// Zones that fell silent as a whole, and when: what is rented there would
     /// be paid for and never heard of.
     dark: BTreeMap<Rc<str>, Micros>,
@@ -263,6 +266,7 @@
             ledger: Ledger::default(),
             desk: Desk::new(ctx.config.cloud_rps, now),
             refusals: Refusals::default(),
+            boots: Boots::default(),
             dark: BTreeMap::new(),
             types_stored: types.is_some(),
             types,
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -1,14 +1,8 @@
 //! Renting, returning, and machines that are gone.
 
+use super::boots::boot_time;
 use super::*;
 
-/// The usual boot time of a type; a guess while the types are not known.
-fn boot_time(types: Option<&Vec<MachineType>>, machine_type: &str) -> Micros {
-    types
-        .and_then(|ts| ts.iter().find(|t| t.name == machine_type))
-        .map_or(30 * SECOND, |t| micros(t.boot_s))
-}
-
 impl Leader {
     pub(super) fn tend_fleet(&mut self, ctx: &Ctx) {
         let now = ctx.now.steady;
@@ -23,15 +17,7 @@
         if now < self.ready_since + 2 * SECOND || !self.fresh(ctx) {
             return;
         }
-        let mut coming: Vec<MachineView> = self
-            .machines
-            .values()
-            .filter(|m| !m.ready && !m.leaving && (m.expected || m.recorded))
-            // Usual boots are over by now: some take several times as long,
-            // some never end, and neither is waited for.
-            .filter(|m| now < m.known_since + boot_time(Some(&types), &m.machine_type) * 7 / 4)
-            .filter_map(|m| self.view(m))
-            .collect();
+        let (mut coming, slow) = self.booting(&types, now);
         let cut_off = self.cut_off(ctx);
         for m in cut_off.iter().filter_map(|m| self.machines.get(m)) {
             if self.dark.insert(m.zone.clone(), now).is_none() {
@@ -79,6 +65,7 @@
             types: &types,
             refusals: &self.refusals,
             dark: self.dark.keys().cloned().collect(),
+            slow,
             now,
         };
         let wanted = fleet::plan(
@@ -173,6 +160,8 @@
                 slots.into_iter().any(|(id, _)| self.is_service(id))
             })
             .collect();
+        let types = self.types.clone();
+        let types = types.as_deref().map_or(&[][..], Vec::as_slice);
         for m in self.machines.values_mut().filter(|m| !m.leaving) {
             let quiet = now.saturating_sub(m.heard_at);
             // One report that got lost costs a worker up to 5 s. Whether the
@@ -183,9 +172,9 @@
                 self.pushes.insert(m.name.clone());
             }
             let limit = if !m.up {
-                let boot = boot_time(self.types.as_deref(), &m.machine_type);
+                let boot = boot_time(types, &m.machine_type);
                 if m.expected {
-                    boot * 4 + 10 * SECOND
+                    self.boots.patience(m, boot)
                 } else {
                     // A record or a listing only: it should report right away.
                     silence + boot
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -69,6 +69,9 @@
                 seconds(now - m.known_since)
             );
             m.empty_since = now;
+            if m.expected {
+                self.boots.up(m, now);
+            }
         }
         let was_ready = m.ready;
         if m.gone_by.is_none() && r.notice_s.is_some() {
--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -84,6 +84,7 @@
     let market = Market {
         types: &types,
         refusals: &refusals,
+        slow: BTreeSet::new(),
         dark: dark.iter().map(|z| Rc::from(*z)).collect::<BTreeSet<_>>(),
         now: SECOND,
     };
