--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -169,12 +169,26 @@
     Ok((platform, config))
 }
 
+/// The objectives from which no decision follows, by kind and class.
+fn unused(platform: &Platform) -> Vec<String> {
+    let all = platform.cluster.objectives.iter();
+    all.filter(|o| !o.steers())
+        .map(|o| match &o.class {
+            Some(class) => format!("{} of {class}", o.kind),
+            None => o.kind.clone(),
+        })
+        .collect()
+}
+
 impl Cli {
     pub fn run(self) -> Result<(), CliError> {
         let tuning = self.tuning.as_deref();
         match (self.config, self.command) {
             (Some(file), None) => {
                 let (platform, config) = settings(&file, tuning)?;
+                for objective in unused(&platform) {
+                    log::info!("no decision follows from the objective {objective}");
+                }
                 serve::run(&platform, config)
             }
             (None, Some(Command::Check { file })) => {
@@ -184,6 +198,9 @@
                     file.display(),
                     platform.member
                 );
+                for objective in unused(&platform) {
+                    println!("no decision follows from the objective {objective}");
+                }
                 Ok(())
             }
             (None, Some(Command::Submit(s))) => s.run(),
--- a/crates/dillcleat/tests/loopback.rs
+++ b/crates/dillcleat/tests/loopback.rs
@@ -262,6 +262,15 @@
     let path = file("good.toml", &good);
     let path = path.to_str().expect("a path of text");
     assert!(run(&["check", path]).status.success());
+    let odd = format!(
+        "{good}\n[[cluster.objectives]]\nkind = \"finished\"\nclass = \"probes\"\nwithin_s = 9.0\n"
+    );
+    let o = run(&["check", file("odd.toml", &odd).to_str().expect("text")]);
+    let said = String::from_utf8_lossy(&o.stdout).to_string();
+    assert!(
+        o.status.success() && said.contains("finished of probes"),
+        "{said}"
+    );
     for (from, to, key) in [
         ("lease_s = 14.0", "lease_s = -1.0", "lease_s"),
         ("lease_s = 14.0", "lease_s = 60.0", "cancel_s"),
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -66,6 +66,14 @@
     pub times: Option<f64>,
 }
 
+impl Objective {
+    /// Whether decisions follow from it. The others are looked at afterwards
+    /// only; which ones is said at the start, so that none is ignored by accident.
+    pub fn steers(&self) -> bool {
+        matches!(self.kind.as_str(), "deadline" | "wait") && self.class.is_some()
+    }
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
