--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use dillcleat_core::{Config, Input, Micros, Node, Now, Output, Tuning, store};
 use dillcleat_wire::platform::Platform;
 use dillcleat_wire::state::{Page, Row, StateCall, StateReply};
+use dillcleat_wire::user::{JobSpec, Kind, Priority};
 
 const SETTINGS: &str = r#"
 member = "n0"
@@ -85,3 +86,29 @@
     }
     statuses
 }
+
+/// A job of tasks that take `cpus` each; arrays may run on spot machines.
+pub fn spec(id: &str, kind: Kind, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        kind,
+        priority: Priority::Normal,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: kind == Kind::Batch,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
--- a/crates/core/tests/marks.rs
+++ b/crates/core/tests/marks.rs
@@ -6,7 +6,7 @@
 use dillcleat_core::{Input, Now, Output, RequestId, SECOND};
 use dillcleat_wire::decode;
 use dillcleat_wire::state::{Row, StateCall, StateReply, Value, value};
-use dillcleat_wire::user::{JobSpec, JobState, JobStatus, Kind, Priority};
+use dillcleat_wire::user::{JobState, JobStatus, Kind};
 use std::collections::BTreeMap;
 
 /// Polls a fresh node for the job with these records in the store, key to
@@ -71,28 +71,7 @@
 
 fn description(unmarked: bool) -> Value {
     value(&OpenJob {
-        spec: JobSpec {
-            id: "req-1".into(),
-            class: "c".into(),
-            team: "t".into(),
-            kind: Kind::Batch,
-            priority: Priority::Normal,
-            tasks: 2,
-            cpus: 1.0,
-            gpus: 0.0,
-            memory_gb: 1.0,
-            image: "i".into(),
-            image_gb: 1.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            estimate_s: 1.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-        },
+        spec: common::spec("req-1", Kind::Batch, 2, 1.0),
         at: 1,
         chunk: 8,
         unmarked,
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -1,5 +1,7 @@
 //! Who gets room, on small snapshots.
 
+mod common;
+
 use dillcleat_core::sched::{
     self, Assignment, JobView, MachineView, Room, TeamView, Victim, assign,
 };
@@ -9,28 +11,7 @@
 use std::rc::Rc;
 
 fn spec(id: &str, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        class: "c".into(),
-        team: "t".into(),
-        kind: Kind::Batch,
-        priority: Priority::Normal,
-        tasks,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
+    common::spec(id, Kind::Batch, tasks, 1.0)
 }
 
 fn view(spec: &JobSpec, size: f64, training: u32) -> JobView<'_> {
--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -1,10 +1,12 @@
 //! What is rented for what waits.
 
+mod common;
+
 use dillcleat_core::SECOND;
 use dillcleat_core::fleet::{Market, Offer, Refusals, plan};
 use dillcleat_core::sched::{JobView, TeamView};
 use dillcleat_wire::cloud::MachineType;
-use dillcleat_wire::user::{JobSpec, Kind, Priority};
+use dillcleat_wire::user::{JobSpec, Kind};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -29,28 +31,7 @@
 }
 
 fn spec(id: &str, kind: Kind, tasks: u32) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        class: "c".into(),
-        team: "t".into(),
-        kind,
-        priority: Priority::Normal,
-        tasks,
-        cpus: 4.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: kind == Kind::Batch,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
+    common::spec(id, kind, tasks, 4.0)
 }
 
 fn view(spec: &JobSpec, late: u32) -> JobView<'_> {
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -36,6 +36,16 @@
     }
 }
 
+/// A random day: the rules hold, all work ends and nothing stays behind.
+fn clean(scenario: Scenario) {
+    let (seed, faults) = (scenario.seed, scenario.faults.clone());
+    let o = World::new(scenario).run();
+    assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
+    assert_eq!(o.malformed, [""; 0], "seed {seed}");
+    assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
+    assert_eq!(o.left, [""; 0], "seed {seed}: keys left, {faults:?}");
+}
+
 fn s(n: u64) -> Micros {
     n * SECOND
 }
@@ -309,13 +319,7 @@
 #[test]
 fn everything_at_once() {
     for seed in (100..140).chain([1560, 1869, 4626, 4717, 10_052]) {
-        let scenario = Scenario::random(seed);
-        let faults = scenario.faults.clone();
-        let o = World::new(scenario).run();
-        assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
-        assert_eq!(o.malformed, [""; 0], "seed {seed}");
-        assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
-        assert_eq!(o.left, [""; 0], "seed {seed}: keys left, {faults:?}");
+        clean(Scenario::random(seed));
     }
 }
 
@@ -340,13 +344,7 @@
 #[test]
 fn what_was_met_on_call() {
     for seed in 100..125 {
-        let scenario = Scenario::troubled(seed);
-        let faults = scenario.faults.clone();
-        let o = World::new(scenario).run();
-        assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
-        assert_eq!(o.malformed, [""; 0], "seed {seed}");
-        assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
-        assert_eq!(o.left, [""; 0], "seed {seed}: keys left, {faults:?}");
+        clean(Scenario::troubled(seed));
     }
 }
 
