--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -1057,7 +1057,15 @@
     }
 
     fn user(&mut self, job: usize) {
-        let node = self.rng.usize(..self.nodes.len());
+        let mut node = self.rng.usize(..self.nodes.len());
+        // The load balancer leaves out who does not answer its probes: users once
+        // went to nodes that were not running for a minute and more, and one
+        // called its job forgotten for it (seed 40432).
+        for _ in 0..self.nodes.len() {
+            if self.now < self.nodes[node].paused_until {
+                node = (node + 1) % self.nodes.len();
+            }
+        }
         let now = self.now;
         let u = &mut self.users[job];
         let id = u.spec.id.clone();
