--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -20,7 +20,7 @@
 use crate::sched::{self, JobView, MachineView, Room, TeamView, Victim};
 use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob};
 use crate::workers::{Images, Machine, SlotEvent, Source, TaskKey};
-use crate::{Answer, CallId, Config, MILLISECOND, Micros, SECOND, micros, seconds};
+use crate::{Answer, CallId, Config, Counts, MILLISECOND, Micros, SECOND, micros, seconds};
 use dillcleat_mesh::Progress;
 use dillcleat_wire::TaskName;
 use dillcleat_wire::cloud::{CloudReply, Condition, MachineList, MachineType, Rent};
@@ -232,6 +232,7 @@
     fleet_at: Micros,
     ready_since: Micros,
     notes: Vec<Note>,
+    pub counts: Counts,
 }
 
 #[derive(Debug, Clone)]
@@ -277,6 +278,7 @@
             fleet_at: now,
             ready_since: now,
             notes: Vec::new(),
+            counts: Counts::default(),
         };
         leader.load(ctx, LoadFrom::Machines(None));
         leader
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -274,6 +274,8 @@
                 counts.then(|| Self::view_with(m, free))
             })
             .collect();
+        let seen = jobs.len() as u64;
+        let looked_at = self.machines.len() as u64;
         if machines.is_empty() {
             return;
         }
@@ -302,7 +304,11 @@
                 )
             })
             .collect();
+        self.counts.passes += 1;
+        self.counts.jobs += seen;
+        self.counts.machines += looked_at;
         for (key, machine) in made {
+            self.counts.placed += 1;
             self.place(&key, &machine);
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,18 @@
     t as f64 / 1e6
 }
 
+/// What a leader's passes have done in its term: how much they looked at, and
+/// how much they placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counts {
+    pub passes: u64,
+    /// Jobs that passes looked at.
+    pub jobs: u64,
+    /// Machines that passes and rental plans looked at.
+    pub machines: u64,
+    pub placed: u64,
+}
+
 /// Both clocks at the moment of an input.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Now {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -5,7 +5,9 @@
 use crate::calls::{Calls, Ctx, Waiter};
 use crate::leader::{Leader, Note, Step as LeaderStep};
 use crate::leadership::{Change, Leadership};
-use crate::{Answer, Config, Input, MILLISECOND, Micros, Now, Output, RequestId, SECOND, micros};
+use crate::{
+    Answer, Config, Counts, Input, MILLISECOND, Micros, Now, Output, RequestId, SECOND, micros,
+};
 use dillcleat_mesh::Message;
 use dillcleat_wire::state::StateReply;
 use dillcleat_wire::user::{Route, route};
@@ -68,6 +70,11 @@
         self.leadership.leading()
     }
 
+    /// What this node's passes have done since it leads.
+    pub fn counts(&self) -> Counts {
+        self.leader.as_ref().map_or(Counts::default(), |l| l.counts)
+    }
+
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
         self.awake(now, &mut out);
--- a/crates/rehearsal/src/cloud.rs
+++ b/crates/rehearsal/src/cloud.rs
@@ -2,7 +2,7 @@
 
 use dillcleat_core::{Micros, SECOND};
 use dillcleat_wire::cloud::{
-    CloudCall, CloudReply, Condition, ListedMachine, MachineList, MachineType,
+    CloudCall, CloudReply, Condition, LIST_PAGE, ListedMachine, MachineList, MachineType,
 };
 use std::collections::{BTreeMap, VecDeque};
 
@@ -133,16 +133,14 @@
                 (CloudReply::Deleted, vec![], gone)
             }
             CloudCall::List { after } => {
-                let machines = self
-                    .history
-                    .front()
-                    .map_or(Vec::new(), |(_, l)| l.clone())
-                    .into_iter()
-                    .filter(|m| after.as_ref().is_none_or(|a| m.name > *a))
-                    .collect();
+                let known = self.history.front().map_or(&[][..], |(_, l)| l);
+                let from = after
+                    .as_ref()
+                    .map_or(0, |a| known.partition_point(|m| m.name <= *a));
+                let rest = &known[from..];
                 let list = MachineList {
-                    machines,
-                    more: false,
+                    machines: rest.iter().take(LIST_PAGE as usize).cloned().collect(),
+                    more: rest.len() > LIST_PAGE as usize,
                 };
                 (CloudReply::Listed(list), vec![], vec![])
             }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 //! say nothing about real deployments; its verdict on the rules does.
 
 pub mod cloud;
+pub mod fleet;
 pub mod loopback;
 pub mod rules;
 pub mod scenario;
@@ -14,6 +15,7 @@
 pub mod worker;
 pub mod world;
 
+pub use fleet::{Fleet, Measured, Setting};
 pub use rules::{Breach, Checker, Rule};
 pub use scenario::{Fault, Scenario};
 pub use world::{Outcome, World};
--- a/crates/rehearsal/src/state.rs
+++ b/crates/rehearsal/src/state.rs
@@ -3,7 +3,32 @@
 use dillcleat_core::{MILLISECOND, Micros, store};
 use dillcleat_wire::state::{Change, Changes, Event, Page, Row, StateCall, StateReply, Txn, Value};
 use dillcleat_wire::state::{TXN_BYTES, json_size};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Changes that the service still knows; a watch that starts further back is
+/// told to read the keys again.
+const KEPT_CHANGES: usize = 10_000;
+
+/// The most that one page of a listing holds.
+#[derive(Debug, Clone, Copy)]
+pub struct PageLimit {
+    pub rows: usize,
+    /// Of the JSON form.
+    pub bytes: usize,
+}
+
+impl PageLimit {
+    /// Small pages, so that every run goes over several.
+    pub const SMALL: PageLimit = PageLimit {
+        rows: 7,
+        bytes: usize::MAX,
+    };
+    /// As in the protocol.
+    pub const FULL: PageLimit = PageLimit {
+        rows: 1000,
+        bytes: 512 * 1024,
+    };
+}
 
 #[derive(Debug)]
 struct Entry {
@@ -18,7 +43,10 @@
     leases: BTreeMap<u64, (Micros, Micros)>,
     next_lease: u64,
     revision: u64,
-    log: Vec<(u64, Event)>,
+    log: VecDeque<(u64, Event)>,
+    /// The latest change that is no longer in the log.
+    forgotten: u64,
+    page: PageLimit,
     pub out_until: Micros,
     out_since: Micros,
     value_bytes: usize,
@@ -34,7 +62,9 @@
             leases: BTreeMap::new(),
             next_lease: 1,
             revision: 0,
-            log: Vec::new(),
+            log: VecDeque::new(),
+            forgotten: 0,
+            page: PageLimit::SMALL,
             out_until: 0,
             out_since: 0,
             value_bytes,
@@ -43,6 +73,33 @@
         }
     }
 
+    /// Sets how much a page of a listing holds.
+    pub fn paged(mut self, page: PageLimit) -> Self {
+        self.page = page;
+        self
+    }
+
+    /// Sets a key as if an earlier controller had written it.
+    pub fn put<T: serde::Serialize>(&mut self, key: String, record: &T) {
+        self.revision += 1;
+        let entry = Entry {
+            value: dillcleat_wire::state::value(record),
+            version: self.revision,
+            lease: None,
+        };
+        self.keys.insert(key, entry);
+        self.forgotten = self.revision;
+    }
+
+    fn note(&mut self, event: Event) {
+        self.log.push_back((self.revision, event));
+        while self.log.len() > KEPT_CHANGES {
+            if let Some((revision, _)) = self.log.pop_front() {
+                self.forgotten = revision;
+            }
+        }
+    }
+
     pub fn outage(&mut self, now: Micros, until: Micros) {
         self.out_since = now;
         self.out_until = until;
@@ -100,7 +157,7 @@
                 key: key.into(),
                 version: self.revision,
             };
-            self.log.push((self.revision, event));
+            self.note(event);
         }
     }
 
@@ -127,24 +184,31 @@
                 },
             },
             StateCall::List { prefix, after } => {
-                // Small pages, so that every run goes over several.
-                const MOST: usize = 7;
-                let rows: Vec<Row> = self
+                let mut found = self
                     .keys
                     .range(after.clone().unwrap_or_else(|| prefix.clone())..)
                     .take_while(|(k, _)| k.starts_with(prefix.as_str()))
                     .filter(|(k, _)| after.as_ref().is_none_or(|a| *k > a))
-                    .take(MOST + 1)
-                    .map(|(k, e)| Row {
-                        key: k.clone(),
+                    .peekable();
+                let mut rows: Vec<Row> = Vec::new();
+                let mut bytes = 0;
+                while let Some((k, e)) = found.peek() {
+                    bytes += k.len() + json_size(&e.value) + 32;
+                    let full = rows.len() >= self.page.rows || bytes > self.page.bytes;
+                    if full && !rows.is_empty() {
+                        break;
+                    }
+                    rows.push(Row {
+                        key: k.to_string(),
                         value: e.value.clone(),
                         version: e.version,
                         lease: None,
-                    })
-                    .collect();
+                    });
+                    found.next();
+                }
                 StateReply::Page(Page {
-                    more: rows.len() > MOST,
-                    rows: rows.into_iter().take(MOST).collect(),
+                    more: found.peek().is_some(),
+                    rows,
                     revision: self.revision,
                 })
             }
@@ -170,6 +234,7 @@
                     StateReply::LeaseGone
                 }
             }
+            StateCall::Watch { after, .. } if *after < self.forgotten => StateReply::TooOld,
             StateCall::Watch { prefix, after, .. } => {
                 let changes = self.changes(prefix, *after);
                 if changes.events.is_empty() {
@@ -184,12 +249,13 @@
         let key = |e: &Event| match e {
             Event::Put { key, .. } | Event::Delete { key, .. } => key.clone(),
         };
+        let first = self.log.partition_point(|(r, _)| *r <= after);
         Changes {
             revision: self.revision,
             events: self
                 .log
-                .iter()
-                .filter(|(r, e)| *r > after && key(e).starts_with(prefix))
+                .range(first..)
+                .filter(|(_, e)| key(e).starts_with(prefix))
                 .map(|(_, e)| e.clone())
                 .collect(),
         }
@@ -264,7 +330,7 @@
                         value: value.clone(),
                         version: self.revision,
                     };
-                    self.log.push((self.revision, event));
+                    self.note(event);
                 }
                 Change::Delete { key } => self.delete(key),
             }
@@ -274,7 +340,6 @@
         }
     }
 
-    /// Keys under a prefix, for looking at what a run leaves behind.
     /// The latest term of the controllers.
     pub fn term(&self) -> u64 {
         let row = self.keys.get(store::TERM);
@@ -282,6 +347,7 @@
             .map_or(0, |t| t.term)
     }
 
+    /// Keys under a prefix, for looking at what a run leaves behind.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let keys = self.keys.keys();
         keys.filter(|k| k.starts_with(prefix)).cloned().collect()
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -7,6 +7,9 @@
 use dillcleat_wire::worker::{Command, Orders, Report, ReportAnswer, TaskReport, TaskState, Why};
 use std::collections::BTreeMap;
 
+/// How long a report may wait for its answer.
+pub const PATIENCE: Micros = 4 * SECOND;
+
 #[derive(Debug, Clone)]
 struct Running {
     state: TaskState,
@@ -100,6 +103,30 @@
         }
     }
 
+    /// Puts a task here that has been running for a while.
+    pub fn seat(&mut self, task: TaskName, attempt: u64, until: Option<Micros>, cpus: f64) {
+        let running = Running {
+            state: TaskState::Running,
+            why: None,
+            until,
+            cpus,
+        };
+        self.tasks.insert((task, attempt), running);
+    }
+
+    /// When something happens here next, unless a message comes first.
+    pub fn next_at(&self) -> Micros {
+        let ends = self.tasks.values().filter_map(|r| r.until);
+        let patience = self.under_way.map(|(_, _, sent)| sent + PATIENCE);
+        let report = patience.unwrap_or(self.report_at);
+        ends.min().map_or(report, |end| end.min(report))
+    }
+
+    /// When its session ends, if nothing more is answered.
+    pub fn leased_until(&self, lease: Micros) -> Micros {
+        self.leased_from + lease
+    }
+
     fn soon(&mut self, now: Micros) {
         self.report_at = self.report_at.min(now + SECOND / 2);
     }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -5,7 +5,7 @@
 use crate::rules::{Breach, Checker, Place};
 use crate::scenario::{Fault, Scenario};
 use crate::state::StateService;
-use crate::worker::{Happening, Play, Worker};
+use crate::worker::{Happening, PATIENCE, Play, Worker};
 use dillcleat_core::config::DeadlineAim;
 use dillcleat_core::{
     Answer, CallError, CallId, Config, Input, MILLISECOND, Micros, Node, Now, Output, RequestId,
@@ -24,7 +24,6 @@
 use std::time::{Duration, Instant};
 
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
-const WORKER_TIMEOUT: Micros = 4 * SECOND;
 const USER_TIMEOUT: Micros = 5 * SECOND;
 const WALL: Micros = 1_700_000_000 * SECOND;
 
@@ -889,7 +888,7 @@
             let happenings = w.pass(self.now, lease, &self.plays);
             if self.now >= w.hung_until {
                 if w.under_way
-                    .is_some_and(|(_, _, sent)| self.now > sent + WORKER_TIMEOUT)
+                    .is_some_and(|(_, _, sent)| self.now > sent + PATIENCE)
                 {
                     w.under_way = None;
                     w.node = (w.node + 1) % self.nodes.len();
@@ -961,7 +960,7 @@
             return;
         }
         match w.under_way {
-            Some((s, q, at)) if (s, q) == (session, seq) && self.now <= at + WORKER_TIMEOUT => {}
+            Some((s, q, at)) if (s, q) == (session, seq) && self.now <= at + PATIENCE => {}
             _ => return,
         }
         w.under_way = None;
