--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -122,6 +122,8 @@
     pub cloud_rps: f64,
     pub list_lag: Micros,
     pub memory_mb: f64,
+    /// Orders to machines that may be under way at once.
+    pub max_orders: usize,
     /// Classes whose tasks are to start within a given time.
     pub waits: Vec<(String, Micros)>,
     pub deadlines: Vec<DeadlineAim>,
@@ -146,6 +148,9 @@
             cloud_rps: c.cloud.rps,
             list_lag: micros(c.cloud.list_lag_s),
             memory_mb: c.quota.mem_mb,
+            // Together with those that are kept open, less than a quarter of
+            // the sockets.
+            max_orders: (c.quota.max_connections / 8).clamp(16, 512) as usize,
             waits: c
                 .objectives
                 .iter()
--- a/crates/core/src/leader/jobs.rs
+++ b/crates/core/src/leader/jobs.rs
@@ -48,7 +48,7 @@
             if slot.stored {
                 m.wants_push = true;
                 m.push_after = 0;
-                self.pushes.insert(m.name.clone());
+                self.pushes.urgent(m.name.clone());
             } else {
                 unstored.push(i);
             }
@@ -62,7 +62,7 @@
             return;
         };
         let task = &mut job.tasks[key.1 as usize];
-        if let TaskState::Placed(m) = &task.state {
+        if let TaskState::Placed { machine: m, .. } = &task.state {
             if let Some(m) = self.machines.get_mut(m) {
                 m.slots.remove(key);
             }
@@ -157,7 +157,7 @@
         if let Some(job) = self.jobs.get_mut(&key.0) {
             job.running.remove(&key.1);
             let task = &mut job.tasks[key.1 as usize];
-            if task.attempt == attempt && matches!(task.state, TaskState::Placed(_)) {
+            if task.attempt == attempt && matches!(task.state, TaskState::Placed { .. }) {
                 task.state = TaskState::Waiting;
                 job.waiting.insert(key.1);
             }
@@ -180,7 +180,7 @@
         };
         job.running.remove(&key.1);
         let task = &mut job.tasks[key.1 as usize];
-        if task.attempt != attempt || !matches!(task.state, TaskState::Placed(_)) {
+        if task.attempt != attempt || !matches!(task.state, TaskState::Placed { .. }) {
             return;
         }
         task.state = TaskState::Done;
@@ -238,7 +238,7 @@
     /// be: replicas never end by themselves, so nothing else proves a service.
     fn serves(&self, job: &Job, id: &Rc<str>, now: Micros) -> bool {
         job.running.iter().any(|i| {
-            let TaskState::Placed(m) = &job.tasks[*i as usize].state else {
+            let TaskState::Placed { machine: m, .. } = &job.tasks[*i as usize].state else {
                 return false;
             };
             let slot = self
--- a/crates/core/src/leader/late.rs
+++ b/crates/core/src/leader/late.rs
@@ -1,44 +1,55 @@
 //! Which waiting tasks will start too late for their deadlines.
 
+use super::index::Sums;
 use super::*;
 
-impl Leader {
-    /// Counts, in the order in which they will be served, the waiting tasks
-    /// that the fleet as it is cannot start in time.
-    ///
-    /// Whether a deadline was near was once all that counted. At the start of
-    /// a day that rented every ordinary machine there was for a backlog that
-    /// spot machines, just booting, worked off within the minute
-    /// (rosterwise-nz-grown).
-    pub(super) fn count_late(&self, ctx: &Ctx, jobs: &mut [(JobView, Rc<Shape>)]) {
-        let sums = &self.index.sums;
-        // The CPUs that arrays can have: the fleet's and those of machines that
-        // are booting, less what services hold or wait for.
+/// What is known of the work that is served before a job, as a plan goes over
+/// the jobs in the order in which they will be served.
+///
+/// Whether a deadline was near was once all that counted. At the start of a day
+/// that rented every ordinary machine there was for a backlog that spot machines,
+/// just booting, worked off within the minute (rosterwise-nz-grown).
+#[derive(Debug)]
+pub(super) struct Served {
+    /// The CPUs that arrays can have: the fleet's and those of machines that are
+    /// booting, less what services hold or wait for.
+    cpus: f64,
+    /// Those of them that take a task at once.
+    idle: f64,
+    /// CPU-seconds of what waits before.
+    ahead: f64,
+}
+
+impl Served {
+    pub fn new(sums: &Sums) -> Served {
         let cpus = (sums.fleet_cpus() + sums.coming_cpus() - sums.replica_cpus()).max(0.0);
-        let busy = sums.array_cpus();
-        let idle = (cpus - busy).max(0.0);
-        let mut ahead = 0.0;
-        for (view, _) in jobs {
-            let Some(job) = self
-                .jobs
-                .get(view.id)
-                .filter(|j| j.spec.kind == Kind::Batch)
-            else {
-                continue;
-            };
-            let run = self.expected_run(ctx.config, job);
-            let task = run * job.spec.cpus;
-            let waiting = view.waiting;
-            if let Some(slack) = self.slack(ctx, job, run) {
-                // Idle CPUs take a task at once, all take more as time goes on.
-                let in_time = (slack * cpus + idle * run - ahead) / task.max(1e-6);
-                // A float's cast to an integer saturates.
-                view.late = waiting.saturating_sub(in_time as u32);
-            }
-            ahead += f64::from(waiting) * task;
+        Served {
+            cpus,
+            idle: (cpus - sums.array_cpus()).max(0.0),
+            ahead: 0.0,
+        }
+    }
+
+    /// How many of the job's waiting tasks the fleet as it is cannot start in
+    /// time.
+    pub fn late(&mut self, leader: &Leader, ctx: &Ctx, job: &Job, waiting: u32) -> u32 {
+        if job.spec.kind != Kind::Batch {
+            return 0;
         }
+        let run = leader.expected_run(ctx.config, job);
+        let task = run * job.spec.cpus;
+        let late = leader.slack(ctx, job, run).map_or(0, |slack| {
+            // Idle CPUs take a task at once, all take more as time goes on.
+            let in_time = (slack * self.cpus + self.idle * run - self.ahead) / task.max(1e-6);
+            // A float's cast to an integer saturates.
+            waiting.saturating_sub(in_time as u32)
+        });
+        self.ahead += f64::from(waiting) * task;
+        late
     }
+}
 
+impl Leader {
     /// The time within which the job's tasks must start, in seconds; None if
     /// no money is spent on it, be it that it has no deadline, that its class
     /// has no strict aim for it, or that a machine rented now would come too
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -39,15 +39,32 @@
                 // Later pages may hold more, but the watch starts here: what
                 // it tells again changes nothing.
                 self.queue_revision.get_or_insert(page.revision);
-                self.queue_rows.extend(page.rows);
+                for row in page.rows {
+                    // Cancellations come before descriptions in the order of
+                    // keys, but a cancellation means nothing before its job is
+                    // known: taken in that order, a new leader would let
+                    // cancelled tasks run on.
+                    if row.key.starts_with(store::OPEN) {
+                        self.queue_row(ctx, &row.key, &row.value, row.version);
+                    } else {
+                        self.cancelled_rows.push(row);
+                    }
+                }
                 if more {
                     LoadFrom::Queue(last)
                 } else {
+                    for row in std::mem::take(&mut self.cancelled_rows) {
+                        self.queue_row(ctx, &row.key, &row.value, row.version);
+                    }
                     LoadFrom::Tasks(None)
                 }
             }
             _ => {
-                self.task_rows.extend(page.rows);
+                // Page by page: all of a large fleet's at once took a quarter of
+                // a second, in which nothing else was answered.
+                for row in &page.rows {
+                    self.task_row(ctx, row);
+                }
                 if !more {
                     self.reload_at = None;
                     return self.start(ctx);
@@ -77,19 +94,6 @@
     /// Everything is read: take up the work.
     pub(super) fn start(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.steady;
-        // Cancellations come before descriptions in the order of keys, but a
-        // cancellation means nothing before its job is known: taken in that
-        // order, a new leader would let cancelled tasks run on.
-        let rows = std::mem::take(&mut self.queue_rows);
-        let (open, rest): (Vec<_>, Vec<_>) = rows
-            .into_iter()
-            .partition(|row| row.key.starts_with(store::OPEN));
-        for row in open.into_iter().chain(rest) {
-            self.queue_row(ctx, &row.key, &row.value, row.version);
-        }
-        for row in std::mem::take(&mut self.task_rows) {
-            self.task_row(ctx, &row);
-        }
         self.stage = Stage::Ready;
         self.ready_since = now;
         self.sighted = self.watch_sent;
@@ -113,7 +117,7 @@
             m.known_since = now;
             m.empty_since = now;
             m.wants_push = true;
-            self.pushes.insert(m.name.clone());
+            self.pushes.plain(m.name.clone());
         }
         log::info!(
             "term {}: took up {} jobs and {} machines",
@@ -183,6 +187,9 @@
         };
         let now = ctx.now.steady;
         let types = self.types.clone();
+        let Some(place) = self.jobs.place(&id) else {
+            return;
+        };
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -211,7 +218,11 @@
             };
             t.attempt = attempt;
             let machine: Rc<str> = Rc::from(machine);
-            t.state = TaskState::Placed(machine.clone());
+            t.state = TaskState::Placed {
+                machine: machine.clone(),
+                session,
+                stored: true,
+            };
             job.waiting.remove(&i);
             // A machine without a record may be running all the same: what it
             // is shows when it reports or is listed.
@@ -223,7 +234,7 @@
                 continue;
             };
             m.session = m.session.max(session);
-            let slot = Machine::slot(attempt, session, &job.spec, true);
+            let slot = Machine::slot(attempt, session, (place, &job.spec), true);
             let image = (&job.image, job.spec.image_gb);
             let cache = cache_gb(types.as_deref(), &m.machine_type);
             m.place((id.clone(), i), slot, image, cache);
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -7,6 +7,7 @@
 mod late;
 mod load;
 mod pass;
+mod pushes;
 mod recall;
 mod rent;
 mod reports;
@@ -15,6 +16,7 @@
 
 use self::boots::Boots;
 use self::index::Index;
+use self::pushes::Pushes;
 use crate::blame::Record;
 use crate::calls::{CallError, Ctx, Waiter};
 use crate::desk::{Desk, Errand, Rental};
@@ -40,6 +42,8 @@
 const RETRY: Micros = 100 * MILLISECOND;
 /// Waiting tasks of one job that a pass looks at.
 const PASS_TASKS: usize = 200;
+/// Waiting jobs that a rental plan looks at, unless those before rent nothing.
+const PLAN_JOBS: usize = 1000;
 /// How long a zone that fell silent is not rented in, unless it is heard.
 const DARK: Micros = 60 * SECOND;
 /// Part of the store's writes that records nobody waits for may take.
@@ -75,7 +79,12 @@
 #[derive(Debug, Clone)]
 enum TaskState {
     Waiting,
-    Placed(Rc<str>),
+    /// On which machine, in which of its sessions, and whether that is stored.
+    Placed {
+        machine: Rc<str>,
+        session: u64,
+        stored: bool,
+    },
     Done,
 }
 
@@ -170,7 +179,7 @@
     fn on_machines(&self) -> impl Iterator<Item = (u32, &Rc<str>)> {
         let tasks = self.tasks.iter().enumerate();
         tasks.filter_map(|(i, t)| match &t.state {
-            TaskState::Placed(m) => Some((i as u32, m)),
+            TaskState::Placed { machine, .. } => Some((i as u32, machine)),
             _ => None,
         })
     }
@@ -186,22 +195,24 @@
             .saturating_sub(self.samples.len() as u32 + self.placed() as u32)
     }
 
-    fn chunk(&self, index: u32, machines: &Shelf<Machine>, id: &Rc<str>) -> Chunk {
-        let from = index * self.chunk_tasks;
-        let to = (from + self.chunk_tasks).min(self.tasks.len() as u32);
+    /// The tasks of a chunk.
+    fn range(&self, index: u32) -> std::ops::Range<u32> {
+        let from = index.saturating_mul(self.chunk_tasks);
+        from..from
+            .saturating_add(self.chunk_tasks)
+            .min(self.tasks.len() as u32)
+    }
+
+    fn chunk(&self, index: u32) -> Chunk {
         let mut chunk = Chunk::default();
-        for i in from..to {
+        for i in self.range(index) {
             let t = &self.tasks[i as usize];
             match &t.state {
                 TaskState::Waiting if t.attempt > 0 => chunk.w.push((i, t.attempt)),
                 TaskState::Waiting => {}
-                TaskState::Placed(m) => {
-                    let session = machines
-                        .get(m)
-                        .and_then(|m| m.slots.get(&(id.clone(), i)))
-                        .map_or(0, |s| s.session);
-                    chunk.p.push((i, t.attempt, m.to_string(), session));
-                }
+                TaskState::Placed {
+                    machine, session, ..
+                } => chunk.p.push((i, t.attempt, machine.to_string(), *session)),
                 TaskState::Done => match chunk.d.last_mut() {
                     Some((_, last)) if *last + 1 == i => *last = i,
                     _ => chunk.d.push((i, i)),
@@ -210,6 +221,15 @@
         }
         chunk
     }
+
+    /// Placements of a chunk that are not stored: task and attempt.
+    fn unstored(&self, index: u32) -> impl Iterator<Item = (u32, u64)> {
+        self.range(index).filter_map(|i| {
+            let t = &self.tasks[i as usize];
+            let unstored = matches!(t.state, TaskState::Placed { stored: false, .. });
+            unstored.then_some((i, t.attempt))
+        })
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -225,8 +245,8 @@
     stage: Stage,
     reload_at: Option<(Micros, LoadFrom)>,
     queue_revision: Option<u64>,
-    queue_rows: Vec<Row>,
-    task_rows: Vec<Row>,
+    /// Cancellations that were read before the jobs that they are of.
+    cancelled_rows: Vec<Row>,
     watch_sent: Micros,
     /// When the last answered look at the cancellations was sent.
     sighted: Micros,
@@ -237,14 +257,14 @@
     /// What ageing has taken off any job that was active all the time, in
     /// CPU-seconds.
     clock: f64,
-    /// Machines that may want orders: each that wants a push, and some that
-    /// no longer do.
-    pushes: BTreeSet<Rc<str>>,
+    pushes: Pushes,
     gone: HashMap<String, Micros>,
     ledger: Ledger,
     desk: Desk,
     refusals: Refusals,
     boots: Boots,
+    /// Waiting jobs that the next rental plan looks at.
+    plan_depth: usize,
     /// Zones that fell silent as a whole, and when: what is rented there would
     /// be paid for and never heard of.
     dark: BTreeMap<Rc<str>, Micros>,
@@ -285,8 +305,7 @@
             stage: Stage::Loading,
             reload_at: None,
             queue_revision: None,
-            queue_rows: Vec::new(),
-            task_rows: Vec::new(),
+            cancelled_rows: Vec::new(),
             watch_sent: now,
             sighted: now,
             watch_at: None,
@@ -294,12 +313,13 @@
             machines: Shelf::default(),
             index: Index::new(),
             clock: 0.0,
-            pushes: BTreeSet::new(),
+            pushes: Pushes::new(ctx.config.max_orders),
             gone: HashMap::new(),
             ledger: Ledger::default(),
             desk: Desk::new(ctx.config.cloud_rps, now),
             refusals: Refusals::default(),
             boots: Boots::default(),
+            plan_depth: PLAN_JOBS,
             dark: BTreeMap::new(),
             types_stored: types.is_some(),
             types,
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -18,16 +18,6 @@
             }
             return;
         }
-        if self.watch_at.is_some_and(|at| now >= at) {
-            self.watch_at = None;
-            let call = StateCall::Watch {
-                prefix: store::QUEUE.into(),
-                after: self.queue_revision.unwrap_or(0),
-                hold_ms: WATCH_MS,
-            };
-            let waiter = self.waiter(Step::Watch);
-            ctx.state(call, waiter);
-        }
         let gap = micros(ctx.config.tuning.pass_gap_s);
         let due = now >= self.pass_at && now >= self.passed_at + gap;
         if due || now >= self.passed_at + micros(ctx.config.tuning.pass_s) {
@@ -46,9 +36,28 @@
             self.clear_unreachable(ctx);
             self.tend_fleet(ctx);
         }
+        self.go_on(ctx);
+    }
+
+    /// Sends what is ready to be sent. Passes wait for the tick: a report is
+    /// answered, and with it a lease renewed, without one in between.
+    pub fn go_on(&mut self, ctx: &mut Ctx) {
+        if self.stage != Stage::Ready {
+            return;
+        }
+        if self.watch_at.is_some_and(|at| ctx.now.steady >= at) {
+            self.watch_at = None;
+            let call = StateCall::Watch {
+                prefix: store::QUEUE.into(),
+                after: self.queue_revision.unwrap_or(0),
+                hold_ms: WATCH_MS,
+            };
+            let waiter = self.waiter(Step::Watch);
+            ctx.state(call, waiter);
+        }
         self.write(ctx);
         self.push_orders(ctx);
-        if let Some((errand, call)) = self.desk.next(now) {
+        if let Some((errand, call)) = self.desk.next(ctx.now.steady) {
             let waiter = self.waiter(Step::Cloud(errand));
             ctx.cloud(call, waiter);
         }
@@ -114,6 +123,7 @@
         let (id, job) = self.jobs.at(place)?;
         let most = if job.record.doubtful() { 1 } else { PASS_TASKS };
         Some(JobView {
+            place,
             id,
             spec: &job.spec,
             image: &job.image,
@@ -250,8 +260,12 @@
             };
             let task = &mut job.tasks[i as usize];
             task.attempt += 1;
-            task.state = TaskState::Placed(machine.clone());
-            let slot = Machine::slot(task.attempt, m.session, &job.spec, false);
+            task.state = TaskState::Placed {
+                machine: machine.clone(),
+                session: m.session,
+                stored: false,
+            };
+            let slot = Machine::slot(task.attempt, m.session, (a.job, &job.spec), false);
             let held = m.images.iter().any(|(i, _)| *i == job.image);
             let image = if held { "held" } else { "missing" };
             log::debug!("placing {id}/{i} on {machine}, image {} {image}", job.image);
--- /dev/null
+++ b/crates/core/src/leader/pushes.rs
@@ -0,0 +1,185 @@
+//! Which machines are sent orders, and when.
+//!
+//! Orders that carry commands go first, then those that only raise the seal or
+//! ask whether a machine is there. No more than a bound are under way at once: a
+//! new leader of ten thousand machines sent ten thousand requests in one turn,
+//! more than it has sockets, and their answers stood before the reports on which
+//! leases live.
+
+use super::*;
+
+#[derive(Debug)]
+pub(super) struct Pushes {
+    urgent: BTreeSet<Rc<str>>,
+    /// No command waits there.
+    plain: BTreeSet<Rc<str>>,
+    /// Not before this time.
+    later: BTreeSet<(Micros, Rc<str>)>,
+    /// Orders under way, and how many may be.
+    open: usize,
+    limit: usize,
+}
+
+impl Pushes {
+    pub fn new(limit: usize) -> Pushes {
+        Pushes {
+            urgent: BTreeSet::new(),
+            plain: BTreeSet::new(),
+            later: BTreeSet::new(),
+            open: 0,
+            limit,
+        }
+    }
+
+    /// Commands wait for the machine.
+    pub fn urgent(&mut self, machine: Rc<str>) {
+        self.plain.remove(&machine);
+        self.urgent.insert(machine);
+    }
+
+    /// The machine is to see the seal, or to show that it is there.
+    pub fn plain(&mut self, machine: Rc<str>) {
+        if !self.urgent.contains(&machine) {
+            self.plain.insert(machine);
+        }
+    }
+
+    /// The same as `urgent`, at a later time.
+    pub fn later(&mut self, at: Micros, machine: Rc<str>) {
+        self.later.insert((at, machine));
+    }
+
+    /// The next machine to send orders to. Half of what may be under way is left
+    /// to those with commands.
+    fn next(&mut self, now: Micros) -> Option<Rc<str>> {
+        while self.later.first().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, machine)) = self.later.pop_first() {
+                self.urgent(machine);
+            }
+        }
+        if self.open < self.limit
+            && let Some(machine) = self.urgent.pop_first()
+        {
+            return Some(machine);
+        }
+        if self.open < self.limit.div_ceil(2) {
+            return self.plain.pop_first();
+        }
+        None
+    }
+
+    fn sent(&mut self) {
+        self.open += 1;
+    }
+
+    pub fn ended(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
+}
+
+impl Leader {
+    pub(super) fn push_orders(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.steady;
+        if !self.entitled(ctx) {
+            return;
+        }
+        let fresh = self.fresh(ctx);
+        while let Some(name) = self.pushes.next(now) {
+            let Some(m) = self.machines.get(&name) else {
+                continue;
+            };
+            // One at a time: when the one under way ends, it is looked at again.
+            if !m.wants_push || m.push.is_some() || m.addr.is_none() {
+                continue;
+            }
+            if now < m.push_after {
+                self.pushes.later(m.push_after, name);
+                continue;
+            }
+            let commands = if m.ready && fresh {
+                self.commands(m)
+            } else {
+                Vec::new()
+            };
+            let waiter = self.waiter(Step::Push {
+                machine: name.to_string(),
+            });
+            // What a push changes is derived from by nothing.
+            let place = self.machines.place(&name);
+            let Some(m) = place.and_then(|place| self.machines.quiet(place)) else {
+                continue;
+            };
+            m.wants_push = false;
+            let probe = std::mem::take(&mut m.probe);
+            if m.ready && commands.is_empty() && !probe {
+                continue;
+            }
+            let orders = Orders {
+                token: self.term,
+                session: m.session,
+                commands,
+            };
+            let addr = m.addr.clone().unwrap_or_default();
+            let sent = orders.commands.clone();
+            let id = ctx.orders(addr, orders, waiter);
+            m.pushed(id, &sent);
+            self.pushes.sent();
+        }
+    }
+
+    pub fn orders_reply(
+        &mut self,
+        ctx: &mut Ctx,
+        id: CallId,
+        machine: &str,
+        reply: Result<(u16, Vec<u8>), CallError>,
+    ) {
+        let now = ctx.now.steady;
+        self.pushes.ended();
+        let report = match &reply {
+            Ok((200 | 409, body)) => match dillcleat_wire::decode::<Report>(body) {
+                Ok(r) if r.machine == machine => Some(r),
+                Ok(_) => None,
+                Err(e) => {
+                    log::error!("{machine}: its answer is no report: {e}");
+                    None
+                }
+            },
+            _ => None,
+        };
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        // Nothing arrives of what was not sent, and nothing was done on a
+        // refusal. All else may be carried out at any time.
+        let unanswered = match &reply {
+            Err(CallError::NotSent) | Ok((409 | 400, _)) => false,
+            Ok((200, _)) => report.is_none(),
+            _ => true,
+        };
+        m.push_ended(id, unanswered);
+        match report {
+            Some(r) if r.token > self.term => self.notes.push(Note::Higher(r.token)),
+            Some(r) => {
+                let was_ready = m.ready;
+                self.take_report(ctx, &r, Source::Orders);
+                if let Some(m) = self.machines.get_mut(machine)
+                    && !m.ready
+                    && !was_ready
+                {
+                    // Another session than thought: once more with the right one.
+                    m.wants_push = true;
+                    m.push_after = now + RETRY;
+                }
+            }
+            None => {
+                m.wants_push = true;
+                m.push_after = now + SECOND;
+            }
+        }
+        // Also what came to be wanted while this was under way.
+        if let Some(m) = self.machines.get(machine).filter(|m| m.wants_push) {
+            self.pushes.later(m.push_after.max(now), m.name.clone());
+        }
+    }
+}
--- a/crates/core/src/leader/recall.rs
+++ b/crates/core/src/leader/recall.rs
@@ -51,6 +51,6 @@
             }
         }
         m.wants_push = true;
-        self.pushes.insert(m.name.clone());
+        self.pushes.urgent(m.name.clone());
     }
 }
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -1,6 +1,7 @@
 //! Renting, returning, and machines that are gone.
 
 use super::boots::boot_time;
+use super::late::Served;
 use super::*;
 
 impl Leader {
@@ -37,20 +38,22 @@
                 teams[job.team].gpus_left += job.spec.gpus * f64::from(*n);
             }
         }
-        let mut jobs = self.unserved(ctx, &cut_off, lost);
         let ahead = self.ahead(ctx.config);
         // With nothing waiting and no room wanted ahead there is nothing to plan.
-        if jobs.is_empty() && ahead <= 0.0 {
+        if self.index.line.is_empty() && lost.is_empty() && ahead <= 0.0 {
             return;
         }
         let mut floor = Floor::without_images();
-        let mut there: BTreeMap<Rc<str>, u32> = BTreeMap::new();
-        for view in booting.into_iter().chain(self.freeing(ctx, &cut_off)) {
+        let up = self.index.sums.up.iter();
+        let mut there: BTreeMap<Rc<str>, u32> = up.map(|(z, n)| (z.clone(), *n as u32)).collect();
+        for view in booting {
             *there.entry(view.zone.clone()).or_default() += 1;
             floor.add(view);
         }
+        for view in self.freeing(ctx, &cut_off) {
+            floor.add(view);
+        }
         let seen: u32 = there.values().sum();
-        self.count_late(ctx, &mut jobs);
         let market = Market {
             types: &types,
             refusals: &self.refusals,
@@ -60,8 +63,19 @@
             now,
         };
         let reserve = self.reserve(ctx.config);
-        let wanted = plan(&mut jobs, &mut floor, &mut teams, &market, reserve, ahead);
+        let mut looked_at = 0;
+        let depth = self.plan_depth;
+        let jobs = self.unserved(ctx, &cut_off, &lost).take(depth);
+        let jobs = jobs.inspect(|_| looked_at += 1);
+        let wanted = plan(jobs, &mut floor, &mut teams, &market, reserve, ahead);
         self.counts.machines += u64::from(seen);
+        self.counts.jobs += looked_at as u64;
+        // Whoever comes after many that nothing is rented for has a turn as well.
+        self.plan_depth = if wanted.is_empty() && looked_at == depth {
+            depth * 2
+        } else {
+            PLAN_JOBS
+        };
         for ((machine_type, zone, spot), count) in wanted {
             let request = self.desk.name(self.term);
             log::info!("renting {request}: {count} {machine_type} in {zone}, spot {spot}");
@@ -95,36 +109,30 @@
     /// Jobs that machines may be rented for, in the order in which they compete:
     /// those that wait, and those whose replicas are `lost`. Nothing is rented
     /// for what fails wherever it runs.
-    fn unserved(
-        &self,
-        ctx: &Ctx,
-        cut_off: &BTreeSet<Rc<str>>,
-        lost: BTreeMap<Place, u32>,
-    ) -> Vec<(JobView<'_>, Rc<Shape>)> {
-        let mut views = Vec::new();
-        let mut add = |place: Place, lost: u32| {
-            let Some((_, job)) = self.jobs.at(place).filter(|(_, j)| !j.record.doubtful()) else {
-                return;
-            };
-            let Some(mut view) = self.job_view(ctx, place) else {
-                return;
-            };
-            if lost > 0 {
-                view.waiting += lost;
-                view.zones = self.zones(job, cut_off);
-            }
-            views.push((view, job.shape.clone()));
-        };
+    fn unserved<'a>(
+        &'a self,
+        ctx: &'a Ctx,
+        cut_off: &'a BTreeSet<Rc<str>>,
+        lost: &'a BTreeMap<Place, u32>,
+    ) -> impl Iterator<Item = (JobView<'a>, &'a Rc<Shape>)> {
+        let mut served = Served::new(&self.index.sums);
         // Those that have lost replicas are services and so come first.
-        for (place, n) in &lost {
-            add(*place, *n);
-        }
-        for place in self.index.line.all(self.clock) {
-            if !lost.contains_key(&place) {
-                add(place, 0);
+        let waiting = self.index.line.all(self.clock);
+        let waiting = waiting.filter(|place| !lost.contains_key(place));
+        let places = lost.keys().copied().chain(waiting);
+        places.filter_map(move |place| {
+            let (_, job) = self.jobs.at(place)?;
+            if job.record.doubtful() {
+                return None;
             }
-        }
-        views
+            let mut view = self.job_view(ctx, place)?;
+            if let Some(n) = lost.get(&place) {
+                view.waiting += n;
+                view.zones = self.zones(job, cut_off);
+            }
+            view.late = served.late(self, ctx, job, view.waiting);
+            Some((view, &job.shape))
+        })
     }
 
     /// Machines with the room that will be free by the time that a rented one
@@ -133,18 +141,21 @@
         let now = ctx.now.steady;
         let horizon =
             (self.soonest_boot() + ctx.config.tuning.fetch_s) * ctx.config.tuning.patience;
-        let mut views = Vec::with_capacity(self.machines.len());
+        // A number for each job instead of a look-up for each of its tasks.
+        let run_time = |job: Option<&Job>| {
+            let job = job.filter(|job| job.placed() > 0);
+            job.map_or(0.0, |job| self.run_time(ctx.config, job))
+        };
+        let runs: Vec<f64> = self.jobs.by_place().map(run_time).collect();
+        let mut views = Vec::new();
         let there = |m: &&Machine| m.open(now) && !cut_off.contains(&m.name);
         for m in self.machines.values().filter(there) {
             let Some(total) = self.total(&m.machine_type) else {
                 continue;
             };
             let mut free = m.free(total);
-            for ((id, _), slot) in m.slots.iter().filter(|(_, s)| !s.service) {
-                let Some(job) = self.jobs.get(id) else {
-                    continue;
-                };
-                let run = self.run_time(ctx.config, job);
+            for slot in m.slots.values().filter(|s| !s.service) {
+                let run = runs.get(slot.job as usize).copied().unwrap_or(0.0);
                 let elapsed = slot
                     .running_since
                     .map_or(0.0, |since| seconds(now.saturating_sub(since)));
@@ -154,7 +165,9 @@
                     free.give(&slot.room);
                 }
             }
-            views.push(Self::view_with(m, free));
+            if free.cpus > 1e-6 {
+                views.push(Self::view_with(m, free));
+            }
         }
         views
     }
@@ -233,7 +246,7 @@
             if let Some(m) = self.machines.quiet(place) {
                 m.probe = true;
                 m.wants_push = true;
-                self.pushes.insert(m.name.clone());
+                self.pushes.plain(m.name.clone());
             }
         }
         for name in dropped {
@@ -463,7 +476,7 @@
             {
                 m.addr = Some(addr);
                 m.wants_push = true;
-                self.pushes.insert(m.name.clone());
+                self.pushes.plain(m.name.clone());
             }
         }
         if list.more && last.is_some() {
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -2,6 +2,35 @@
 
 use super::*;
 
+/// What of a machine a report may change, its slots aside, and something is
+/// derived from.
+#[derive(PartialEq, Eq)]
+struct Standing {
+    machine_type: Rc<str>,
+    zone: Rc<str>,
+    spot: bool,
+    up: bool,
+    ready: bool,
+    recorded: bool,
+    noticed: bool,
+    strays: bool,
+}
+
+impl Standing {
+    fn of(m: &Machine) -> Standing {
+        Standing {
+            machine_type: m.machine_type.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            up: m.up,
+            ready: m.ready,
+            recorded: m.recorded,
+            noticed: m.gone_by.is_some(),
+            strays: !m.strays.is_empty(),
+        }
+    }
+}
+
 impl Leader {
     /// Whether reports may still be answered: a cancellation accepted by
     /// another node must reach the workers in time, be it through their leases.
@@ -32,7 +61,8 @@
                     answer.commands = self.commands(m);
                 }
             }
-            if let Some(m) = self.machines.get_mut(report.machine.as_str()) {
+            let place = self.machines.place(&report.machine);
+            if let Some(m) = place.and_then(|place| self.machines.quiet(place)) {
                 m.answered_with(&answer.commands);
                 if !answer.commands.is_empty() {
                     m.wants_push = false;
@@ -54,7 +84,12 @@
             let m = Machine::new(&r.machine, "", "", false, now);
             self.machines.insert(m.name.clone(), m);
         }
-        let Some(m) = self.machines.get_mut(r.machine.as_str()) else {
+        let Some(place) = self.machines.place(&r.machine) else {
+            return;
+        };
+        // Most reports of a large fleet say that nothing has changed.
+        let before = self.machines.at(place).map(|(_, m)| Standing::of(m));
+        let Some(m) = self.machines.quiet(place) else {
             return;
         };
         m.describe(&r.machine_type, &r.zone, r.spot);
@@ -86,9 +121,14 @@
             // A new machine, or one that has yet to see this term's seal.
             m.wants_push = true;
             m.push_after = 0;
-            self.pushes.insert(m.name.clone());
+            self.pushes.plain(m.name.clone());
             self.pass_at = now;
         }
+        let after = Some(Standing::of(m));
+        let starts = |e: &SlotEvent| matches!(e, SlotEvent::Running(_));
+        if before != after || !events.iter().all(starts) || self.index.silent.contains(&place) {
+            self.machines.mark(place);
+        }
         for event in events {
             self.slot_event(ctx, &r.machine, event);
         }
@@ -106,7 +146,7 @@
         let Some(t) = job.tasks.get(task.index as usize) else {
             return true;
         };
-        if matches!(t.state, TaskState::Placed(_)) && t.attempt == attempt {
+        if matches!(t.state, TaskState::Placed { .. }) && t.attempt == attempt {
             return false;
         }
         if job.cancelled.is_some() {
@@ -118,105 +158,4 @@
     pub(super) fn commands(&self, m: &Machine) -> Vec<dillcleat_wire::worker::Command> {
         m.commands(|task, attempt| self.settled(task, attempt))
     }
-
-    pub(super) fn push_orders(&mut self, ctx: &mut Ctx) {
-        let now = ctx.now.steady;
-        if !self.entitled(ctx) {
-            return;
-        }
-        let mut due: Vec<Rc<str>> = Vec::new();
-        self.pushes.retain(|name| {
-            let Some(m) = self.machines.get(name).filter(|m| m.wants_push) else {
-                return false;
-            };
-            let ready = m.push.is_none() && m.push_after <= now && m.addr.is_some();
-            if ready {
-                due.push(name.clone());
-            }
-            !ready
-        });
-        for name in due {
-            let Some(m) = self.machines.get(&name) else {
-                continue;
-            };
-            let commands = if m.ready && self.fresh(ctx) {
-                self.commands(m)
-            } else {
-                Vec::new()
-            };
-            let waiter = self.waiter(Step::Push {
-                machine: name.to_string(),
-            });
-            let Some(m) = self.machines.get_mut(&name) else {
-                continue;
-            };
-            m.wants_push = false;
-            let probe = std::mem::take(&mut m.probe);
-            if m.ready && commands.is_empty() && !probe {
-                continue;
-            }
-            let orders = Orders {
-                token: self.term,
-                session: m.session,
-                commands,
-            };
-            let addr = m.addr.clone().unwrap_or_default();
-            let sent = orders.commands.clone();
-            let id = ctx.orders(addr, orders, waiter);
-            m.pushed(id, &sent);
-        }
-    }
-
-    pub fn orders_reply(
-        &mut self,
-        ctx: &mut Ctx,
-        id: CallId,
-        machine: &str,
-        reply: Result<(u16, Vec<u8>), CallError>,
-    ) {
-        let now = ctx.now.steady;
-        let report = match &reply {
-            Ok((200 | 409, body)) => match dillcleat_wire::decode::<Report>(body) {
-                Ok(r) if r.machine == machine => Some(r),
-                Ok(_) => None,
-                Err(e) => {
-                    log::error!("{machine}: its answer is no report: {e}");
-                    None
-                }
-            },
-            _ => None,
-        };
-        let Some(m) = self.machines.get_mut(machine) else {
-            return;
-        };
-        // Nothing arrives of what was not sent, and nothing was done on a
-        // refusal. All else may be carried out at any time.
-        let unanswered = match &reply {
-            Err(CallError::NotSent) | Ok((409 | 400, _)) => false,
-            Ok((200, _)) => report.is_none(),
-            _ => true,
-        };
-        m.push_ended(id, unanswered);
-        match report {
-            Some(r) if r.token > self.term => self.notes.push(Note::Higher(r.token)),
-            Some(r) => {
-                let was_ready = m.ready;
-                self.take_report(ctx, &r, Source::Orders);
-                if let Some(m) = self.machines.get_mut(machine)
-                    && !m.ready
-                    && !was_ready
-                {
-                    // Another session than thought: once more with the right one.
-                    m.wants_push = true;
-                    m.push_after = now + RETRY;
-                    self.pushes.insert(m.name.clone());
-                }
-            }
-            None => {
-                m.wants_push = true;
-                m.push_after = now + SECOND;
-                self.pushes.insert(m.name.clone());
-            }
-        }
-    }
 }
--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -82,7 +82,7 @@
                 log::info!("{}/{} on {machine} makes room for replicas", key.0, key.1);
                 slot.yielding = true;
                 m.wants_push = true;
-                self.pushes.insert(machine);
+                self.pushes.urgent(machine);
             }
         }
     }
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -72,23 +72,16 @@
             Item::Chunk(id, index) => match self.jobs.get(id) {
                 Some(job) if !job.ending && job.cancelled.is_none() => {
                     let key = store::chunk_key(id, *index);
-                    let record = job.chunk(*index, &self.machines, id);
+                    let record = job.chunk(*index);
                     let mut txn = txn
                         .compare(key.clone(), job.chunk_versions[*index as usize])
                         .put(key, &record);
-                    let mut new = false;
-                    for (i, attempt, machine, _) in &record.p {
-                        let task: TaskKey = (id.clone(), *i);
-                        let slot = self
-                            .machines
-                            .get(machine.as_str())
-                            .and_then(|m| m.slots.get(&task));
-                        if slot.is_some_and(|s| !s.stored) {
-                            batch.placed.push((task, *attempt));
-                            new = true;
-                        }
-                    }
-                    if new {
+                    let before = batch.placed.len();
+                    let new = job.unstored(*index);
+                    batch
+                        .placed
+                        .extend(new.map(|(i, attempt)| ((id.clone(), i), attempt)));
+                    if batch.placed.len() > before {
                         txn = with_job(txn, id, job.version);
                     }
                     (txn, true)
@@ -259,24 +252,25 @@
         }
         for ((id, i), attempt) in batch.placed {
             let key: TaskKey = (id, i);
-            let Some(machine) =
-                self.jobs
-                    .get(&key.0)
-                    .and_then(|j| match &j.tasks[i as usize].state {
-                        TaskState::Placed(m) if j.tasks[i as usize].attempt == attempt => {
-                            Some(m.clone())
-                        }
-                        _ => None,
-                    })
+            let job = self.jobs.get_mut(&key.0);
+            let task = job.map(|j| &mut j.tasks[i as usize]);
+            let Some(task) = task.filter(|t| t.attempt == attempt) else {
+                continue;
+            };
+            let TaskState::Placed {
+                machine, stored, ..
+            } = &mut task.state
             else {
                 continue;
             };
+            *stored = true;
+            let machine = machine.clone();
             if let Some(m) = self.machines.get_mut(&machine)
                 && let Some(slot) = m.slots.get_mut(&key)
             {
                 slot.stored = true;
                 m.wants_push = true;
-                self.pushes.insert(m.name.clone());
+                self.pushes.urgent(m.name.clone());
                 // Of a cancelled job nothing was launched: it is not there.
                 if slot.cancelled {
                     m.slots.remove(&key);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -119,7 +119,7 @@
                     Some((Waiter::Leader { term, step }, sent)) => {
                         if let Some(leader) = self.leader.as_mut().filter(|l| l.term == term) {
                             leader.reply(&mut ctx, step, sent, reply);
-                            leader.tick(&mut ctx);
+                            leader.go_on(&mut ctx);
                         }
                     }
                     Some((Waiter::Nobody, _)) | None => {}
@@ -131,7 +131,7 @@
                     && let LeaderStep::Cloud(errand) = step
                 {
                     leader.cloud_reply(&mut ctx, errand, reply);
-                    leader.tick(&mut ctx);
+                    leader.go_on(&mut ctx);
                 }
             }
             Input::Orders { id, reply } => {
@@ -140,7 +140,7 @@
                     && let LeaderStep::Push { machine } = step
                 {
                     leader.orders_reply(&mut ctx, id, &machine, reply);
-                    leader.tick(&mut ctx);
+                    leader.go_on(&mut ctx);
                 }
             }
             Input::Mesh { from, message } => self.mesh(now, &mut out, from, message),
@@ -344,7 +344,7 @@
         };
         if let Some(leader) = &mut self.leader {
             let answer = leader.checkin(&mut ctx, &report);
-            leader.tick(&mut ctx);
+            leader.go_on(&mut ctx);
             return answer;
         }
         let report_to = self
--- a/crates/core/src/shelf.rs
+++ b/crates/core/src/shelf.rs
@@ -135,6 +135,11 @@
         self.held.iter().flatten().map(|h| (&h.name, &h.value))
     }
 
+    /// What each number stands for; None for those that are vacant.
+    pub fn by_place(&self) -> impl Iterator<Item = Option<&T>> {
+        self.held.iter().map(|h| h.as_ref().map(|h| &h.value))
+    }
+
     pub fn values(&self) -> impl Iterator<Item = &T> {
         self.iter().map(|(_, value)| value)
     }
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -6,7 +6,7 @@
 //! end. Silence proves nothing.
 
 use crate::blame::Strikes;
-use crate::sched::{Images, Room};
+use crate::sched::{Images, Place, Room};
 use crate::{CallId, Micros, micros};
 use dillcleat_wire::TaskName;
 use dillcleat_wire::user::{JobSpec, Kind};
@@ -24,6 +24,8 @@
     pub room: Room,
     /// A replica of a service.
     pub service: bool,
+    /// The number of its job, for estimates: a job that has gone gives it on.
+    pub job: Place,
     /// The placement is in the store; before that nothing is sent.
     pub stored: bool,
     /// Its job is cancelled: it is to be stopped, and never launched.
@@ -182,12 +184,13 @@
         images.drain(..first);
     }
 
-    pub fn slot(attempt: u64, session: u64, spec: &JobSpec, stored: bool) -> Slot {
+    pub fn slot(attempt: u64, session: u64, (job, spec): (Place, &JobSpec), stored: bool) -> Slot {
         Slot {
             attempt,
             session,
             room: Room::of_task(spec),
             service: spec.kind == Kind::Service,
+            job,
             stored,
             cancelled: false,
             yielding: false,
--- a/crates/core/tests/proof.rs
+++ b/crates/core/tests/proof.rs
@@ -50,7 +50,7 @@
         m.report(&report(1, 1, TERM, &[]), Source::Checkin, TERM, NOW),
         []
     );
-    let mut slot = Machine::slot(1, 1, &spec(), true);
+    let mut slot = Machine::slot(1, 1, (0, &spec()), true);
     slot.seen = Some(TaskState::Running);
     m.place(key(), slot, (&Rc::from("img"), 1.0), 50.0);
     m
@@ -85,7 +85,7 @@
 fn an_unanswered_launch_is_neither_given_up_nor_reaped() {
     let mut m = machine();
     m.slots.clear();
-    let slot = Machine::slot(1, 1, &spec(), true);
+    let slot = Machine::slot(1, 1, (0, &spec()), true);
     m.place(key(), slot, (&Rc::from("img"), 1.0), 50.0);
     let launch = m.commands(|_, _| true);
     assert!(matches!(launch[..], [Command::Start { .. }]));
@@ -120,7 +120,7 @@
     m.slots.clear();
     m.place(
         key(),
-        Machine::slot(1, 1, &spec(), true),
+        Machine::slot(1, 1, (0, &spec()), true),
         (&Rc::from("img"), 1.0),
         50.0,
     );
@@ -141,7 +141,7 @@
     m.slots.clear();
     m.place(
         key(),
-        Machine::slot(1, 1, &spec(), false),
+        Machine::slot(1, 1, (0, &spec()), false),
         (&Rc::from("img"), 1.0),
         50.0,
     );
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -31,7 +31,7 @@
 const TEAMS: usize = 12;
 const TYPE: &str = "sixteen";
 const CPUS: f64 = 16.0;
-/// Tasks of an array and replicas of a service.
+/// Tasks of an array, on average, and replicas of a service.
 const ARRAY: u32 = 60;
 const REPLICAS: u32 = 8;
 /// Of so many machines one is ordinary and runs replicas.
@@ -254,6 +254,7 @@
         cloud_rps: 4.0,
         list_lag: 4 * SECOND,
         memory_mb: 188.0,
+        max_orders: 256,
         waits: vec![("search".into(), 2 * SECOND)],
         deadlines: Vec::new(),
         tuning: Tuning::default(),
@@ -372,7 +373,11 @@
             } else {
                 Priority::Normal
             },
-            tasks: if service { REPLICAS } else { ARRAY },
+            tasks: if service {
+                REPLICAS
+            } else {
+                self.rng.u32(ARRAY / 3..=ARRAY * 5 / 3)
+            },
             cpus: CPUS / f64::from(self.setting.slots),
             gpus: 0.0,
             memory_gb: 60.0 / f64::from(self.setting.slots),
@@ -398,9 +403,10 @@
     }
 
     fn record(&mut self, spec: &JobSpec) {
+        // Handed in over the last ten minutes.
         let job = OpenJob {
             spec: spec.clone(),
-            at: WALL,
+            at: WALL - self.rng.u64(..600 * SECOND),
             chunk: config(&self.setting).chunk_tasks(),
             unmarked: true,
         };
@@ -537,6 +543,17 @@
         if let Some(each) = nanos.checked_div(placed) {
             inputs.entry("placement").or_default().push(each);
         }
+        // An answer lets the next batch go out, of up to 48 changes.
+        let sent = |o: &Output| match o {
+            Output::State {
+                call: StateCall::Txn(txn),
+                ..
+            } => txn.then.len() as u64,
+            _ => 0,
+        };
+        if let Some(each) = nanos.checked_div(outputs.iter().map(sent).sum()) {
+            inputs.entry("one stored change").or_default().push(each);
+        }
         // What follows leaves the process when the work is done.
         let after = self.busy_until.max(self.now);
         for output in outputs {
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -276,6 +276,8 @@
         cloud_rps: 2.0,
         list_lag: 4 * SECOND,
         memory_mb: 72.0,
+        // Few, so that every run meets the bound.
+        max_orders: 4,
         waits: vec![("web".into(), SECOND)],
         deadlines: vec![DeadlineAim {
             class: "merge".into(),
--- a/crates/sched/src/floor.rs
+++ b/crates/sched/src/floor.rs
@@ -7,6 +7,11 @@
 //! that others empty and can be returned. A replica that has to fetch its image
 //! in any case takes the emptiest, to leave the image to as much free room as
 //! can be, for those that come after.
+//!
+//! On a busy fleet few machines have room, for a moment each: those that hold an
+//! image are looked for among them. Only where many have room is there an index
+//! by image, since a machine holds dozens and each would be entered and left with
+//! every task.
 
 use crate::room::{EPS, amount, units};
 use crate::view::{JobView, MachineView, Place};
@@ -19,6 +24,10 @@
 /// Images of services that are held, then the same.
 type ByWarm = BTreeSet<(u32, i64, i64, Place)>;
 
+/// With more machines that have room the images that they hold are indexed, and
+/// with fewer than half as many no longer.
+const INDEXED: usize = 128;
+
 /// Machines of one kind, ordinary or spot.
 #[derive(Debug, Default)]
 struct Ranks {
@@ -80,6 +89,8 @@
     ordinary: BTreeMap<Rc<str>, i64>,
     /// Whether machines are ranked by the images that they hold.
     images: bool,
+    /// Whether `holding` is kept.
+    indexed: bool,
 }
 
 impl Floor {
@@ -116,6 +127,7 @@
             self.enter(place, &new);
             self.views[i] = Some(new);
         }
+        self.index();
     }
 
     /// Adds a machine that has no place of its own yet.
@@ -136,7 +148,7 @@
             return;
         }
         self.ranks[usize::from(m.spot)].remove(&keys, place);
-        if !self.images {
+        if !self.indexed {
             return;
         }
         for (image, _) in m.images.iter() {
@@ -160,16 +172,47 @@
             return;
         }
         self.ranks[usize::from(m.spot)].insert(&keys, place);
-        if !self.images {
-            return;
+        if self.indexed {
+            Self::hold(&mut self.holding, place, m);
         }
-        let holding = &mut self.holding[usize::from(m.spot)];
+    }
+
+    fn hold(holding: &mut [HashMap<Rc<str>, Ranks>; 2], place: Place, m: &MachineView) {
+        let keys = Keys::of(m);
+        let holding = &mut holding[usize::from(m.spot)];
         for (image, _) in m.images.iter() {
             let ranks = holding.entry(image.clone()).or_default();
             ranks.insert(&keys, place);
         }
     }
 
+    /// How many machines have room.
+    fn with_room(&self) -> usize {
+        self.ranks.iter().map(|r| r.by_room.len()).sum()
+    }
+
+    /// Begins or ends to index images, as many or few machines have room.
+    fn index(&mut self) {
+        let n = self.with_room();
+        if self.indexed && n < INDEXED / 2 {
+            self.indexed = false;
+            self.holding = Default::default();
+        } else if self.images && !self.indexed && n > INDEXED {
+            self.indexed = true;
+            for r in &self.ranks {
+                for (_, _, place) in &r.by_room {
+                    if let Some(Some(m)) = self.views.get(*place as usize) {
+                        Self::hold(&mut self.holding, *place, m);
+                    }
+                }
+            }
+        }
+    }
+
+    fn holds(&self, place: Place, image: &str) -> bool {
+        self.view(place).is_some_and(|m| m.holds_image(image))
+    }
+
     /// Free ordinary CPUs in a zone.
     pub fn ordinary(&self, zone: &str) -> f64 {
         self.ordinary.get(zone).copied().map_or(0.0, amount)
@@ -177,10 +220,10 @@
 
     /// Machines with room that hold an image.
     pub fn holders(&self, image: &str) -> Vec<Place> {
-        self.holding
-            .iter()
-            .filter_map(|h| h.get(image))
-            .flat_map(|r| r.by_room.iter().map(|(_, _, place)| *place))
+        let with_room = self.ranks.iter().flat_map(|r| &r.by_room);
+        with_room
+            .map(|(_, _, place)| *place)
+            .filter(|place| self.holds(*place, image))
             .collect()
     }
 
@@ -301,19 +344,16 @@
     pub fn next(&mut self, floor: &Floor, job: &JobView) -> Option<Place> {
         while let Some((spot, holds)) = stages(job).get(self.stage).copied() {
             let kind = usize::from(spot);
-            let ranks = if !holds {
-                Some(&floor.ranks[kind])
-            } else {
-                floor.holding[kind].get(job.image)
+            let ranks = match (holds, floor.indexed) {
+                (true, true) => floor.holding[kind].get(job.image),
+                (true, false) if !floor.images => None,
+                _ => Some(&floor.ranks[kind]),
             };
             if let Some(ranks) = ranks
                 && let Some(place) = self.step(ranks, spot, holds, job)
             {
-                // Those that hold the image had their turn before the others.
-                if !holds
-                    && floor.images
-                    && floor.view(place).is_some_and(|m| m.holds_image(job.image))
-                {
+                // Those that hold the image have their turn before the others.
+                if floor.images && floor.holds(place, job.image) != holds {
                     continue;
                 }
                 return Some(place);
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -114,9 +114,28 @@
     /// Machines to rent of each choice.
     wanted: Vec<u32>,
     there: BTreeMap<Rc<str>, u32>,
-    /// Jobs that no offer serves, by all that decides on it: what is rented
-    /// meanwhile opens no offer again.
-    hopeless: BTreeSet<(Rc<Shape>, u32, u32)>,
+}
+
+/// What is known of all jobs of a shape.
+struct Kind {
+    /// The floor had no room for them, until so many machines were rented.
+    closed: Option<usize>,
+    /// Tasks that the largest offer takes: more waiting ones make none cheaper.
+    most: u32,
+    /// Jobs that no offer serves, by what else decides on it: tasks that wait,
+    /// and late ones. What is rented meanwhile opens no offer again.
+    hopeless: BTreeSet<(u32, u32)>,
+}
+
+impl Kind {
+    fn of(need: &Room, choices: &[Choice]) -> Kind {
+        let times = choices.iter().map(|c| c.machine.free.times(need));
+        Kind {
+            closed: None,
+            most: times.max().unwrap_or(0),
+            hopeless: BTreeSet::new(),
+        }
+    }
 }
 
 impl Plan<'_> {
@@ -174,16 +193,16 @@
     }
 
     /// The same, remembering what finds nothing.
-    fn choose(&mut self, job: &JobView, shape: &Rc<Shape>, most: u32) -> Option<usize> {
+    fn choose(&self, job: &JobView, kind: &mut Kind) -> Option<usize> {
         // Rules about the job's other tasks are its own.
         let alike = !job.spec.spread && !job.spec.one_zone;
-        let key = (shape.clone(), job.waiting.min(most), job.late.min(most));
-        if alike && self.hopeless.contains(&key) {
+        let key = (job.waiting.min(kind.most), job.late.min(kind.most));
+        if alike && kind.hopeless.contains(&key) {
             return None;
         }
         let choice = self.best_choice(job);
         if choice.is_none() && alike {
-            self.hopeless.insert(key);
+            kind.hopeless.insert(key);
         }
         choice
     }
@@ -223,8 +242,8 @@
 /// the time that a rented one could be up; what fits there waits for it.
 /// `reserve` is kept from spot work in each zone, `ahead` of it is rented before
 /// anything needs it.
-pub fn plan(
-    jobs: &mut [(JobView, Rc<Shape>)],
+pub fn plan<'a>(
+    jobs: impl IntoIterator<Item = (JobView<'a>, &'a Rc<Shape>)>,
     floor: &mut Floor,
     teams: &mut [TeamView],
     market: &Market,
@@ -237,25 +256,29 @@
         wanted: vec![0; choices.len()],
         choices,
         there: market.there.clone(),
-        hopeless: BTreeSet::new(),
     };
     // Which was wanted first: the cloud takes a call or two a second.
     let mut first: Vec<usize> = Vec::new();
-    // Shapes for which the floor has no room left.
-    let mut closed: BTreeSet<Rc<Shape>> = BTreeSet::new();
-    for (job, shape) in jobs {
-        if job.waiting > 0 && !closed.contains(shape) && job.team_allows(teams) {
+    let mut kinds: BTreeMap<Rc<Shape>, Kind> = BTreeMap::new();
+    // Rented machines with room to spare.
+    let mut added = 0;
+    for (mut job, shape) in jobs {
+        let need = job.room();
+        let job = &mut job;
+        if !kinds.contains_key(shape) {
+            kinds.insert(shape.clone(), Kind::of(&need, &plan.choices));
+        }
+        let Some(kind) = kinds.get_mut(shape) else {
+            continue;
+        };
+        if kind.closed != Some(added) && job.team_allows(teams) {
             fill(job, floor, teams, reserve, u32::MAX, |_, _| {});
             if job.waiting > 0 && !floor.any(job, reserve) {
-                closed.insert(shape.clone());
+                kind.closed = Some(added);
             }
         }
-        let need = job.room();
-        // Beyond what any machine takes, more tasks make no offer cheaper.
-        let times = plan.choices.iter().map(|c| c.machine.free.times(&need));
-        let most = times.max().unwrap_or(0);
         while job.waiting > 0 && job.team_allows(teams) {
-            let Some(c) = plan.choose(job, shape, most) else {
+            let Some(c) = plan.choose(job, kind) else {
                 break;
             };
             let mut new = plan.choices[c].machine.clone();
@@ -275,7 +298,7 @@
             }
             // What is left of it is for those that come after.
             if new.free.cpus > 0.0 {
-                closed.clear();
+                added += 1;
                 floor.add(new);
             }
         }
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/view.rs
@@ -69,6 +69,7 @@
 
 #[derive(Debug, Clone)]
 pub struct JobView<'a> {
+    pub place: Place,
     pub id: &'a str,
     pub spec: &'a JobSpec,
     pub image: &'a Rc<str>,
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -71,6 +71,7 @@
 
     pub fn view(&self) -> JobView<'_> {
         JobView {
+            place: 0,
             id: &self.spec.id,
             spec: &self.spec,
             image: &self.image,
--- a/crates/sched/tests/plan.rs
+++ b/crates/sched/tests/plan.rs
@@ -66,9 +66,9 @@
     for m in coming {
         floor.add(m.clone());
     }
-    let shape = |j: &Job| Rc::new(Shape::of(&j.spec));
-    let mut jobs: Vec<_> = jobs.iter().map(|j| (j.view(), shape(j))).collect();
-    plan(&mut jobs, &mut floor, &mut teams, &market, ahead, ahead)
+    let shapes: Vec<_> = jobs.iter().map(|j| Rc::new(Shape::of(&j.spec))).collect();
+    let jobs = jobs.iter().map(Job::view).zip(&shapes);
+    plan(jobs, &mut floor, &mut teams, &market, ahead, ahead)
 }
 
 fn offers(wanted: &[(Offer, u32)]) -> Vec<(&str, &str, bool, u32)> {
