--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission/mod.rs
@@ -5,13 +5,18 @@
 //! absence of a mark is compared with the store after the request came in,
 //! because another node may just have told the user of its end.
 
-use crate::calls::{CallError, Ctx, Waiter};
+mod replies;
+
+use crate::budget::{Budget, Need};
+use crate::calls::{CallError, Ctx};
+use crate::known::{Cache, Known};
 use crate::store::{self, CancelledJob, JobMark, Mark, OpenJob};
+use crate::waiters::{Admitting as Step, Ask, Waiter};
 use crate::{Answer, Config, MILLISECOND, Micros, RequestId, SECOND};
 use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::state::{self, StateCall, StateReply, Txn};
 use dillcleat_wire::user::{JobSpec, JobState, JobStatus, Kind, is_job_id, parse_submission};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 /// How long a submission may be tried; its user gives up on it after 5 s.
@@ -24,168 +29,6 @@
 /// Requests that may wait for their comparison.
 const MAX_WAITING: usize = 2000;
 
-/// What to do once a job's record is known.
-#[derive(Debug, Clone)]
-pub enum Ask {
-    /// Tell its state.
-    Tell(RequestId),
-    /// A submission that cannot be taken, unless the job is known already.
-    Refuse {
-        request: RequestId,
-        answer: Answer,
-    },
-    Cancel {
-        request: RequestId,
-        since: Micros,
-    },
-}
-
-impl Ask {
-    fn need(&self) -> Need {
-        match self {
-            Ask::Tell(_) => Need::Poll,
-            Ask::Refuse { .. } | Ask::Cancel { .. } => Need::Change,
-        }
-    }
-
-    fn request(&self) -> RequestId {
-        match self {
-            Ask::Tell(request) | Ask::Refuse { request, .. } | Ask::Cancel { request, .. } => {
-                *request
-            }
-        }
-    }
-}
-
-#[derive(Debug, Clone)]
-pub enum Step {
-    /// Is it open?
-    Lookup {
-        id: String,
-    },
-    /// It is not open: has it ended?
-    Ended {
-        id: String,
-    },
-    Check {
-        jobs: Vec<(String, u64)>,
-    },
-    Create {
-        request: RequestId,
-        job: Rc<OpenJob>,
-        since: Micros,
-    },
-    Cancel {
-        id: String,
-        request: RequestId,
-        since: Micros,
-    },
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Known {
-    mark: JobMark,
-    /// Of an open job's mark; 0 if it has none.
-    version: u64,
-}
-
-/// Jobs whose record this node has seen. Bounded; the oldest are forgotten
-/// first and simply read again when somebody asks.
-#[derive(Debug)]
-struct Cache {
-    jobs: HashMap<String, Known>,
-    order: VecDeque<String>,
-    limit: usize,
-}
-
-impl Cache {
-    fn put(&mut self, id: &str, known: Known) {
-        if let Some(old) = self.jobs.get_mut(id) {
-            // An ended job stays ended, whatever a late answer says.
-            if old.mark.s == Mark::Open {
-                *old = known;
-            }
-            return;
-        }
-        self.jobs.insert(id.to_string(), known);
-        self.order.push_back(id.to_string());
-        while self.order.len() > self.limit {
-            if let Some(oldest) = self.order.pop_front() {
-                self.jobs.remove(&oldest);
-            }
-        }
-    }
-}
-
-/// This node's part of what the state service takes, for users' requests. The
-/// rest is the leader's: a flood of requests must not end its lease.
-#[derive(Debug)]
-struct Budget {
-    /// What the users' requests of all nodes together may take.
-    all_per_s: f64,
-    per_s: f64,
-    left: f64,
-    at: Micros,
-}
-
-/// Whom a call is for: what is turned away first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Need {
-    /// Submissions and cancellations.
-    Change,
-    /// Polls, which leave half of a second's worth to those. In a storm of
-    /// polls each call went to a poll the moment that it was to be had, and
-    /// three of four submissions were turned away (rosterwise-nz-ops).
-    Poll,
-}
-
-impl Budget {
-    /// Part of the whole that users' requests of all nodes together may take.
-    const PART: f64 = 0.7;
-
-    fn new(whole: f64, config: &Config) -> Self {
-        let all_per_s = whole * Self::PART;
-        let per_s = all_per_s / (config.siblings.len() + 1) as f64;
-        Budget {
-            all_per_s,
-            per_s,
-            left: per_s,
-            at: 0,
-        }
-    }
-
-    fn share(&mut self, share: f64, now: Micros) {
-        self.refill(now);
-        self.per_s = self.all_per_s * share;
-    }
-
-    fn refill(&mut self, now: Micros) {
-        let grown = crate::seconds(now.saturating_sub(self.at)) * self.per_s;
-        self.left = (self.left + grown).min(self.per_s.max(2.0));
-        self.at = now;
-    }
-
-    /// Takes `n`, be it from what comes next: for what has begun.
-    fn charge(&mut self, n: f64, now: Micros) {
-        self.refill(now);
-        self.left -= n;
-    }
-
-    /// Takes `n` if there is as much.
-    fn take(&mut self, n: f64, need: Need, now: Micros) -> bool {
-        self.refill(now);
-        let kept = match need {
-            Need::Change => 0.0,
-            Need::Poll => self.per_s / 2.0,
-        };
-        if self.left < n + kept.min(self.per_s - n) {
-            return false;
-        }
-        self.left -= n;
-        true
-    }
-}
-
 #[derive(Debug)]
 pub struct Admission {
     calls: Budget,
@@ -256,12 +99,7 @@
         Admission {
             calls: Budget::new(config.state_rps, config),
             writes: Budget::new(config.state_write_rps, config),
-            cache: Cache {
-                jobs: HashMap::new(),
-                order: VecDeque::new(),
-                // An entry takes some 200 bytes: at most an eighth of the memory.
-                limit: (config.memory_mb * 1e6 / 8.0 / 200.0) as usize,
-            },
+            cache: Cache::new(config),
             lookups: HashMap::new(),
             marks: HashMap::new(),
             waiting: Vec::new(),
@@ -326,7 +164,7 @@
                 .map_or_else(|| "ref is not in its form".into(), |e| e.to_string());
             return ctx.answer(request, Answer::refusal(400, cause));
         };
-        if self.cache.jobs.contains_key(&id) {
+        if self.cache.get(&id).is_some() {
             return self.ask(ctx, id, Ask::Tell(request));
         }
         // Whatever is wrong with the content, a known job is answered as known.
@@ -405,7 +243,7 @@
 
     /// Settles an ask by memory, a comparison or a look-up, whichever is enough.
     fn ask(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
-        match self.cache.jobs.get(&id).copied() {
+        match self.cache.get(&id) {
             Some(known) if known.mark.s != Mark::Open => self.settle(ctx, &id, Some(known), ask),
             // The transaction that cancels compares by itself.
             Some(known) if matches!(ask, Ask::Cancel { .. }) => {
@@ -426,7 +264,8 @@
         // A look-up under way may have read before this request came in, but
         // then nobody can have been told more than this answer by now: what it
         // finds is kept only if open, and an open record is compared first.
-        if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, ask.need(), ctx.now.steady) {
+        if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, Need::of(&ask), ctx.now.steady)
+        {
             return ctx.answer(ask.request(), Answer::later("too many requests"));
         }
         self.under_way += 1;
@@ -462,7 +301,7 @@
         let limit = ctx.config.txn_ops * 4;
         let mut later = Vec::new();
         for (id, ask) in std::mem::take(&mut self.waiting) {
-            let Some(known) = self.cache.jobs.get(&id).copied() else {
+            let Some(known) = self.cache.get(&id) else {
                 self.lookup(ctx, id, ask);
                 continue;
             };
@@ -524,227 +363,6 @@
         }
     }
 
-    pub fn reply(&mut self, ctx: &mut Ctx, step: Step, reply: Result<StateReply, CallError>) {
-        match step {
-            Step::Lookup { id } => {
-                self.under_way -= 1;
-                if let Some(ask) = next(&mut self.lookups, &id) {
-                    self.looked_up(ctx, id, ask, reply);
-                }
-            }
-            Step::Ended { id } => {
-                self.under_way -= 1;
-                if let Some(ask) = next(&mut self.marks, &id) {
-                    self.found_mark(ctx, &id, ask, reply);
-                }
-            }
-            Step::Check { jobs } => {
-                self.checks -= 1;
-                for (id, version) in jobs {
-                    let asks = self.checking.remove(&id).unwrap_or_default();
-                    match &reply {
-                        Ok(StateReply::Committed { .. }) => {
-                            let known = self.cache.jobs.get(&id).copied();
-                            for ask in asks {
-                                match known {
-                                    Some(known) => self.settle(ctx, &id, Some(known), ask),
-                                    None => self.lookup(ctx, id.clone(), ask),
-                                }
-                            }
-                        }
-                        Ok(StateReply::Conflict { failed, .. }) => {
-                            let changed = failed.contains(&store::job_key(&id));
-                            if changed
-                                && self
-                                    .cache
-                                    .jobs
-                                    .get(&id)
-                                    .is_some_and(|k| k.version == version)
-                            {
-                                self.cache.jobs.remove(&id);
-                                self.cache.order.retain(|o| *o != id);
-                            }
-                            for ask in asks {
-                                // The others were equal at that same moment.
-                                match self.cache.jobs.get(&id).copied() {
-                                    Some(known) if !changed => {
-                                        self.settle(ctx, &id, Some(known), ask);
-                                    }
-                                    _ if changed => self.look_for_mark(ctx, id.clone(), ask),
-                                    _ => self.lookup(ctx, id.clone(), ask),
-                                }
-                            }
-                        }
-                        _ => {
-                            for ask in asks {
-                                ctx.answer(
-                                    ask.request(),
-                                    Answer::later("the state is out of reach"),
-                                );
-                            }
-                        }
-                    }
-                }
-                self.check(ctx);
-            }
-            Step::Create {
-                request,
-                job,
-                since,
-            } => self.created(ctx, request, job, since, reply),
-            Step::Cancel { id, request, since } => self.cancelled(ctx, id, request, since, reply),
-        }
-    }
-
-    fn looked_up(
-        &mut self,
-        ctx: &mut Ctx,
-        id: String,
-        ask: Ask,
-        reply: Result<StateReply, CallError>,
-    ) {
-        match reply {
-            Ok(StateReply::Found(row)) => match row.read::<OpenJob>() {
-                Some(job) => {
-                    let known = Known {
-                        mark: JobMark {
-                            s: Mark::Open,
-                            n: job.spec.tasks,
-                        },
-                        version: job.mark_version(row.version),
-                    };
-                    self.cache.put(&id, known);
-                    // A cancelled job's description stays until its tasks are
-                    // gone: that there is one does not yet say that it is open.
-                    self.ask(ctx, id, ask);
-                }
-                None => {
-                    log::error!("{}: not a job's description", row.key);
-                    ctx.answer(
-                        ask.request(),
-                        Answer::later("the job's record is unreadable"),
-                    );
-                }
-            },
-            Ok(StateReply::Absent { .. }) => self.look_for_mark(ctx, id, ask),
-            _ => ctx.answer(ask.request(), Answer::later("the state is out of reach")),
-        }
-    }
-
-    fn found_mark(
-        &mut self,
-        ctx: &mut Ctx,
-        id: &str,
-        ask: Ask,
-        reply: Result<StateReply, CallError>,
-    ) {
-        match reply {
-            Ok(StateReply::Found(row)) => match row.read::<JobMark>() {
-                Some(mark) => {
-                    let known = Known {
-                        mark,
-                        version: row.version,
-                    };
-                    self.cache.put(id, known);
-                    self.settle(ctx, id, Some(known), ask);
-                }
-                None => {
-                    log::error!("{}: not a job's record", row.key);
-                    ctx.answer(
-                        ask.request(),
-                        Answer::later("the job's record is unreadable"),
-                    );
-                }
-            },
-            Ok(StateReply::Absent { .. }) => self.settle(ctx, id, None, ask),
-            _ => ctx.answer(ask.request(), Answer::later("the state is out of reach")),
-        }
-    }
-
-    fn created(
-        &mut self,
-        ctx: &mut Ctx,
-        request: RequestId,
-        job: Rc<OpenJob>,
-        since: Micros,
-        reply: Result<StateReply, CallError>,
-    ) {
-        let id = job.spec.id.clone();
-        match reply {
-            Ok(StateReply::Committed { .. }) => {
-                self.under_way -= 1;
-                let mark = JobMark {
-                    s: Mark::Open,
-                    n: job.spec.tasks,
-                };
-                self.cache.put(&id, Known { mark, version: 0 });
-                log::info!(
-                    "accepted {id}: {} tasks of {}, due in {:?} s",
-                    job.spec.tasks,
-                    job.spec.class,
-                    job.spec.deadline_s
-                );
-                let status = JobStatus {
-                    id,
-                    state: JobState::Queued,
-                    done: None,
-                    running: None,
-                };
-                ctx.answer(request, Answer::body(201, &status));
-            }
-            // It exists, perhaps by an earlier try of ours whose answer was lost.
-            Ok(StateReply::Conflict { .. }) => {
-                self.under_way -= 1;
-                self.ask(ctx, id, Ask::Tell(request));
-            }
-            // It may yet be carried out. The same transaction again settles
-            // it: it either commits or finds the record.
-            Err(_) if ctx.now.steady < since + CREATE_TIME => {
-                self.create(ctx, request, job, since);
-            }
-            Ok(StateReply::Malformed) => {
-                self.under_way -= 1;
-                log::error!("the state service calls the record of {id} malformed");
-                ctx.answer(request, Answer::refusal(400, "the job cannot be stored"));
-            }
-            _ => {
-                self.under_way -= 1;
-                ctx.answer(request, Answer::later("the state is out of reach"));
-            }
-        }
-    }
-
-    fn cancelled(
-        &mut self,
-        ctx: &mut Ctx,
-        id: String,
-        request: RequestId,
-        since: Micros,
-        reply: Result<StateReply, CallError>,
-    ) {
-        match reply {
-            Ok(StateReply::Committed { .. }) => {
-                let n = self.cache.jobs.get(&id).map_or(0, |k| k.mark.n);
-                let mark = JobMark {
-                    s: Mark::Cancelled,
-                    n,
-                };
-                self.cache.put(&id, Known { mark, version: 0 });
-                log::info!("cancelled {id}");
-                let status = self.status(&id, mark);
-                ctx.answer(request, Answer::body(200, &status));
-            }
-            // Its end came first, or an earlier try was carried out: read which.
-            Ok(StateReply::Conflict { .. }) => {
-                self.look_for_mark(ctx, id, Ask::Cancel { request, since });
-            }
-            Err(_) if ctx.now.steady < since + CREATE_TIME => {
-                self.lookup(ctx, id, Ask::Cancel { request, since });
-            }
-            _ => ctx.answer(request, Answer::later("the state is out of reach")),
-        }
-    }
-
     pub fn tick(&mut self, ctx: &mut Ctx) {
         self.check(ctx);
     }
--- /dev/null
+++ b/crates/core/src/admission/replies.rs
@@ -0,0 +1,219 @@
+//! What the state service's answers mean for users' requests.
+
+use super::*;
+
+impl Admission {
+    pub fn reply(&mut self, ctx: &mut Ctx, step: Step, reply: Result<StateReply, CallError>) {
+        match step {
+            Step::Lookup { id } => {
+                self.under_way -= 1;
+                if let Some(ask) = next(&mut self.lookups, &id) {
+                    self.looked_up(ctx, id, ask, reply);
+                }
+            }
+            Step::Ended { id } => {
+                self.under_way -= 1;
+                if let Some(ask) = next(&mut self.marks, &id) {
+                    self.found_mark(ctx, &id, ask, reply);
+                }
+            }
+            Step::Check { jobs } => {
+                self.checks -= 1;
+                for (id, version) in jobs {
+                    let asks = self.checking.remove(&id).unwrap_or_default();
+                    match &reply {
+                        Ok(StateReply::Committed { .. }) => {
+                            let known = self.cache.get(&id);
+                            for ask in asks {
+                                match known {
+                                    Some(known) => self.settle(ctx, &id, Some(known), ask),
+                                    None => self.lookup(ctx, id.clone(), ask),
+                                }
+                            }
+                        }
+                        Ok(StateReply::Conflict { failed, .. }) => {
+                            let changed = failed.contains(&store::job_key(&id));
+                            if changed {
+                                self.cache.drop_stale(&id, version);
+                            }
+                            for ask in asks {
+                                // The others were equal at that same moment.
+                                match self.cache.get(&id) {
+                                    Some(known) if !changed => {
+                                        self.settle(ctx, &id, Some(known), ask);
+                                    }
+                                    _ if changed => self.look_for_mark(ctx, id.clone(), ask),
+                                    _ => self.lookup(ctx, id.clone(), ask),
+                                }
+                            }
+                        }
+                        _ => {
+                            for ask in asks {
+                                ctx.answer(
+                                    ask.request(),
+                                    Answer::later("the state is out of reach"),
+                                );
+                            }
+                        }
+                    }
+                }
+                self.check(ctx);
+            }
+            Step::Create {
+                request,
+                job,
+                since,
+            } => self.created(ctx, request, job, since, reply),
+            Step::Cancel { id, request, since } => self.cancelled(ctx, id, request, since, reply),
+        }
+    }
+
+    fn looked_up(
+        &mut self,
+        ctx: &mut Ctx,
+        id: String,
+        ask: Ask,
+        reply: Result<StateReply, CallError>,
+    ) {
+        match reply {
+            Ok(StateReply::Found(row)) => match row.read::<OpenJob>() {
+                Some(job) => {
+                    let known = Known {
+                        mark: JobMark {
+                            s: Mark::Open,
+                            n: job.spec.tasks,
+                        },
+                        version: job.mark_version(row.version),
+                    };
+                    self.cache.put(&id, known);
+                    // A cancelled job's description stays until its tasks are
+                    // gone: that there is one does not yet say that it is open.
+                    self.ask(ctx, id, ask);
+                }
+                None => {
+                    log::error!("{}: not a job's description", row.key);
+                    ctx.answer(
+                        ask.request(),
+                        Answer::later("the job's record is unreadable"),
+                    );
+                }
+            },
+            Ok(StateReply::Absent { .. }) => self.look_for_mark(ctx, id, ask),
+            _ => ctx.answer(ask.request(), Answer::later("the state is out of reach")),
+        }
+    }
+
+    fn found_mark(
+        &mut self,
+        ctx: &mut Ctx,
+        id: &str,
+        ask: Ask,
+        reply: Result<StateReply, CallError>,
+    ) {
+        match reply {
+            Ok(StateReply::Found(row)) => match row.read::<JobMark>() {
+                Some(mark) => {
+                    let known = Known {
+                        mark,
+                        version: row.version,
+                    };
+                    self.cache.put(id, known);
+                    self.settle(ctx, id, Some(known), ask);
+                }
+                None => {
+                    log::error!("{}: not a job's record", row.key);
+                    ctx.answer(
+                        ask.request(),
+                        Answer::later("the job's record is unreadable"),
+                    );
+                }
+            },
+            Ok(StateReply::Absent { .. }) => self.settle(ctx, id, None, ask),
+            _ => ctx.answer(ask.request(), Answer::later("the state is out of reach")),
+        }
+    }
+
+    fn created(
+        &mut self,
+        ctx: &mut Ctx,
+        request: RequestId,
+        job: Rc<OpenJob>,
+        since: Micros,
+        reply: Result<StateReply, CallError>,
+    ) {
+        let id = job.spec.id.clone();
+        match reply {
+            Ok(StateReply::Committed { .. }) => {
+                self.under_way -= 1;
+                let mark = JobMark {
+                    s: Mark::Open,
+                    n: job.spec.tasks,
+                };
+                self.cache.put(&id, Known { mark, version: 0 });
+                log::info!(
+                    "accepted {id}: {} tasks of {}, due in {:?} s",
+                    job.spec.tasks,
+                    job.spec.class,
+                    job.spec.deadline_s
+                );
+                let status = JobStatus {
+                    id,
+                    state: JobState::Queued,
+                    done: None,
+                    running: None,
+                };
+                ctx.answer(request, Answer::body(201, &status));
+            }
+            // It exists, perhaps by an earlier try of ours whose answer was lost.
+            Ok(StateReply::Conflict { .. }) => {
+                self.under_way -= 1;
+                self.ask(ctx, id, Ask::Tell(request));
+            }
+            // It may yet be carried out. The same transaction again settles
+            // it: it either commits or finds the record.
+            Err(_) if ctx.now.steady < since + CREATE_TIME => {
+                self.create(ctx, request, job, since);
+            }
+            Ok(StateReply::Malformed) => {
+                self.under_way -= 1;
+                log::error!("the state service calls the record of {id} malformed");
+                ctx.answer(request, Answer::refusal(400, "the job cannot be stored"));
+            }
+            _ => {
+                self.under_way -= 1;
+                ctx.answer(request, Answer::later("the state is out of reach"));
+            }
+        }
+    }
+
+    fn cancelled(
+        &mut self,
+        ctx: &mut Ctx,
+        id: String,
+        request: RequestId,
+        since: Micros,
+        reply: Result<StateReply, CallError>,
+    ) {
+        match reply {
+            Ok(StateReply::Committed { .. }) => {
+                let n = self.cache.get(&id).map_or(0, |k| k.mark.n);
+                let mark = JobMark {
+                    s: Mark::Cancelled,
+                    n,
+                };
+                self.cache.put(&id, Known { mark, version: 0 });
+                log::info!("cancelled {id}");
+                let status = self.status(&id, mark);
+                ctx.answer(request, Answer::body(200, &status));
+            }
+            // Its end came first, or an earlier try was carried out: read which.
+            Ok(StateReply::Conflict { .. }) => {
+                self.look_for_mark(ctx, id, Ask::Cancel { request, since });
+            }
+            Err(_) if ctx.now.steady < since + CREATE_TIME => {
+                self.lookup(ctx, id, Ask::Cancel { request, since });
+            }
+            _ => ctx.answer(request, Answer::later("the state is out of reach")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,82 @@
+//! What users' requests may take of the state service.
+
+use crate::waiters::Ask;
+use crate::{Config, Micros};
+
+/// This node's part of what the state service takes, for users' requests. The
+/// rest is the leader's: a flood of requests must not end its lease.
+#[derive(Debug)]
+pub(crate) struct Budget {
+    /// What the users' requests of all nodes together may take.
+    all_per_s: f64,
+    per_s: f64,
+    left: f64,
+    at: Micros,
+}
+
+/// Whom a call is for: what is turned away first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Need {
+    /// Submissions and cancellations.
+    Change,
+    /// Polls, which leave half of a second's worth to those. In a storm of
+    /// polls each call went to a poll the moment that it was to be had, and
+    /// three of four submissions were turned away (rosterwise-nz-ops).
+    Poll,
+}
+
+impl Need {
+    pub fn of(ask: &Ask) -> Need {
+        match ask {
+            Ask::Tell(_) => Need::Poll,
+            Ask::Refuse { .. } | Ask::Cancel { .. } => Need::Change,
+        }
+    }
+}
+
+impl Budget {
+    /// Part of the whole that users' requests of all nodes together may take.
+    const PART: f64 = 0.7;
+
+    pub fn new(whole: f64, config: &Config) -> Self {
+        let all_per_s = whole * Self::PART;
+        let per_s = all_per_s / (config.siblings.len() + 1) as f64;
+        Budget {
+            all_per_s,
+            per_s,
+            left: per_s,
+            at: 0,
+        }
+    }
+
+    pub fn share(&mut self, share: f64, now: Micros) {
+        self.refill(now);
+        self.per_s = self.all_per_s * share;
+    }
+
+    fn refill(&mut self, now: Micros) {
+        let grown = crate::seconds(now.saturating_sub(self.at)) * self.per_s;
+        self.left = (self.left + grown).min(self.per_s.max(2.0));
+        self.at = now;
+    }
+
+    /// Takes `n`, be it from what comes next: for what has begun.
+    pub fn charge(&mut self, n: f64, now: Micros) {
+        self.refill(now);
+        self.left -= n;
+    }
+
+    /// Takes `n` if there is as much.
+    pub fn take(&mut self, n: f64, need: Need, now: Micros) -> bool {
+        self.refill(now);
+        let kept = match need {
+            Need::Change => 0.0,
+            Need::Poll => self.per_s / 2.0,
+        };
+        if self.left < n + kept.min(self.per_s - n) {
+            return false;
+        }
+        self.left -= n;
+        true
+    }
+}
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -1,5 +1,6 @@
 //! Requests of this node that wait for their answers, and who waits.
 
+use crate::waiters::Waiter;
 use crate::{MILLISECOND, Micros, Now, Output, SECOND};
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::state::StateCall;
@@ -25,18 +26,6 @@
 pub const CLOUD_TIMEOUT: Micros = 6 * SECOND;
 pub const ORDERS_TIMEOUT: Micros = 1500 * MILLISECOND;
 
-/// Who waits for an answer, with what is needed to go on.
-#[derive(Debug, Clone)]
-pub enum Waiter {
-    Admission(crate::admission::Step),
-    Leadership(crate::leadership::Step),
-    Leader {
-        term: u64,
-        step: crate::leader::Step,
-    },
-    Nobody,
-}
-
 /// What a module may do while it handles an input.
 pub struct Ctx<'a> {
     pub now: Now,
--- /dev/null
+++ b/crates/core/src/known.rs
@@ -0,0 +1,63 @@
+//! What a node has seen of jobs' records.
+
+use crate::Config;
+use crate::store::{JobMark, Mark};
+use std::collections::{HashMap, VecDeque};
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Known {
+    pub mark: JobMark,
+    /// Of an open job's mark; 0 if it has none.
+    pub version: u64,
+}
+
+/// Jobs whose record this node has seen. Bounded; the oldest are forgotten
+/// first and simply read again when somebody asks.
+#[derive(Debug)]
+pub(crate) struct Cache {
+    jobs: HashMap<String, Known>,
+    /// In the order in which they are forgotten. A job that was dropped and put
+    /// back stands here twice and is forgotten with the first.
+    order: VecDeque<String>,
+    limit: usize,
+}
+
+impl Cache {
+    /// An entry takes some 200 bytes: at most an eighth of the memory.
+    pub fn new(config: &Config) -> Cache {
+        Cache {
+            jobs: HashMap::new(),
+            order: VecDeque::new(),
+            limit: (config.memory_mb * 1e6 / 8.0 / 200.0) as usize,
+        }
+    }
+
+    pub fn get(&self, id: &str) -> Option<Known> {
+        self.jobs.get(id).copied()
+    }
+
+    /// Forgets what has proved to be out of date. To look for its place among
+    /// all others cost as much as there are jobs, at every job's end.
+    pub fn drop_stale(&mut self, id: &str, version: u64) {
+        if self.jobs.get(id).is_some_and(|k| k.version == version) {
+            self.jobs.remove(id);
+        }
+    }
+
+    pub fn put(&mut self, id: &str, known: Known) {
+        if let Some(old) = self.jobs.get_mut(id) {
+            // An ended job stays ended, whatever a late answer says.
+            if old.mark.s == Mark::Open {
+                *old = known;
+            }
+            return;
+        }
+        self.jobs.insert(id.to_string(), known);
+        self.order.push_back(id.to_string());
+        while self.order.len() > self.limit {
+            if let Some(oldest) = self.order.pop_front() {
+                self.jobs.remove(&oldest);
+            }
+        }
+    }
+}
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -18,7 +18,7 @@
 use self::index::Index;
 use self::pushes::Pushes;
 use crate::blame::Record;
-use crate::calls::{CallError, Ctx, Waiter};
+use crate::calls::{CallError, Ctx};
 use crate::desk::{Desk, Errand, Rental};
 use crate::ledger::{Batch, Item, Ledger};
 use crate::sched::plan::{Market, Refusals, plan};
@@ -26,6 +26,7 @@
 use crate::sched::{self, Floor, JobView, Line, MachineView, Place, Room, Shape, TeamView};
 use crate::shelf::Shelf;
 use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob};
+use crate::waiters::{Leading as Step, Waiter};
 use crate::workers::{Machine, SlotEvent, Source, TaskKey};
 use crate::{Answer, CallId, Config, Counts, MILLISECOND, Micros, SECOND, micros, seconds};
 use dillcleat_mesh::Progress;
@@ -51,19 +52,6 @@
 /// Bound of a transaction's size; the rest of the limit is for its frame.
 const BATCH_BYTES: usize = state::TXN_BYTES * 3 / 4;
 
-#[derive(Debug, Clone)]
-pub enum Step {
-    LoadMachines,
-    LoadQueue,
-    LoadTasks,
-    Watch,
-    Ledger,
-    Reread { key: String },
-    Ended { id: Rc<str> },
-    Push { machine: String },
-    Cloud(Errand),
-}
-
 /// What the node has to do for the leader.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -5,8 +5,9 @@
 //! so whatever an earlier leader still has under way fails. The lease only
 //! decides when somebody else tries: safety rests on the term alone.
 
-use crate::calls::{CallError, Ctx, Waiter};
+use crate::calls::{CallError, Ctx};
 use crate::store::{self, Lead, Term, Types};
+use crate::waiters::{Electing as Step, Waiter};
 use crate::{MILLISECOND, Micros, SECOND, micros};
 use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::state::{Event, StateCall, StateReply, Txn};
@@ -19,17 +20,6 @@
 /// (operations, rosterwise-nz-ops).
 const WATCH_MS: u64 = 1_000;
 
-#[derive(Debug, Clone)]
-pub enum Step {
-    Read,
-    EndOwn,
-    NewLease,
-    Take { lease: u64, term: u64 },
-    Extend { sent: Micros },
-    Watch,
-    Drop,
-}
-
 /// A change in who leads, for the node to act upon.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Change {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,16 +6,18 @@
 
 pub mod admission;
 pub mod blame;
+mod budget;
 pub mod calls;
 pub mod config;
 pub mod desk;
-
+mod known;
 pub mod leader;
 pub mod leadership;
 pub mod ledger;
 pub mod node;
 pub mod shelf;
 pub mod store;
+pub mod waiters;
 pub mod workers;
 
 pub use dillcleat_sched as sched;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -2,9 +2,10 @@
 //! service say goes in, what follows from it comes out.
 
 use crate::admission::Admission;
-use crate::calls::{Calls, Ctx, Waiter};
-use crate::leader::{Leader, Note, Step as LeaderStep};
+use crate::calls::{Calls, Ctx};
+use crate::leader::{Leader, Note};
 use crate::leadership::{Change, Leadership};
+use crate::waiters::{Leading, Waiter};
 use crate::{
     Answer, Config, Counts, Input, MILLISECOND, Micros, Now, Output, RequestId, SECOND, micros,
 };
@@ -128,7 +129,7 @@
             Input::Cloud { id, reply } => {
                 if let Some((Waiter::Leader { term, step }, _)) = ctx.calls.close(id)
                     && let Some(leader) = self.leader.as_mut().filter(|l| l.term == term)
-                    && let LeaderStep::Cloud(errand) = step
+                    && let Leading::Cloud(errand) = step
                 {
                     leader.cloud_reply(&mut ctx, errand, reply);
                     leader.go_on(&mut ctx);
@@ -137,7 +138,7 @@
             Input::Orders { id, reply } => {
                 if let Some((Waiter::Leader { term, step }, _)) = ctx.calls.close(id)
                     && let Some(leader) = self.leader.as_mut().filter(|l| l.term == term)
-                    && let LeaderStep::Push { machine } = step
+                    && let Leading::Push { machine } = step
                 {
                     leader.orders_reply(&mut ctx, id, &machine, reply);
                     leader.go_on(&mut ctx);
--- /dev/null
+++ b/crates/core/src/waiters.rs
@@ -0,0 +1,93 @@
+//! Who waits for an answer from outside, with what is needed to go on.
+
+use crate::desk::Errand;
+use crate::store::OpenJob;
+use crate::{Answer, Micros, RequestId};
+use std::rc::Rc;
+
+/// What to do once a job's record is known.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    /// Tell its state.
+    Tell(RequestId),
+    /// A submission that cannot be taken, unless the job is known already.
+    Refuse {
+        request: RequestId,
+        answer: Answer,
+    },
+    Cancel {
+        request: RequestId,
+        since: Micros,
+    },
+}
+
+impl Ask {
+    pub fn request(&self) -> RequestId {
+        match self {
+            Ask::Tell(request) | Ask::Refuse { request, .. } | Ask::Cancel { request, .. } => {
+                *request
+            }
+        }
+    }
+}
+
+/// Of requests of users.
+#[derive(Debug, Clone)]
+pub enum Admitting {
+    /// Is it open?
+    Lookup {
+        id: String,
+    },
+    /// It is not open: has it ended?
+    Ended {
+        id: String,
+    },
+    Check {
+        jobs: Vec<(String, u64)>,
+    },
+    Create {
+        request: RequestId,
+        job: Rc<OpenJob>,
+        since: Micros,
+    },
+    Cancel {
+        id: String,
+        request: RequestId,
+        since: Micros,
+    },
+}
+
+/// Of the election and the lease.
+#[derive(Debug, Clone)]
+pub enum Electing {
+    Read,
+    EndOwn,
+    NewLease,
+    Take { lease: u64, term: u64 },
+    Extend { sent: Micros },
+    Watch,
+    Drop,
+}
+
+/// Of a leader.
+#[derive(Debug, Clone)]
+pub enum Leading {
+    LoadMachines,
+    LoadQueue,
+    LoadTasks,
+    Watch,
+    Ledger,
+    Reread { key: String },
+    Ended { id: Rc<str> },
+    Push { machine: String },
+    Cloud(Errand),
+}
+
+/// Who waits for an answer, with what is needed to go on.
+#[derive(Debug, Clone)]
+pub enum Waiter {
+    Admission(Admitting),
+    Leadership(Electing),
+    Leader { term: u64, step: Leading },
+    Nobody,
+}
--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::error::CliError;
 use crate::{http, serve};
 use clap::{Parser, Subcommand};
 use dillcleat_core::{Config, Tuning};
@@ -127,30 +128,6 @@
     }
 }
 
-#[derive(Debug, thiserror::Error)]
-pub enum CliError {
-    #[error("{0}: {1}")]
-    Settings(String, String),
-    #[error("cannot listen on {0}: {1}")]
-    Listen(String, std::io::Error),
-    #[error("{0}")]
-    Usage(String),
-    #[error("{0}")]
-    Refused(String),
-    #[error("no answer from {0} in {secs} s", secs = PATIENCE.as_secs())]
-    NoAnswer(String),
-}
-
-impl CliError {
-    /// 2: what was given is wrong; 1: it was right and did not work.
-    pub fn code(&self) -> u8 {
-        match self {
-            CliError::Settings(..) | CliError::Usage(_) => 2,
-            CliError::Listen(..) | CliError::Refused(_) | CliError::NoAnswer(_) => 1,
-        }
-    }
-}
-
 fn read(path: &Path) -> Result<String, CliError> {
     std::fs::read_to_string(path)
         .map_err(|e| CliError::Settings(path.display().to_string(), e.to_string()))
@@ -288,7 +265,7 @@
                 }
             }
         }
-        Err(CliError::NoAnswer(server.to_string()))
+        Err(CliError::NoAnswer(server.to_string(), PATIENCE.as_secs()))
     })
 }
 
--- a/crates/dillcleat/src/main.rs
+++ b/crates/dillcleat/src/main.rs
@@ -1,6 +1,7 @@
 //! dillcleat: a cluster scheduler.
 
 mod cli;
+mod error;
 mod http;
 mod mesh;
 mod serve;
--- a/crates/dillcleat/src/serve.rs
+++ b/crates/dillcleat/src/serve.rs
@@ -1,6 +1,6 @@
 //! The controller process: sockets around a [`Node`], on one thread.
 
-use crate::cli::CliError;
+use crate::error::CliError;
 use crate::http::{Bad, Connection, Pool, Watchdog};
 use crate::mesh;
 use dillcleat_core::{
--- /dev/null
+++ b/crates/rehearsal/src/world/mod.rs
@@ -0,0 +1,630 @@
+//! The world of a rehearsal: simulated time, a network that delays, loses and
+//! holds messages back, and troubles at set times.
+
+mod network;
+mod services;
+mod users;
+mod workers;
+
+use crate::cloud::Cloud;
+use crate::rules::{Breach, Checker, Place};
+use crate::scenario::{Fault, Scenario};
+use crate::state::StateService;
+use crate::worker::{Happening, PATIENCE, Play, Worker};
+use dillcleat_core::config::DeadlineAim;
+use dillcleat_core::{
+    Answer, CallError, CallId, Config, Input, MILLISECOND, Micros, Node, Now, Output, RequestId,
+    SECOND, Tuning,
+};
+use dillcleat_mesh::Message;
+use dillcleat_wire::cloud::{CloudCall, MachineType};
+use dillcleat_wire::platform::Team;
+use dillcleat_wire::state::{StateCall, StateReply};
+use dillcleat_wire::user::{JOBS_PATH, JobSpec, JobState, JobStatus, Kind, Priority};
+use dillcleat_wire::user::{cancel_path, poll_path};
+use dillcleat_wire::worker::{Elsewhere, Orders, REPORT_PATH, Report, ReportAnswer};
+use fastrand::Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::{Duration, Instant};
+
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+const USER_TIMEOUT: Micros = 5 * SECOND;
+const WALL: Micros = 1_700_000_000 * SECOND;
+
+/// What a run has come to.
+#[derive(Debug)]
+pub struct Outcome {
+    pub breaches: Vec<Breach>,
+    pub starts: u64,
+    pub accepted: usize,
+    /// Accepted jobs that neither completed nor were cancelled or services.
+    pub unfinished: Vec<String>,
+    /// Requests that broke a limit of the state service.
+    pub malformed: Vec<String>,
+    /// Keys of tasks, and of open and cancelled jobs, left behind.
+    pub left: Vec<String>,
+    /// A digest of everything told to users: equal seeds give equal digests.
+    pub digest: u64,
+    /// Tasks that ran on a machine when it went.
+    pub lost: usize,
+    /// The most machines that were up at once.
+    pub machines: usize,
+    /// Leaders that were elected.
+    pub terms: u64,
+    /// How many inputs of each kind the nodes took, and how long that took.
+    pub costs: Costs,
+}
+
+/// Number of inputs and time by kind of input.
+pub type Costs = BTreeMap<&'static str, (u64, Duration)>;
+
+fn kind(input: &Input, leads: bool) -> &'static str {
+    match input {
+        _ if !leads => "a follower's input",
+        Input::Tick => "tick",
+        Input::Request { target, .. } if target == REPORT_PATH => "report",
+        Input::Request { .. } => "user's request",
+        Input::State { .. } => "answer of the state service",
+        Input::Cloud { .. } => "answer of the cloud",
+        Input::Orders { .. } => "answer to orders",
+        Input::Mesh { .. } => "sibling's message",
+    }
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum Ev {
+    Tick {
+        node: usize,
+        epoch: u32,
+    },
+    ToNode {
+        node: usize,
+        epoch: u32,
+        input: Box<Input>,
+    },
+    State {
+        node: usize,
+        epoch: u32,
+        id: CallId,
+        call: Box<StateCall>,
+        reply: bool,
+    },
+    Cloud {
+        node: usize,
+        epoch: u32,
+        id: CallId,
+        call: Box<CloudCall>,
+        reply: bool,
+    },
+    Orders {
+        node: usize,
+        epoch: u32,
+        id: CallId,
+        addr: String,
+        orders: Box<Orders>,
+        reply: bool,
+    },
+    WatchEnds {
+        watch: u64,
+    },
+    Workers,
+    Checkin {
+        machine: String,
+        node: usize,
+        report: Box<Report>,
+    },
+    CheckinAnswer {
+        machine: String,
+        session: u64,
+        seq: u64,
+        sent: Micros,
+        answer: Box<Answer>,
+        node: usize,
+    },
+    User {
+        job: usize,
+    },
+    UserTimeout {
+        request: u64,
+    },
+    Stranger,
+    Up {
+        machine: String,
+    },
+    Taken {
+        machine: String,
+    },
+    Restart {
+        node: usize,
+    },
+    Fault(Box<Fault>),
+    Note,
+}
+
+#[derive(Debug)]
+struct Watch {
+    node: usize,
+    epoch: u32,
+    id: CallId,
+    prefix: String,
+    after: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Asker {
+    Worker {
+        machine: String,
+        session: u64,
+        seq: u64,
+        sent: Micros,
+    },
+    Submission {
+        job: usize,
+    },
+    Poll {
+        job: usize,
+    },
+    Cancel {
+        job: usize,
+    },
+    Stranger {
+        id: String,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Submitting,
+    Polling,
+    Over,
+}
+
+#[derive(Debug)]
+struct User {
+    spec: JobSpec,
+    stage: Stage,
+    since: Option<Micros>,
+    cancel_at: Option<Micros>,
+    accepted: bool,
+    ended: Option<JobState>,
+    again: u32,
+}
+
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub node: Option<Node>,
+    pub epoch: u32,
+    pub refused_until: Micros,
+    pub state_cut: Micros,
+    pub workers_cut: Micros,
+    pub paused_until: Micros,
+    pub mesh_cut: Micros,
+}
+
+/// A spell in which machines come up late, never or at once.
+#[derive(Debug, Default)]
+pub(crate) struct Boots {
+    pub until: Micros,
+    pub factor: u64,
+    pub never: u64,
+}
+
+pub struct World {
+    pub(crate) now: Micros,
+    order: u64,
+    events: BinaryHeap<Reverse<(Micros, u64)>>,
+    what: BTreeMap<u64, Ev>,
+    pub(crate) rng: Rng,
+    config: Config,
+    pub(crate) nodes: Vec<Host>,
+    pub(crate) state: StateService,
+    pub(crate) cloud: Cloud,
+    pub(crate) workers: BTreeMap<String, Worker>,
+    watches: BTreeMap<u64, Watch>,
+    next: u64,
+    asked: BTreeMap<u64, Asker>,
+    users: Vec<User>,
+    plays: BTreeMap<String, Play>,
+    pub(crate) zone_cut: [Micros; 3],
+    pub(crate) flaky_until: Micros,
+    pub(crate) storm_until: Micros,
+    pub(crate) too_many_until: Micros,
+    pub(crate) boots: Boots,
+    checker: Checker,
+    scenario: Scenario,
+    digest: u64,
+    most_machines: usize,
+    lost: usize,
+    costs: Costs,
+}
+
+fn types() -> Vec<MachineType> {
+    let t = |name: &str, cpus: f64, price: f64, boot_s: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 4.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: Some(price / 3.0),
+        boot_s,
+        zones: ZONES.iter().map(|z| z.to_string()).collect(),
+    };
+    vec![t("small", 4.0, 0.3, 5.0), t("large", 16.0, 1.0, 12.0)]
+}
+
+/// Settings of a rehearsal: like a deployment's, with small limits so that
+/// every run meets them.
+pub fn config(member: usize, nodes: usize, scale: u32) -> Config {
+    let name = |i: usize| format!("node-{i}");
+    let team = |name: &str, max: f64| Team {
+        name: name.into(),
+        cpus: 0.0,
+        cpus_max: max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Config {
+        member: name(member),
+        siblings: (0..nodes).filter(|i| *i != member).map(name).collect(),
+        teams: vec![team("bound", 12.0 * f64::from(scale)), team("free", 0.0)],
+        report: 2 * SECOND,
+        lease: 14 * SECOND,
+        cancel: 44 * SECOND,
+        clock_error: SECOND / 4,
+        state_rps: 200.0,
+        state_write_rps: 80.0,
+        value_bytes: 2048,
+        txn_ops: 12,
+        cloud_rps: 2.0,
+        list_lag: 4 * SECOND,
+        memory_mb: 72.0,
+        // Few, so that every run meets the bound.
+        max_orders: 4,
+        waits: vec![("web".into(), SECOND)],
+        deadlines: vec![DeadlineAim {
+            class: "merge".into(),
+            share: 0.98,
+            times: 1.5,
+        }],
+        tuning: Tuning::default(),
+    }
+}
+
+impl World {
+    pub fn new(scenario: Scenario) -> World {
+        let config = config(0, scenario.nodes, scenario.scale);
+        let limits = config
+            .teams
+            .iter()
+            .filter(|t| t.cpus_max > 0.0)
+            .map(|t| (t.name.clone(), t.cpus_max))
+            .collect();
+        let mut w = World {
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            rng: Rng::with_seed(scenario.seed),
+            nodes: (0..scenario.nodes)
+                .map(|_| Host {
+                    node: None,
+                    epoch: 0,
+                    refused_until: 0,
+                    state_cut: 0,
+                    workers_cut: 0,
+                    paused_until: 0,
+                    mesh_cut: 0,
+                })
+                .collect(),
+            state: StateService::new(config.value_bytes, config.txn_ops),
+            cloud: Cloud::new(types(), 4 * scenario.scale, config.list_lag),
+            workers: BTreeMap::new(),
+            watches: BTreeMap::new(),
+            next: 0,
+            asked: BTreeMap::new(),
+            users: Vec::new(),
+            plays: BTreeMap::new(),
+            zone_cut: [0; 3],
+            flaky_until: 0,
+            storm_until: 0,
+            too_many_until: 0,
+            boots: Boots::default(),
+            checker: Checker::new(config.cancel, limits),
+            config,
+            digest: 0,
+            most_machines: 0,
+            lost: 0,
+            costs: Costs::new(),
+            scenario,
+        };
+        for node in 0..w.scenario.nodes {
+            w.at(0, Ev::Restart { node });
+        }
+        for (at, fault) in w.scenario.faults.clone() {
+            w.at(at, Ev::Fault(Box::new(fault)));
+        }
+        for job in 0..w.scenario.jobs {
+            w.add_user(job);
+        }
+        w.at(SECOND, Ev::Workers);
+        w.at(SECOND, Ev::Note);
+        w.at(10 * SECOND, Ev::Stranger);
+        w
+    }
+
+    pub(crate) fn at(&mut self, at: Micros, ev: Ev) {
+        self.order += 1;
+        self.events.push(Reverse((at.max(self.now), self.order)));
+        self.what.insert(self.order, ev);
+    }
+
+    /// Runs to the end.
+    pub fn run(mut self) -> Outcome {
+        while let Some(Reverse((at, order))) = self.events.pop() {
+            if at > self.scenario.end {
+                break;
+            }
+            self.now = at;
+            if let Some(ev) = self.what.remove(&order) {
+                self.happen(ev);
+            }
+            self.checker.step(self.now);
+            if !self.checker.breaches.is_empty() {
+                break;
+            }
+        }
+        let end = self.now;
+        self.checker.finish(end);
+        let unfinished = self
+            .users
+            .iter()
+            .filter(|u| {
+                u.accepted
+                    && u.spec.kind == Kind::Batch
+                    && u.cancel_at.is_none()
+                    && u.ended != Some(JobState::Done)
+            })
+            .map(|u| format!("{} ({:?})", u.spec.id, u.ended))
+            .collect();
+        let terms = self.state.term();
+        Outcome {
+            starts: self.checker.starts_seen(),
+            accepted: self.users.iter().filter(|u| u.accepted).count(),
+            unfinished,
+            left: [self.state.keys("t/"), self.state.keys("q/")].concat(),
+            malformed: self.state.malformed,
+            breaches: self.checker.breaches,
+            digest: self.digest,
+            lost: self.lost,
+            machines: self.most_machines,
+            terms,
+            costs: self.costs,
+        }
+    }
+
+    fn wake(&mut self, node: usize, input: Input) {
+        let now = Now {
+            // Steady clocks may run 0.05% fast.
+            steady: SECOND * 1000 + self.now + self.now / 2000 * node as u64 / 2,
+            wall: WALL + self.now + (node as u64) * SECOND / 10,
+        };
+        let Some(n) = self.nodes[node].node.as_mut() else {
+            return;
+        };
+        let kind = kind(&input, n.leading().is_some());
+        let begun = Instant::now();
+        let outputs = n.handle(now, input);
+        let cost = self.costs.entry(kind).or_default();
+        cost.0 += 1;
+        cost.1 += begun.elapsed();
+        let epoch = self.nodes[node].epoch;
+        for output in outputs {
+            self.carry(node, epoch, output);
+        }
+    }
+
+    fn input(&mut self, at: Micros, node: usize, epoch: u32, input: Input) {
+        let input = Box::new(input);
+        self.at(at, Ev::ToNode { node, epoch, input });
+    }
+
+    fn happen(&mut self, ev: Ev) {
+        match ev {
+            Ev::Tick { node, epoch } => {
+                let paused = self.nodes[node].paused_until;
+                if self.now < paused {
+                    self.at(paused, Ev::Tick { node, epoch });
+                } else if self.nodes[node].epoch == epoch && self.nodes[node].node.is_some() {
+                    self.wake(node, Input::Tick);
+                    self.at(self.now + 50 * MILLISECOND, Ev::Tick { node, epoch });
+                }
+            }
+            Ev::ToNode { node, epoch, input } => {
+                let paused = self.nodes[node].paused_until;
+                if self.now < paused {
+                    self.at(paused, Ev::ToNode { node, epoch, input });
+                } else if self.nodes[node].epoch == epoch {
+                    self.wake(node, *input);
+                }
+            }
+            Ev::State {
+                node,
+                epoch,
+                id,
+                call,
+                reply,
+            } => self.state_call(node, epoch, id, &call, reply),
+            Ev::WatchEnds { watch } => {
+                if let Some(w) = self.watches.get(&watch) {
+                    let changes = self.state.changes(&w.prefix, w.after);
+                    if !self.state.out(self.now) {
+                        self.watch_answer(watch, changes);
+                    }
+                }
+            }
+            Ev::Cloud {
+                node,
+                epoch,
+                id,
+                call,
+                reply,
+            } => {
+                let mut rng = self.rng.fork();
+                let mut never = rng.u8(..20) == 0;
+                let mut boot = rng.u64(SECOND..20 * SECOND);
+                if self.now < self.boots.until {
+                    never = rng.u64(..self.boots.never) == 0;
+                    boot = boot * self.boots.factor + MILLISECOND;
+                }
+                let (answer, new, gone) = self
+                    .cloud
+                    .call(&call, self.now, |_| (!never).then_some(boot));
+                for machine in new.into_iter().filter(|_| !never) {
+                    self.at(self.now + boot, Ev::Up { machine });
+                }
+                for machine in gone {
+                    self.machine_ends(&machine);
+                }
+                if reply {
+                    let at = self.now + self.delay();
+                    self.input(
+                        at,
+                        node,
+                        epoch,
+                        Input::Cloud {
+                            id,
+                            reply: Ok(answer),
+                        },
+                    );
+                }
+            }
+            Ev::Orders {
+                node,
+                epoch,
+                id,
+                addr,
+                orders,
+                reply,
+            } => {
+                let machine = addr.trim_end_matches(":9000").to_string();
+                let Some(worker) = self.workers.get_mut(&machine) else {
+                    return;
+                };
+                if self.now < worker.hung_until {
+                    // Carried out when it goes on, though the sender is gone.
+                    let at = worker.hung_until + MILLISECOND;
+                    return self.at(
+                        at,
+                        Ev::Orders {
+                            node,
+                            epoch,
+                            id,
+                            addr,
+                            orders,
+                            reply: false,
+                        },
+                    );
+                }
+                let mut happenings = worker.pass(self.now, self.config.lease, &self.plays);
+                let (status, report, more) = worker.orders(&orders, self.now, &self.plays);
+                happenings.extend(more);
+                self.tell(&machine, happenings);
+                if reply {
+                    let body = dillcleat_wire::encode(&report);
+                    let at = self.now + self.delay();
+                    self.input(
+                        at,
+                        node,
+                        epoch,
+                        Input::Orders {
+                            id,
+                            reply: Ok((status, body)),
+                        },
+                    );
+                }
+            }
+            Ev::Workers => {
+                self.most_machines = self.most_machines.max(self.workers.len());
+                self.pass_workers();
+            }
+            Ev::Checkin {
+                machine,
+                node,
+                report,
+            } => {
+                let asker = Asker::Worker {
+                    machine,
+                    session: report.session,
+                    seq: report.seq,
+                    sent: self.now,
+                };
+                let body = dillcleat_wire::encode(&*report);
+                self.ask(node, asker, "POST", REPORT_PATH.into(), body);
+            }
+            Ev::CheckinAnswer {
+                machine,
+                session,
+                seq,
+                sent,
+                answer,
+                node,
+            } => {
+                self.checkin_answer(&machine, session, seq, sent, &answer, node);
+            }
+            Ev::User { job } => self.user(job),
+            Ev::UserTimeout { request } => {
+                if let Some(asker) = self.asked.remove(&request) {
+                    self.user_answer(asker, 0, None);
+                }
+            }
+            Ev::Stranger => {
+                if self.now < self.scenario.busy {
+                    let id = format!("req-{}", 500_000 + self.rng.u32(..1000));
+                    let path = poll_path(&id);
+                    let node = self.rng.usize(..self.nodes.len());
+                    self.ask(node, Asker::Stranger { id }, "GET", path, Vec::new());
+                    self.at(self.now + 9 * SECOND, Ev::Stranger);
+                }
+            }
+            Ev::Up { machine } => {
+                let Some(h) = self.cloud.hosts.get(&machine).cloned() else {
+                    return;
+                };
+                let cpus = types()
+                    .iter()
+                    .find(|t| t.name == h.machine_type)
+                    .map_or(0.0, |t| t.cpus);
+                let place = Place {
+                    machine: machine.clone(),
+                    machine_type: h.machine_type,
+                    zone: h.zone,
+                    spot: h.spot,
+                };
+                let node = self.rng.usize(..self.nodes.len());
+                self.workers
+                    .insert(machine, Worker::new(place, cpus, self.now, node));
+            }
+            Ev::Taken { machine } => {
+                self.cloud.remove(&machine);
+                self.machine_ends(&machine);
+            }
+            Ev::Restart { node } => {
+                let host = &mut self.nodes[node];
+                host.epoch += 1;
+                let config = config(node, self.scenario.nodes, self.scenario.scale);
+                host.node = Some(Node::new(config));
+                let epoch = host.epoch;
+                let at = self.now + self.rng.u64(..50 * MILLISECOND);
+                self.at(at, Ev::Tick { node, epoch });
+            }
+            Ev::Fault(fault) => self.fault(*fault),
+            Ev::Note => {
+                self.cloud.note(self.now);
+                self.at(self.now + Cloud::NOTE_EVERY, Ev::Note);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/users.rs
@@ -0,0 +1,245 @@
+//! Users, their jobs and their polls.
+
+use super::*;
+
+impl World {
+    pub(super) fn add_user(&mut self, job: usize) {
+        let rng = &mut self.rng;
+        let service = rng.u8(..3) == 0;
+        let tasks = if service {
+            rng.u32(1..4)
+        } else {
+            rng.u32(1..15) * self.scenario.scale
+        };
+        let one_zone = rng.u8(..6) == 0;
+        let spec = JobSpec {
+            id: format!("req-{:06}", 1000 + job * 7),
+            class: if service { "web" } else { "merge" }.into(),
+            team: if rng.bool() { "bound" } else { "free" }.into(),
+            kind: if service { Kind::Service } else { Kind::Batch },
+            priority: if service {
+                Priority::Production
+            } else {
+                Priority::Normal
+            },
+            tasks,
+            cpus: f64::from(rng.u32(1..5)),
+            gpus: 0.0,
+            memory_gb: 2.0,
+            image: format!("img-{}", rng.u8(..4)),
+            image_gb: 1.0,
+            types: (rng.u8(..5) == 0).then(|| vec!["large".to_string()]),
+            zone: (rng.u8(..6) == 0).then(|| ZONES[rng.usize(..3)].to_string()),
+            one_zone,
+            spread: !one_zone && rng.u8(..3) == 0,
+            spot: !service && rng.u8(..4) > 0,
+            estimate_s: 10.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: (!service).then_some(60.0),
+        };
+        let mut spec = spec;
+        if let (0, Some(tasks)) = (job, self.scenario.large) {
+            spec.kind = Kind::Batch;
+            spec.tasks = tasks;
+        }
+        if spec.spread && spec.tasks > 1 {
+            // In one zone alone a spread has no room for its second half.
+            spec.zone = None;
+        }
+        let at = rng.u64(SECOND..self.scenario.busy * 2 / 3);
+        let cancel = service || rng.u8(..5) == 0;
+        let cancel_at = cancel.then(|| at + rng.u64(2 * SECOND..self.scenario.busy - at));
+        let play = Play {
+            run: rng.u64(2 * SECOND..20 * SECOND),
+            fails: cancel && !service && rng.u8(..4) == 0,
+            spec: spec.clone(),
+        };
+        self.plays.insert(spec.id.clone(), play);
+        self.users.push(User {
+            spec,
+            stage: Stage::Submitting,
+            since: None,
+            cancel_at,
+            accepted: false,
+            ended: None,
+            again: 0,
+        });
+        self.at(at, Ev::User { job });
+    }
+
+    pub(super) fn ask(
+        &mut self,
+        node: usize,
+        asker: Asker,
+        method: &str,
+        target: String,
+        body: Vec<u8>,
+    ) {
+        self.next += 1;
+        let request = self.next;
+        self.asked.insert(request, asker);
+        self.at(self.now + USER_TIMEOUT, Ev::UserTimeout { request });
+        let epoch = self.nodes[node].epoch;
+        let at = self.now + self.delay() / 4;
+        let input = Input::Request {
+            id: RequestId(request),
+            method: method.into(),
+            target,
+            body,
+        };
+        self.input(at, node, epoch, input);
+    }
+
+    pub(super) fn answer(&mut self, node: usize, request: u64, answer: Answer) {
+        let Some(asker) = self.asked.remove(&request) else {
+            return;
+        };
+        match asker {
+            Asker::Worker {
+                machine,
+                session,
+                seq,
+                sent,
+            } => {
+                let zone = self.zone_of(&machine).unwrap_or(0);
+                let held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
+                let (at, whole) = self.passage(held);
+                if whole {
+                    let answer = Box::new(answer);
+                    self.at(
+                        at,
+                        Ev::CheckinAnswer {
+                            machine,
+                            session,
+                            seq,
+                            sent,
+                            answer,
+                            node,
+                        },
+                    );
+                }
+            }
+            asker => {
+                let state = dillcleat_wire::decode::<JobStatus>(&answer.body)
+                    .ok()
+                    .map(|s| s.state);
+                self.user_answer(asker, answer.status, state);
+            }
+        }
+    }
+
+    pub(super) fn user(&mut self, job: usize) {
+        let mut node = self.rng.usize(..self.nodes.len());
+        // The load balancer leaves out who does not answer its probes: users once
+        // went to nodes that were not running for a minute and more, and one
+        // called its job forgotten for it (seed 40432).
+        for _ in 0..self.nodes.len() {
+            if self.now < self.nodes[node].paused_until {
+                node = (node + 1) % self.nodes.len();
+            }
+        }
+        let now = self.now;
+        let u = &mut self.users[job];
+        let id = u.spec.id.clone();
+        match u.stage {
+            Stage::Submitting => {
+                u.since.get_or_insert(now);
+                let body = dillcleat_wire::encode(&u.spec);
+                self.checker.submits(&u.spec);
+                self.ask(
+                    node,
+                    Asker::Submission { job },
+                    "POST",
+                    JOBS_PATH.into(),
+                    body,
+                );
+            }
+            Stage::Polling | Stage::Over
+                if u.ended.is_none() && u.cancel_at.is_some_and(|at| now >= at) =>
+            {
+                self.checker.asks_to_cancel(&id);
+                self.ask(
+                    node,
+                    Asker::Cancel { job },
+                    "POST",
+                    cancel_path(&id),
+                    Vec::new(),
+                );
+            }
+            Stage::Polling | Stage::Over => {
+                if u.stage == Stage::Over && u.again % 2 == 1 {
+                    // Known whatever else it holds.
+                    let mut spec = u.spec.clone();
+                    spec.team = "unknown".into();
+                    let body = dillcleat_wire::encode(&spec);
+                    self.ask(
+                        node,
+                        Asker::Submission { job },
+                        "POST",
+                        JOBS_PATH.into(),
+                        body,
+                    );
+                } else {
+                    self.ask(node, Asker::Poll { job }, "GET", poll_path(&id), Vec::new());
+                }
+            }
+        }
+    }
+
+    pub(super) fn user_answer(&mut self, asker: Asker, status: u16, state: Option<JobState>) {
+        let now = self.now;
+        self.digest = self
+            .digest
+            .wrapping_mul(31)
+            .wrapping_add(now ^ u64::from(status));
+        let ended = state.filter(|s| matches!(s, JobState::Done | JobState::Cancelled));
+        match asker {
+            Asker::Worker { .. } => {}
+            Asker::Stranger { id } => self.checker.answered_poll(&id, status, state, now),
+            Asker::Submission { job } => {
+                let u = &mut self.users[job];
+                let id = u.spec.id.clone();
+                match status {
+                    200 | 201 => {
+                        u.accepted = true;
+                        if u.stage == Stage::Submitting {
+                            u.stage = Stage::Polling;
+                        }
+                        if ended.is_some() {
+                            u.ended = ended;
+                            u.stage = Stage::Over;
+                        }
+                        self.at(now + 4 * SECOND, Ev::User { job });
+                    }
+                    400 | 422 if u.stage == Stage::Submitting => {}
+                    _ => {
+                        let gave_up = u.since.is_some_and(|s| now > s + 60 * SECOND);
+                        if u.stage != Stage::Submitting || !gave_up {
+                            self.at(now + SECOND, Ev::User { job });
+                        }
+                    }
+                }
+                self.checker.answered_submission(&id, status, state, now);
+            }
+            Asker::Poll { job } | Asker::Cancel { job } => {
+                let u = &mut self.users[job];
+                let id = u.spec.id.clone();
+                if ended.is_some() {
+                    u.ended = ended;
+                    u.stage = Stage::Over;
+                }
+                let pause = match u.stage {
+                    Stage::Over => {
+                        u.again += 1;
+                        20 * SECOND
+                    }
+                    _ if now < self.storm_until => 5 * SECOND / 8,
+                    _ => 5 * SECOND,
+                };
+                self.at(now + pause, Ev::User { job });
+                self.checker.answered_poll(&id, status, state, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/world/workers.rs
@@ -0,0 +1,127 @@
+//! Workers and their reports.
+
+use super::*;
+
+impl World {
+    pub(super) fn pass_workers(&mut self) {
+        self.wake_watches();
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let lease = self.config.lease;
+            let Some(w) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            let happenings = w.pass(self.now, lease, &self.plays);
+            if self.now >= w.hung_until {
+                if w.under_way
+                    .is_some_and(|(_, _, sent)| self.now > sent + PATIENCE)
+                {
+                    w.under_way = None;
+                    w.node = (w.node + 1) % self.nodes.len();
+                    w.report_at = self.now + SECOND;
+                }
+                if w.under_way.is_none() && self.now >= w.report_at {
+                    let report = w.report(self.now);
+                    w.under_way = Some((report.session, report.seq, self.now));
+                    w.report_at = self.now + self.rng.u64(15..25) * SECOND / 10;
+                    let node = w.node;
+                    let zone = ZONES.iter().position(|z| *z == w.place.zone).unwrap_or(0);
+                    let held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
+                    let (at, whole) = self.passage(held);
+                    let report = Box::new(report);
+                    let machine = name.clone();
+                    // A report without an answer on its way still arrives.
+                    let _ = whole;
+                    self.at(
+                        at,
+                        Ev::Checkin {
+                            machine,
+                            node,
+                            report,
+                        },
+                    );
+                }
+            }
+            self.tell(&name, happenings);
+        }
+        self.at(self.now + 100 * MILLISECOND, Ev::Workers);
+    }
+
+    pub(super) fn tell(&mut self, machine: &str, happenings: Vec<Happening>) {
+        let Some(place) = self.workers.get(machine).map(|w| w.place.clone()) else {
+            return;
+        };
+        for h in happenings {
+            match h {
+                Happening::Starts(task) => self.checker.starts(&task, &place, self.now),
+                Happening::Leaves { task, done } => self.checker.leaves(&task, machine, done),
+            }
+        }
+    }
+
+    pub(crate) fn machine_ends(&mut self, machine: &str) {
+        if let Some(mut w) = self.workers.remove(machine) {
+            for h in w.kill() {
+                if let Happening::Leaves { task, .. } = h {
+                    self.lost += 1;
+                    self.checker.leaves(&task, machine, false);
+                }
+            }
+        }
+    }
+
+    pub(super) fn checkin_answer(
+        &mut self,
+        machine: &str,
+        session: u64,
+        seq: u64,
+        sent: Micros,
+        answer: &Answer,
+        node: usize,
+    ) {
+        let Some(w) = self.workers.get_mut(machine) else {
+            return;
+        };
+        if self.now < w.hung_until {
+            return;
+        }
+        match w.under_way {
+            Some((s, q, at)) if (s, q) == (session, seq) && self.now <= at + PATIENCE => {}
+            _ => return,
+        }
+        w.under_way = None;
+        match answer.status {
+            200 => {
+                let mut happenings = w.pass(self.now, self.config.lease, &self.plays);
+                match dillcleat_wire::decode::<ReportAnswer>(&answer.body) {
+                    Ok(a) => {
+                        happenings.extend(w.answered(&a, session, sent, self.now, &self.plays))
+                    }
+                    Err(e) => panic!("an answer to a worker is unreadable: {e}"),
+                }
+                self.tell(machine, happenings);
+            }
+            421 => {
+                let to = dillcleat_wire::decode::<Elsewhere>(&answer.body)
+                    .ok()
+                    .and_then(|e| e.report_to)
+                    .and_then(|m| m.strip_prefix("node-")?.parse::<usize>().ok())
+                    .filter(|to| *to != node);
+                match to {
+                    Some(to) => {
+                        w.node = to;
+                        w.report_at = self.now + self.rng.u64(..500) * MILLISECOND;
+                    }
+                    None => {
+                        w.node = (node + 1) % self.nodes.len();
+                        w.report_at = self.now + SECOND;
+                    }
+                }
+            }
+            _ => {
+                w.node = (node + 1) % self.nodes.len();
+                w.report_at = self.now + SECOND;
+            }
+        }
+    }
+}
