Rehearsals audit what a leader derives against the same made anew

Need: sums, sets and orders are now kept up to date by what changes, and one mark that is missed would go unseen.

--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -62,7 +62,7 @@
 }
 
 /// Sums over all jobs and all machines, in millionths where they are amounts.
-#[derive(Debug, Default)]
+#[derive(Debug, PartialEq)]
 pub(super) struct Sums {
     /// CPUs and GPUs of placed tasks, by team.
     teams: Vec<(i64, i64)>,
@@ -75,7 +75,7 @@
     /// Services by image.
     images: HashMap<Rc<str>, u32>,
     /// Room to be kept for replicas, by the wait that users expect.
-    reserves: Vec<BTreeMap<i64, u32>>,
+    reserves: Vec<BTreeMap<i64, usize>>,
     ready: i64,
     coming: i64,
     pub recorded: usize,
@@ -84,6 +84,22 @@
 }
 
 impl Sums {
+    fn new(config: &Config) -> Sums {
+        Sums {
+            teams: vec![(0, 0); config.teams.len()],
+            ageing: 0,
+            training: 0,
+            arrays: 0,
+            replicas: 0,
+            images: HashMap::new(),
+            reserves: vec![BTreeMap::new(); config.waits.len()],
+            ready: 0,
+            coming: 0,
+            recorded: 0,
+            up: BTreeMap::new(),
+        }
+    }
+
     pub fn fleet_cpus(&self) -> f64 {
         amount(self.ready)
     }
@@ -172,11 +188,13 @@
     }
 }
 
-/// Counts one up or down; what nothing counts goes.
-fn count<K: Ord>(counts: &mut BTreeMap<K, usize>, key: K, up: bool) {
-    let n = counts.entry(key);
-    let n = n.or_default();
-    *n = if up { *n + 1 } else { n.saturating_sub(1) };
+/// Counts one more or one less; what nothing is left of goes.
+fn count<K: Ord>(counts: &mut BTreeMap<K, usize>, key: K, sign: i64) {
+    let n = counts.get(&key).copied().unwrap_or(0);
+    match n.saturating_add_signed(sign as isize) {
+        0 => counts.remove(&key),
+        n => counts.insert(key, n),
+    };
 }
 
 /// The slot of a place in a list that grows as needed.
@@ -189,11 +207,11 @@
 }
 
 impl Index {
-    pub fn new() -> Index {
+    pub fn new(config: &Config) -> Index {
         Index {
             line: Line::default(),
             floor: Floor::new(),
-            sums: Sums::default(),
+            sums: Sums::new(config),
             jobs: Vec::new(),
             machines: Vec::new(),
             cancelled: BTreeSet::new(),
@@ -300,9 +318,10 @@
 
 impl Sums {
     fn add_job(&mut self, p: &JobPart, sign: i64) {
-        let team = slot(&mut self.teams, p.team as Place, (0, 0));
-        team.0 += sign * p.cpus;
-        team.1 += sign * p.gpus;
+        if let Some((cpus, gpus)) = self.teams.get_mut(p.team) {
+            *cpus += sign * p.cpus;
+            *gpus += sign * p.gpus;
+        }
         self.training += sign * p.training;
         if p.service {
             self.replicas += sign * p.replicas;
@@ -319,13 +338,10 @@
                 self.images.remove(image);
             }
         }
-        if let Some((wait, cpus)) = p.reserve {
-            let kept = slot(&mut self.reserves, wait as Place, BTreeMap::new());
-            let n = kept.entry(cpus).or_default();
-            *n = n.saturating_add_signed(sign as i32);
-            if *n == 0 {
-                kept.remove(&cpus);
-            }
+        if let Some((wait, cpus)) = p.reserve
+            && let Some(kept) = self.reserves.get_mut(wait)
+        {
+            count(kept, cpus, sign);
         }
     }
 
@@ -336,7 +352,7 @@
             self.recorded = self.recorded.saturating_add_signed(sign as isize);
         }
         if p.up {
-            count(&mut self.up, p.zone.clone(), sign > 0);
+            count(&mut self.up, p.zone.clone(), sign);
         }
     }
 }
@@ -361,6 +377,50 @@
         }
     }
 
+    /// Builds everything anew and tells what was not as it should have been.
+    /// For rehearsals: it costs as much as there are jobs and machines.
+    pub fn audit(&mut self, ctx: &Ctx) -> Vec<&'static str> {
+        self.mark_guessed();
+        self.refresh(ctx);
+        let old = std::mem::replace(&mut self.index, Index::new(ctx.config));
+        self.jobs.mark_all();
+        self.machines.mark_all();
+        self.refresh(ctx);
+        let new = &self.index;
+        let line = |i: &Index| i.line.all(self.clock).collect::<Vec<_>>();
+        let mut places = 0..self.machines.places();
+        // Of machines without room nobody asks which images they hold.
+        let warm = |m: &MachineView| if m.free.cpus > 0.0 { m.warm } else { 0 };
+        let view = |i: &Index, place| i.floor.view(place).map(|m| (m.free, warm(m), m.spot));
+        [
+            ("sums", old.sums == new.sums),
+            ("line", line(&old) == line(new)),
+            ("floor", places.all(|p| view(&old, p) == view(new, p))),
+            ("cancelled jobs", old.cancelled == new.cancelled),
+            ("guessed jobs", old.guessed == new.guessed),
+            ("unshown jobs", old.unshown == new.unshown),
+            ("silent machines", old.silent == new.silent),
+            ("booting machines", old.booting == new.booting),
+            ("noticed machines", old.noticed == new.noticed),
+            ("empty machines", old.empty == new.empty),
+            ("lending machines", old.lending == new.lending),
+        ]
+        .into_iter()
+        .filter_map(|(what, same)| (!same).then_some(what))
+        .collect()
+    }
+
+    /// Has the waiting jobs that are ordered by the guess of their class looked at
+    /// again, once a second: at every task's end it would be a walk over all of
+    /// them each time.
+    pub(super) fn mark_guessed(&mut self) {
+        if std::mem::take(&mut self.guesses_changed) {
+            for place in &self.index.guessed {
+                self.jobs.mark(*place);
+            }
+        }
+    }
+
     fn refresh_job(&mut self, ctx: &Ctx, place: Place) {
         if let Some(job) = self.jobs.quiet(place) {
             job.pace(self.clock);
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -299,7 +299,7 @@
             watch_at: None,
             jobs: Shelf::default(),
             machines: Shelf::default(),
-            index: Index::new(),
+            index: Index::new(ctx.config),
             clock: 0.0,
             pushes: Pushes::new(ctx.config.max_orders),
             gone: HashMap::new(),
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -25,13 +25,7 @@
         }
         if now >= self.fleet_at {
             self.fleet_at = now + SECOND;
-            if std::mem::take(&mut self.guesses_changed) {
-                // Of waiting jobs that go by them; with each task that ends
-                // would be a walk over all of them for each.
-                for place in self.index.guessed.clone() {
-                    self.jobs.mark(place);
-                }
-            }
+            self.mark_guessed();
             self.refresh(ctx);
             self.clear_unreachable(ctx);
             self.tend_fleet(ctx);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -76,6 +76,19 @@
         self.leader.as_ref().map_or(Counts::default(), |l| l.counts)
     }
 
+    /// What of that which a leader keeps up to date bit by bit is not as it would
+    /// be if it were made anew. For rehearsals.
+    pub fn audit(&mut self, now: Now) -> Vec<&'static str> {
+        let ctx = Ctx {
+            now,
+            config: &self.config,
+            out: &mut Vec::new(),
+            calls: &mut self.calls,
+        };
+        let leader = self.leader.as_mut();
+        leader.map_or(Vec::new(), |l| l.audit(&ctx))
+    }
+
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
         self.awake(now, &mut out);
--- a/crates/core/src/shelf.rs
+++ b/crates/core/src/shelf.rs
@@ -135,6 +135,11 @@
         self.held.iter().flatten().map(|h| (&h.name, &h.value))
     }
 
+    /// All numbers that have been given are below it.
+    pub fn places(&self) -> Place {
+        self.held.len() as Place
+    }
+
     /// What each number stands for; None for those that are vacant.
     pub fn by_place(&self) -> impl Iterator<Item = Option<&T>> {
         self.held.iter().map(|h| h.as_ref().map(|h| &h.value))
--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -33,12 +33,13 @@
                     let clean = o.breaches.is_empty()
                         && o.malformed.is_empty()
                         && o.unfinished.is_empty()
-                        && o.left.is_empty();
+                        && o.left.is_empty()
+                        && o.stale.is_empty();
                     if !clean {
                         bad.fetch_add(1, Ordering::Relaxed);
                         println!(
-                            "seed {seed}: {:?} malformed {:?} unfinished {:?} left {:?}",
-                            o.breaches, o.malformed, o.unfinished, o.left
+                            "seed {seed}: {:?} malformed {:?} unfinished {:?} left {:?} stale {:?}",
+                            o.breaches, o.malformed, o.unfinished, o.left, o.stale
                         );
                     }
                 }
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -30,6 +30,8 @@
 
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 const USER_TIMEOUT: Micros = 5 * SECOND;
+/// Of so many inputs one is preceded by a look at what the leader derives.
+const AUDIT: u64 = 101;
 const WALL: Micros = 1_700_000_000 * SECOND;
 
 /// What a run has come to.
@@ -44,6 +46,8 @@
     pub malformed: Vec<String>,
     /// Keys of tasks, and of open and cancelled jobs, left behind.
     pub left: Vec<String>,
+    /// What a leader had derived that was not as if made anew.
+    pub stale: Vec<&'static str>,
     /// A digest of everything told to users: equal seeds give equal digests.
     pub digest: u64,
     /// Tasks that ran on a machine when it went.
@@ -233,6 +237,9 @@
     pub(crate) boots: Boots,
     checker: Checker,
     scenario: Scenario,
+    /// Inputs that nodes took.
+    inputs: u64,
+    stale: Vec<&'static str>,
     digest: u64,
     most_machines: usize,
     lost: usize,
@@ -334,6 +341,8 @@
             boots: Boots::default(),
             checker: Checker::new(config.cancel, limits),
             config,
+            inputs: 0,
+            stale: Vec::new(),
             digest: 0,
             most_machines: 0,
             lost: 0,
@@ -397,6 +406,7 @@
             left: [self.state.keys("t/"), self.state.keys("q/")].concat(),
             malformed: self.state.malformed,
             breaches: self.checker.breaches,
+            stale: self.stale,
             digest: self.digest,
             lost: self.lost,
             machines: self.most_machines,
@@ -414,6 +424,10 @@
         let Some(n) = self.nodes[node].node.as_mut() else {
             return;
         };
+        self.inputs += 1;
+        if self.inputs.is_multiple_of(AUDIT) {
+            self.stale.extend(n.audit(now));
+        }
         let kind = kind(&input, n.leading().is_some());
         let begun = Instant::now();
         let outputs = n.handle(now, input);
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -25,6 +25,7 @@
         let o = play(seed, 14, faults(seed));
         assert_eq!(o.breaches, [], "{name}, seed {seed}");
         assert_eq!(o.malformed, [""; 0], "{name}, seed {seed}");
+        assert_eq!(o.stale, [""; 0], "{name}, seed {seed}");
         assert!(
             o.accepted >= 5,
             "{name}, seed {seed}: {} accepted",
@@ -42,6 +43,7 @@
     let o = World::new(scenario).run();
     assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
     assert_eq!(o.malformed, [""; 0], "seed {seed}");
+    assert_eq!(o.stale, [""; 0], "seed {seed}");
     assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
     assert_eq!(o.left, [""; 0], "seed {seed}: keys left, {faults:?}");
 }
