--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -69,7 +69,7 @@
         let jobs = jobs.inspect(|_| looked_at += 1);
         let wanted = plan(jobs, &mut floor, &mut teams, &market, reserve, ahead);
         self.counts.machines += u64::from(seen);
-        self.counts.jobs += looked_at as u64;
+        self.counts.planned += looked_at as u64;
         // Whoever comes after many that nothing is rented for has a turn as well.
         self.plan_depth = if wanted.is_empty() && looked_at == depth {
             depth * 2
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,14 +48,15 @@
     t as f64 / 1e6
 }
 
-/// What a leader's passes have done in its term: how much they looked at, and
-/// how much they placed.
+/// What a leader's passes and rental plans have done in its term: how much they
+/// looked at, and how much was placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Counts {
     pub passes: u64,
     /// Jobs that passes looked at.
     pub jobs: u64,
-    /// Machines that passes and rental plans looked at.
+    /// Jobs and machines that rental plans looked at.
+    pub planned: u64,
     pub machines: u64,
     pub placed: u64,
 }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -13,8 +13,8 @@
 use crate::worker::{Happening, PATIENCE, Play, Worker};
 use dillcleat_core::store::{self, Chunk, MachineRecord, OpenJob, Types};
 use dillcleat_core::{
-    Answer, CallError, CallId, Config, Input, MILLISECOND, Micros, Node, Now, Output, RequestId,
-    SECOND, Tuning,
+    Answer, CallError, CallId, Config, Counts, Input, MILLISECOND, Micros, Node, Now, Output,
+    RequestId, SECOND, Tuning,
 };
 use dillcleat_wire::TaskName;
 use dillcleat_wire::cloud::{CloudCall, MachineType};
@@ -101,6 +101,10 @@
     pub state_calls: u64,
     pub state_bytes: u64,
     pub too_many: u64,
+    /// The most orders that were under way at once.
+    pub most_orders: usize,
+    /// What passes did, from the election on.
+    pub counts: Counts,
     /// From the election to the first launch after it.
     pub first_launch: Option<Micros>,
     /// When every machine had been answered in the new term, from the election.
@@ -210,6 +214,7 @@
     /// Jobs that were open at the start, and submissions under way.
     open_jobs: usize,
     submitting: usize,
+    orders_open: usize,
     elected: Option<Micros>,
     heard: Vec<bool>,
     unheard: u32,
@@ -254,7 +259,7 @@
         cloud_rps: 4.0,
         list_lag: 4 * SECOND,
         memory_mb: 188.0,
-        max_orders: 256,
+        max_orders: Fleet::MAX_ORDERS,
         waits: vec![("search".into(), 2 * SECOND)],
         deadlines: Vec::new(),
         tuning: Tuning::default(),
@@ -262,6 +267,9 @@
 }
 
 impl Fleet {
+    /// Orders that the controller may have under way.
+    pub const MAX_ORDERS: usize = 256;
+
     pub fn new(setting: Setting) -> Fleet {
         let mut state = StateService::new(16 * 1024, 48).paged(PageLimit::FULL);
         let types = vec![machine_type()];
@@ -295,6 +303,7 @@
             jobs: 0,
             open_jobs: 0,
             submitting: 0,
+            orders_open: 0,
             elected: None,
             heard: vec![false; setting.machines as usize],
             unheard: setting.machines,
@@ -462,6 +471,7 @@
             }
         }
         self.result.malformed.clone_from(&self.state.malformed);
+        self.result.counts = self.node.as_ref().map_or(Counts::default(), Node::counts);
     }
 
     pub fn into_measured(self) -> Measured {
@@ -521,6 +531,9 @@
             Input::Orders { .. } => "answer to orders",
             Input::Mesh { .. } => "sibling's message",
         };
+        if matches!(input, Input::Orders { .. }) {
+            self.orders_open -= 1;
+        }
         let placed = node.counts().placed;
         let begun = Instant::now();
         let outputs = node.handle(now, input);
@@ -614,6 +627,8 @@
                 timeout,
             } => {
                 self.launches(&orders.commands);
+                self.orders_open += 1;
+                self.result.most_orders = self.result.most_orders.max(self.orders_open);
                 let machine = self.names.get(addr.trim_end_matches(":9000"));
                 match machine.copied() {
                     Some(machine) if !self.silent() => {
