A new leader counts the silence that the one before has seen

Change: with each beat the leader says which zones have fallen silent, and since when (mesh version 3; a hint: deletions are the proof as before). A new leader that heard it within 10 s goes by it, after the time in which a report was due. Orders to such a zone wait behind the others, and a machine that does not answer orders does not take the turns of those that do; a fifth of the sockets may be under way.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -148,9 +148,9 @@
             cloud_rps: c.cloud.rps,
             list_lag: micros(c.cloud.list_lag_s),
             memory_mb: c.quota.mem_mb,
-            // Together with those that are kept open, less than a quarter of
-            // the sockets.
-            max_orders: (c.quota.max_connections / 8).clamp(16, 512) as usize,
+            // With those to the state service, the cloud and siblings less than
+            // a quarter of the sockets.
+            max_orders: (c.quota.max_connections / 5).clamp(6, 1024) as usize,
             waits: c
                 .objectives
                 .iter()
--- a/crates/core/src/leader/cut.rs
+++ b/crates/core/src/leader/cut.rs
@@ -1,6 +1,7 @@
 //! Zones that have fallen silent.
 
 use super::*;
+use dillcleat_mesh::Silence;
 
 impl Leader {
     /// After this long without a word from it a machine has missed a report.
@@ -29,6 +30,31 @@
         cut
     }
 
+    /// Zones that have fallen silent, and since when, for a leader to come.
+    pub fn silences(&self, now: Micros) -> Vec<Silence> {
+        let mut heard: BTreeMap<&Rc<str>, Micros> = BTreeMap::new();
+        for m in self.cut_off().iter().filter_map(|m| self.machines.get(m)) {
+            let latest = heard.entry(&m.zone).or_default();
+            *latest = m.heard_at.max(*latest);
+        }
+        let quiet = |at: Micros| now.saturating_sub(at) / MILLISECOND;
+        let heard = heard.into_iter().take(dillcleat_mesh::MAX_ZONES);
+        heard
+            .map(|(zone, at)| Silence {
+                zone: zone.to_string(),
+                quiet_ms: u32::try_from(quiet(at)).unwrap_or(u32::MAX),
+            })
+            .collect()
+    }
+
+    /// Zones that the leader before said were silent, with the time at which each
+    /// was heard last. Their replicas serve until that lease ends, not until one
+    /// that begins with this term: a leader that ended in the middle of a cut
+    /// once left them down for 15 s more (zone, brunnmatt-books-fleet).
+    pub fn expect_silence(&mut self, heard: HashMap<String, Micros>) {
+        self.silent_before = heard;
+    }
+
     /// Machines that are up and have missed a report.
     pub(super) fn silent(&self) -> impl Iterator<Item = (&Rc<str>, &Machine)> {
         let silent = self.index.silent.iter();
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -117,7 +117,16 @@
             m.known_since = now;
             m.empty_since = now;
             m.wants_push = true;
-            self.pushes.plain(m.name.clone());
+            match self.silent_before.get(&*m.zone) {
+                // It had reported to the leader before, or it had no record.
+                Some(heard) if m.recorded => {
+                    m.up = true;
+                    m.heard_at = now.min(*heard);
+                    // Those that answer have their turn first.
+                    self.pushes.later(now + SECOND, m.name.clone(), false);
+                }
+                _ => self.pushes.plain(m.name.clone()),
+            }
         }
         log::info!(
             "term {}: took up {} jobs and {} machines",
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -256,6 +256,9 @@
     /// Zones that fell silent as a whole, and when: what is rented there would
     /// be paid for and never heard of.
     dark: BTreeMap<Rc<str>, Micros>,
+    /// Zones that were silent already under the leader before, and when they
+    /// were heard last.
+    silent_before: HashMap<String, Micros>,
     types: Option<Rc<Vec<MachineType>>>,
     types_stored: bool,
     /// Mean run time per class, learned from finished tasks, in seconds.
@@ -309,6 +312,7 @@
             boots: Boots::default(),
             plan_depth: PLAN_JOBS,
             dark: BTreeMap::new(),
+            silent_before: HashMap::new(),
             types_stored: types.is_some(),
             types,
             guesses: HashMap::new(),
--- a/crates/core/src/leader/pushes.rs
+++ b/crates/core/src/leader/pushes.rs
@@ -13,8 +13,8 @@
     urgent: BTreeSet<Rc<str>>,
     /// No command waits there.
     plain: BTreeSet<Rc<str>>,
-    /// Not before this time.
-    later: BTreeSet<(Micros, Rc<str>)>,
+    /// Not before this time; whether it is urgent then.
+    later: BTreeSet<(Micros, Rc<str>, bool)>,
     /// Orders under way, and how many may be.
     open: usize,
     limit: usize,
@@ -44,17 +44,19 @@
         }
     }
 
-    /// The same as `urgent`, at a later time.
-    pub fn later(&mut self, at: Micros, machine: Rc<str>) {
-        self.later.insert((at, machine));
+    /// The same as `urgent` or `plain`, at a later time.
+    pub fn later(&mut self, at: Micros, machine: Rc<str>, urgent: bool) {
+        self.later.insert((at, machine, urgent));
     }
 
     /// The next machine to send orders to. Half of what may be under way is left
     /// to those with commands.
     fn next(&mut self, now: Micros) -> Option<Rc<str>> {
-        while self.later.first().is_some_and(|(at, _)| *at <= now) {
-            if let Some((_, machine)) = self.later.pop_first() {
-                self.urgent(machine);
+        while self.later.first().is_some_and(|(at, _, _)| *at <= now) {
+            match self.later.pop_first() {
+                Some((_, machine, true)) => self.urgent(machine),
+                Some((_, machine, false)) => self.plain(machine),
+                None => {}
             }
         }
         if self.open < self.limit
@@ -93,7 +95,7 @@
                 continue;
             }
             if now < m.push_after {
-                self.pushes.later(m.push_after, name);
+                self.pushes.later(m.push_after, name, true);
                 continue;
             }
             let commands = if m.ready && fresh {
@@ -158,6 +160,8 @@
             _ => true,
         };
         m.push_ended(id, unanswered);
+        // One that does not answer does not take the turns of those that do.
+        let answers = report.is_some();
         match report {
             Some(r) if r.token > self.term => self.notes.push(Note::Higher(r.token)),
             Some(r) => {
@@ -179,7 +183,8 @@
         }
         // Also what came to be wanted while this was under way.
         if let Some(m) = self.machines.get(machine).filter(|m| m.wants_push) {
-            self.pushes.later(m.push_after.max(now), m.name.clone());
+            let at = m.push_after.max(now);
+            self.pushes.later(at, m.name.clone(), answers);
         }
     }
 }
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -237,7 +237,9 @@
                 silence
             };
             let taken = m.gone_by.is_some_and(|at| now >= at + SECOND) && quiet > ctx.config.report;
-            if quiet >= limit || taken {
+            // Whom only the leader before found silent has time to report first.
+            let asked = !m.up || m.ready || now >= self.ready_since + missing;
+            if (quiet >= limit && asked) || taken {
                 log::info!("{}: silent for {} s, deleting it", m.name, seconds(quiet));
                 dropped.push(m.name.clone());
             }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -22,6 +22,8 @@
 /// Ticks come twenty times a second; a node without one for so long was not
 /// running.
 const PAUSE: Micros = SECOND;
+/// How long a word about silent zones counts. It comes with each beat.
+const HINT: Micros = 10 * SECOND;
 /// Progress that a node keeps for display.
 const MAX_PROGRESS: usize = 20_000;
 
@@ -41,6 +43,10 @@
     leadership: Leadership,
     leader: Option<Leader>,
     siblings: HashMap<String, Sibling>,
+    /// What a leader said last of zones that fell silent: when each was heard
+    /// last, and when that was said.
+    silent: HashMap<String, Micros>,
+    silent_at: Micros,
     /// When the state service last answered this node.
     served_at: Option<Micros>,
     beat_at: Micros,
@@ -58,6 +64,8 @@
             leadership: Leadership::new(),
             leader: None,
             siblings: HashMap::new(),
+            silent: HashMap::new(),
+            silent_at: 0,
             served_at: None,
             beat_at: 0,
             worker_at: 0,
@@ -201,7 +209,11 @@
         match change {
             Some(Change::Elected { term, term_version }) => {
                 let types = self.leadership.types.clone();
-                self.leader = Some(Leader::new(&mut ctx, term, term_version, types));
+                let mut leader = Leader::new(&mut ctx, term, term_version, types);
+                if now.steady < self.silent_at + HINT {
+                    leader.expect_silence(std::mem::take(&mut self.silent));
+                }
+                self.leader = Some(leader);
                 self.beat_at = now.steady;
             }
             Some(Change::Deposed) => self.leader = None,
@@ -410,6 +422,12 @@
             },
         });
         if let Some(leader) = &mut self.leader {
+            let silent = leader.silences(now.steady);
+            if !silent.is_empty() {
+                out.push(Output::Mesh {
+                    message: Message::Silent(silent),
+                });
+            }
             let progress = leader.progress();
             for p in &progress {
                 self.admission
@@ -450,6 +468,14 @@
                 let change = self.leadership.outdated(&mut ctx, term);
                 self.follow(now, out, change);
             }
+            Message::Silent(zones) => {
+                let heard = |ms: u32| now.steady.saturating_sub(u64::from(ms) * MILLISECOND);
+                self.silent = zones
+                    .into_iter()
+                    .map(|z| (z.zone, heard(z.quiet_ms)))
+                    .collect();
+                self.silent_at = now.steady;
+            }
             Message::Progress(jobs) => {
                 if self.admission.progress.len() > MAX_PROGRESS {
                     self.admission.progress.clear();
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use dillcleat_core::{Config, Input, Micros, Node, Now, Output, Tuning, store};
+use dillcleat_wire::cloud::{CloudCall, CloudReply, MachineList};
 use dillcleat_wire::platform::Platform;
 use dillcleat_wire::state::{Page, Row, StateCall, StateReply};
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
@@ -50,11 +51,22 @@
 /// Answers every call but watches, so that the node leads and stays leader.
 /// `machines` are on record in the store.
 pub fn step(node: &mut Node, at: Micros, input: Input, machines: &[Row]) -> Vec<u16> {
+    step_and_calls(node, at, input, machines).0
+}
+
+/// The same with the calls to the cloud, which has nothing to rent.
+pub fn step_and_calls(
+    node: &mut Node,
+    at: Micros,
+    input: Input,
+    machines: &[Row],
+) -> (Vec<u16>, Vec<CloudCall>) {
     let now = Now {
         steady: at,
         wall: at,
     };
     let mut statuses = Vec::new();
+    let mut calls = Vec::new();
     let mut inputs = vec![input];
     while let Some(input) = inputs.pop() {
         for output in node.handle(now, input) {
@@ -80,11 +92,27 @@
                         reply: Ok(reply),
                     });
                 }
+                Output::Cloud { id, call, .. } => {
+                    let reply = match &call {
+                        CloudCall::Types => CloudReply::Types(Vec::new()),
+                        CloudCall::Rent(_) => CloudReply::NoCapacity,
+                        CloudCall::Delete(_) => CloudReply::Deleted,
+                        CloudCall::List { .. } => CloudReply::Listed(MachineList {
+                            machines: Vec::new(),
+                            more: false,
+                        }),
+                    };
+                    calls.push(call);
+                    inputs.push(Input::Cloud {
+                        id,
+                        reply: Ok(reply),
+                    });
+                }
                 _ => {}
             }
         }
     }
-    statuses
+    (statuses, calls)
 }
 
 /// A job of tasks that take `cpus` each; arrays may run on spot machines.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,12 +7,23 @@
 //! lost or forged hint costs time only.
 
 /// Version of the format; frames of another version close the connection.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Bound of one frame's length field.
 pub const MAX_FRAME: usize = 64 * 1024;
 /// Bound of the jobs in one progress message.
 pub const MAX_PROGRESS: usize = 500;
 
+/// Bound of the zones in one message about silence.
+pub const MAX_ZONES: usize = 100;
+
+/// A zone that has fallen silent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Silence {
+    pub zone: String,
+    /// Since any of its machines was heard, in milliseconds.
+    pub quiet_ms: u32,
+}
+
 /// How far a job is, for display.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Progress {
@@ -37,6 +48,8 @@
     },
     /// From the leader: the progress of some jobs.
     Progress(Vec<Progress>),
+    /// From the leader: zones that have fallen silent as a whole.
+    Silent(Vec<Silence>),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -108,6 +121,15 @@
                     out.extend_from_slice(&j.running.to_be_bytes());
                 }
             }
+            Message::Silent(zones) => {
+                out.push(4);
+                let n = zones.len().min(MAX_ZONES);
+                out.extend_from_slice(&(n as u16).to_be_bytes());
+                for z in &zones[..n] {
+                    put_text(&mut out, &z.zone);
+                    out.extend_from_slice(&z.quiet_ms.to_be_bytes());
+                }
+            }
         }
         let len = (out.len() - 4) as u32;
         out[..4].copy_from_slice(&len.to_be_bytes());
@@ -145,6 +167,20 @@
                 }
                 Message::Progress(jobs)
             }
+            4 => {
+                let n = r.u16()? as usize;
+                if n > MAX_ZONES {
+                    return Err(FrameError::TooLong(n));
+                }
+                let mut zones = Vec::with_capacity(n);
+                for _ in 0..n {
+                    zones.push(Silence {
+                        zone: r.text()?,
+                        quiet_ms: r.u32()?,
+                    });
+                }
+                Message::Silent(zones)
+            }
             k => return Err(FrameError::Kind(k)),
         };
         if r.0.is_empty() {
@@ -221,6 +257,10 @@
                 done: 3,
                 running: 4,
             }]),
+            Message::Silent(vec![Silence {
+                zone: "a".into(),
+                quiet_ms: 9_000,
+            }]),
         ];
         for m in messages {
             let frame = m.encode();
