Machines that are cut off are deleted as far as there is room elsewhere

Change: once its lease is over a machine behind a cut is deleted if there is room for its replicas (free ordinary room and what arrays hold of it) or, without any, for its tasks; after four leases in any case.

--- a/crates/core/src/leader/cut.rs
+++ b/crates/core/src/leader/cut.rs
@@ -3,7 +3,59 @@
 use super::*;
 use dillcleat_mesh::Silence;
 
+/// After so many leases a machine is deleted though there is no other room for
+/// what was on it: its zone may be gone for good.
+pub(super) const CUT_LEASES: Micros = 4;
+
+/// Room for what is on machines that are cut off, in CPUs.
+#[derive(Debug)]
+pub(super) struct Elsewhere {
+    /// What replicas may have: free ordinary room, and that of arrays on ordinary
+    /// machines, which comes free for them first.
+    replicas: f64,
+    /// Free room of any kind.
+    arrays: f64,
+}
+
+impl Elsewhere {
+    /// Whether there is room for what counts most on the machine; takes it.
+    pub fn takes(&mut self, m: &Machine) -> bool {
+        let cpus = |service: bool| -> f64 {
+            let slots = m.slots.values().filter(|s| s.service == service);
+            slots.map(|s| s.room.cpus).sum()
+        };
+        let (replicas, arrays) = (cpus(true), cpus(false));
+        let (left, need) = if replicas > 0.0 {
+            (&mut self.replicas, replicas)
+        } else {
+            (&mut self.arrays, arrays)
+        };
+        let takes = *left + 1e-6 >= need;
+        if takes {
+            *left -= need;
+        }
+        takes
+    }
+}
+
 impl Leader {
+    /// Room for what is on the machines that are cut off.
+    pub(super) fn elsewhere(&self, cut: &BTreeSet<Rc<str>>) -> Elsewhere {
+        let (ordinary, spot) = (self.index.floor.free(false), self.index.floor.free(true));
+        let lending = self.index.lending[0].iter();
+        let lent: f64 = lending
+            .filter(|_| !cut.is_empty())
+            .filter_map(|place| self.machines.at(*place))
+            .filter(|(name, _)| !cut.contains(*name))
+            .flat_map(|(_, m)| m.slots.values().filter(|s| !s.service))
+            .map(|s| s.room.cpus)
+            .sum();
+        Elsewhere {
+            replicas: ordinary + lent,
+            arrays: ordinary + spot,
+        }
+    }
+
     /// After this long without a word from it a machine has missed a report.
     pub(super) fn missing(config: &Config) -> Micros {
         config.report * 3 / 2
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -1,6 +1,7 @@
 //! Renting, returning, and machines that are gone.
 
 use super::boots::boot_time;
+use super::cut::CUT_LEASES;
 use super::late::Served;
 use super::*;
 
@@ -187,18 +188,8 @@
         // Replicas behind a cut serve until their lease ends. To delete them
         // sooner once cost a third of all replicas the time that others took
         // to boot (rough, brunnmatt-books-grown).
-        let serving: BTreeSet<Rc<str>> = self
-            .cut_off()
-            .into_iter()
-            .filter(|m| {
-                let slots = self
-                    .machines
-                    .get(m)
-                    .into_iter()
-                    .flat_map(|m| m.slots.keys());
-                slots.into_iter().any(|(id, _)| self.is_service(id))
-            })
-            .collect();
+        let cut = self.cut_off();
+        let mut elsewhere = self.elsewhere(&cut);
         let types = self.types.clone();
         let types = types.as_deref().map_or(&[][..], Vec::as_slice);
         let index = &self.index;
@@ -229,17 +220,25 @@
                     // A record or a listing only: it should report right away.
                     silence + boot
                 }
-            } else if serving.contains(&m.name) {
+            } else if cut.contains(&m.name) && m.slots.values().any(|s| s.service) {
                 ctx.config.lease
             } else if patient {
                 ctx.config.lease + ctx.config.report
             } else {
                 silence
             };
+            // What is cut off may come back any time, and its room with it. To
+            // delete 512 machines whose work had no other room to go to cost a
+            // third of all portals the rest of a cut and a minute besides (zone,
+            // rosterwise-nz-fleet).
+            let waits = cut.contains(&m.name)
+                && quiet < ctx.config.lease * CUT_LEASES
+                && quiet >= limit
+                && !elsewhere.takes(m);
             let taken = m.gone_by.is_some_and(|at| now >= at + SECOND) && quiet > ctx.config.report;
             // Whom only the leader before found silent has time to report first.
             let asked = !m.up || m.ready || now >= self.ready_since + missing;
-            if (quiet >= limit && asked) || taken {
+            if (quiet >= limit && asked && !waits) || taken {
                 log::info!("{}: silent for {} s, deleting it", m.name, seconds(quiet));
                 dropped.push(m.name.clone());
             }
--- a/crates/sched/src/floor.rs
+++ b/crates/sched/src/floor.rs
@@ -87,6 +87,8 @@
     full: BTreeSet<Place>,
     /// Free ordinary CPUs by zone, in millionths.
     ordinary: BTreeMap<Rc<str>, i64>,
+    /// Free CPUs of ordinary and of spot machines, in millionths.
+    free: [i64; 2],
     /// Whether machines are ranked by the images that they hold.
     images: bool,
     /// Whether `holding` is kept.
@@ -138,6 +140,7 @@
 
     fn leave(&mut self, place: Place, m: &MachineView) {
         let keys = Keys::of(m);
+        self.free[usize::from(m.spot)] -= keys.cpus;
         if !m.spot
             && let Some(free) = self.ordinary.get_mut(&m.zone)
         {
@@ -164,6 +167,7 @@
 
     fn enter(&mut self, place: Place, m: &MachineView) {
         let keys = Keys::of(m);
+        self.free[usize::from(m.spot)] += keys.cpus;
         if !m.spot {
             *self.ordinary.entry(m.zone.clone()).or_default() += keys.cpus;
         }
@@ -218,6 +222,11 @@
         self.ordinary.get(zone).copied().map_or(0.0, amount)
     }
 
+    /// Free CPUs of all ordinary or of all spot machines.
+    pub fn free(&self, spot: bool) -> f64 {
+        amount(self.free[usize::from(spot)])
+    }
+
     /// Machines with room that hold an image.
     pub fn holders(&self, image: &str) -> Vec<Place> {
         let with_room = self.ranks.iter().flat_map(|r| &r.by_room);
