--- a/crates/core/src/leader/boots.rs
+++ b/crates/core/src/leader/boots.rs
@@ -99,8 +99,8 @@
         let mut spells: BTreeMap<Rc<str>, Vec<&Machine>> = BTreeMap::new();
         let all = self.index.booting.iter();
         let booting: Vec<&Machine> = all
-            .filter(|place| !self.index.silent.contains(place))
-            .filter_map(|place| Some(self.machines.at(*place)?.1))
+            .filter(|place| !self.index.silent.contains(*place))
+            .filter_map(|place| Some(self.machines.at(place)?.1))
             .filter(|m| m.expected || m.recorded)
             .collect();
         for m in &booting {
--- a/crates/core/src/leader/cut.rs
+++ b/crates/core/src/leader/cut.rs
@@ -45,7 +45,7 @@
         let lending = self.index.lending[0].iter();
         let lent: f64 = lending
             .filter(|_| !cut.is_empty())
-            .filter_map(|place| self.machines.at(*place))
+            .filter_map(|place| self.machines.at(place))
             .filter(|(name, _)| !cut.contains(*name))
             .flat_map(|(_, m)| m.slots.values().filter(|s| !s.service))
             .map(|s| s.room.cpus)
@@ -110,6 +110,6 @@
     /// Machines that are up and have missed a report.
     pub(super) fn silent(&self) -> impl Iterator<Item = (&Rc<str>, &Machine)> {
         let silent = self.index.silent.iter();
-        silent.filter_map(|place| self.machines.at(*place))
+        silent.filter_map(|place| self.machines.at(place))
     }
 }
--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -11,6 +11,7 @@
 use super::*;
 use dillcleat_sched::room::amount;
 use dillcleat_sched::{Pace, Rank, Real, Standing, units};
+use roaring::RoaringBitmap;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -164,15 +165,15 @@
     pub sums: Sums,
     jobs: Vec<Option<JobPart>>,
     machines: Vec<Option<MachinePart>>,
-    pub cancelled: BTreeSet<Place>,
-    pub guessed: BTreeSet<Place>,
-    pub unshown: BTreeSet<Place>,
-    pub silent: BTreeSet<Place>,
-    pub booting: BTreeSet<Place>,
-    pub noticed: BTreeSet<Place>,
-    pub empty: BTreeSet<Place>,
+    pub cancelled: RoaringBitmap,
+    pub guessed: RoaringBitmap,
+    pub unshown: RoaringBitmap,
+    pub silent: RoaringBitmap,
+    pub booting: RoaringBitmap,
+    pub noticed: RoaringBitmap,
+    pub empty: RoaringBitmap,
     /// Machines that run arrays' tasks: ordinary, spot.
-    pub lending: [BTreeSet<Place>; 2],
+    pub lending: [RoaringBitmap; 2],
     /// At least one entry for each thing that is due, none later than it is:
     /// an entry that comes too early is made anew.
     due: BinaryHeap<Reverse<(Micros, Due)>>,
@@ -180,11 +181,11 @@
     entered: [Vec<Micros>; 2],
 }
 
-fn member(set: &mut BTreeSet<Place>, place: Place, is: bool) {
+fn member(set: &mut RoaringBitmap, place: Place, is: bool) {
     if is {
         set.insert(place);
     } else {
-        set.remove(&place);
+        set.remove(place);
     }
 }
 
@@ -214,13 +215,13 @@
             sums: Sums::new(config),
             jobs: Vec::new(),
             machines: Vec::new(),
-            cancelled: BTreeSet::new(),
-            guessed: BTreeSet::new(),
-            unshown: BTreeSet::new(),
-            silent: BTreeSet::new(),
-            booting: BTreeSet::new(),
-            noticed: BTreeSet::new(),
-            empty: BTreeSet::new(),
+            cancelled: RoaringBitmap::new(),
+            guessed: RoaringBitmap::new(),
+            unshown: RoaringBitmap::new(),
+            silent: RoaringBitmap::new(),
+            booting: RoaringBitmap::new(),
+            noticed: RoaringBitmap::new(),
+            empty: RoaringBitmap::new(),
             lending: Default::default(),
             due: BinaryHeap::new(),
             entered: Default::default(),
@@ -416,7 +417,7 @@
     pub(super) fn mark_guessed(&mut self) {
         if std::mem::take(&mut self.guesses_changed) {
             for place in &self.index.guessed {
-                self.jobs.mark(*place);
+                self.jobs.mark(place);
             }
         }
     }
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -81,7 +81,7 @@
         }
         let mut late: BTreeSet<Rc<str>> = BTreeSet::new();
         for place in &self.index.cancelled {
-            let Some((id, job)) = self.jobs.at(*place) else {
+            let Some((id, job)) = self.jobs.at(place) else {
                 continue;
             };
             if job.cancelled.is_none_or(|at| now < at + patience) {
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -184,7 +184,7 @@
         // counted as soon as they miss a report: one by one they would be
         // deleted before they are many.
         let missing = Self::missing(ctx.config);
-        let patient = self.index.silent.len() > 2.max(up * 3 / 10);
+        let patient = self.index.silent.len() > 2.max(up as u64 * 3 / 10);
         // Replicas behind a cut serve until their lease ends. To delete them
         // sooner once cost a third of all replicas the time that others took
         // to boot (rough, brunnmatt-books-grown).
@@ -193,13 +193,7 @@
         let types = self.types.clone();
         let types = types.as_deref().map_or(&[][..], Vec::as_slice);
         let index = &self.index;
-        let suspects: BTreeSet<Place> = index
-            .silent
-            .iter()
-            .chain(&index.booting)
-            .chain(&index.noticed)
-            .copied()
-            .collect();
+        let suspects = &(&index.silent | &index.booting) | &index.noticed;
         let mut probed = Vec::new();
         let mut dropped = Vec::new();
         for (place, m) in suspects
@@ -267,7 +261,7 @@
             .index
             .empty
             .iter()
-            .filter_map(|place| self.machines.at(*place))
+            .filter_map(|place| self.machines.at(place))
             .map(|(name, m)| (self.warm(m), name.clone()))
             .collect();
         order.sort();
@@ -492,7 +486,7 @@
     /// Jobs whose counts have changed since they were last shown.
     pub fn progress(&mut self) -> Vec<Progress> {
         let mut changed = Vec::new();
-        let unshown = self.index.unshown.iter().copied();
+        let unshown = self.index.unshown.iter();
         let some: Vec<Place> = unshown.take(dillcleat_mesh::MAX_PROGRESS).collect();
         for place in some {
             self.jobs.mark(place);
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -126,7 +126,7 @@
         }
         let after = Some(Standing::of(m));
         let starts = |e: &SlotEvent| matches!(e, SlotEvent::Running(_));
-        if before != after || !events.iter().all(starts) || self.index.silent.contains(&place) {
+        if before != after || !events.iter().all(starts) || self.index.silent.contains(place) {
             self.machines.mark(place);
         }
         for event in events {
--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -46,7 +46,7 @@
         let mut keys: Vec<(Rc<str>, TaskKey)> = Vec::new();
         let [ordinary, cheap] = &self.index.lending;
         let lending = ordinary.iter().chain(cheap.iter().filter(|_| spot));
-        for m in lending.filter_map(|place| Some(self.machines.at(*place)?.1)) {
+        for m in lending.filter_map(|place| Some(self.machines.at(place)?.1)) {
             let there = m.open(now) && now < m.heard_at + missing;
             let Some(mut view) = self.view(m).filter(|_| there) else {
                 continue;
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -24,6 +24,7 @@
 use dillcleat_wire::user::{cancel_path, poll_path};
 use dillcleat_wire::worker::{Elsewhere, Orders, REPORT_PATH, Report, ReportAnswer};
 use fastrand::Rng;
+use sha2::{Digest, Sha256};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::{Duration, Instant};
@@ -48,8 +49,8 @@
     pub left: Vec<String>,
     /// What a leader had derived that was not as if made anew.
     pub stale: Vec<&'static str>,
-    /// A digest of everything told to users: equal seeds give equal digests.
-    pub digest: u64,
+    /// SHA-256 of everything told to users: equal seeds give equal digests.
+    pub digest: [u8; 32],
     /// Tasks that ran on a machine when it went.
     pub lost: usize,
     /// The most machines that were up at once.
@@ -240,7 +241,7 @@
     /// Inputs that nodes took.
     inputs: u64,
     stale: Vec<&'static str>,
-    digest: u64,
+    digest: Sha256,
     most_machines: usize,
     lost: usize,
     costs: Costs,
@@ -343,7 +344,7 @@
             config,
             inputs: 0,
             stale: Vec::new(),
-            digest: 0,
+            digest: Sha256::new(),
             most_machines: 0,
             lost: 0,
             costs: Costs::new(),
@@ -407,7 +408,7 @@
             malformed: self.state.malformed,
             breaches: self.checker.breaches,
             stale: self.stale,
-            digest: self.digest,
+            digest: self.digest.finalize().into(),
             lost: self.lost,
             machines: self.most_machines,
             terms,
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -189,10 +189,9 @@
 
     pub(super) fn user_answer(&mut self, asker: Asker, status: u16, state: Option<JobState>) {
         let now = self.now;
-        self.digest = self
-            .digest
-            .wrapping_mul(31)
-            .wrapping_add(now ^ u64::from(status));
+        self.digest.update(now.to_be_bytes());
+        self.digest.update(status.to_be_bytes());
+        self.digest.update(format!("{asker:?} {state:?}"));
         let ended = state.filter(|s| matches!(s, JobState::Done | JobState::Cancelled));
         match asker {
             Asker::Worker { .. } => {}
