Stand-ins and tests say things once; a service's submission has its pass at once

Watches, callers, a plain job and a machine's report are written once for the rehearsal's world, the fleet and the tests. Passes at ticks only cost replicas up to 50 ms: the pass that a service's submission wants does not wait for the tick any more.

--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -159,6 +159,7 @@
             };
             let version = open.mark_version(version);
             let guess = self.guess(ctx.config, &open.spec.class);
+            self.service_came |= open.spec.kind == Kind::Service;
             self.jobs
                 .insert(Rc::from(id), Job::new(open, version, team, guess));
             self.pass_at = ctx.now.steady;
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -267,6 +267,9 @@
     guesses_changed: bool,
     /// When tasks may be stopped for replicas again.
     room_at: Micros,
+    /// A service was submitted since the last pass: its users do not wait for a
+    /// tick.
+    service_came: bool,
     pass_at: Micros,
     passed_at: Micros,
     fleet_at: Micros,
@@ -318,6 +321,7 @@
             guesses: HashMap::new(),
             guesses_changed: false,
             room_at: now,
+            service_came: false,
             pass_at: now,
             passed_at: now,
             fleet_at: now,
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -18,9 +18,7 @@
             }
             return;
         }
-        let gap = micros(ctx.config.tuning.pass_gap_s);
-        let due = now >= self.pass_at && now >= self.passed_at + gap;
-        if due || now >= self.passed_at + micros(ctx.config.tuning.pass_s) {
+        if self.pass_due(ctx) || now >= self.passed_at + micros(ctx.config.tuning.pass_s) {
             self.pass(ctx);
         }
         if now >= self.fleet_at {
@@ -33,12 +31,23 @@
         self.go_on(ctx);
     }
 
-    /// Sends what is ready to be sent. Passes wait for the tick: a report is
-    /// answered, and with it a lease renewed, without one in between.
+    /// A change wants a pass, and the last one is long enough ago.
+    fn pass_due(&self, ctx: &Ctx) -> bool {
+        let now = ctx.now.steady;
+        let gap = micros(ctx.config.tuning.pass_gap_s);
+        now >= self.pass_at && now >= self.passed_at + gap
+    }
+
+    /// Sends what is ready to be sent. Passes wait for the tick, but for one that
+    /// a service's submission wants: a report is answered, and with it a lease
+    /// renewed, without one in between.
     pub fn go_on(&mut self, ctx: &mut Ctx) {
         if self.stage != Stage::Ready {
             return;
         }
+        if self.service_came && self.pass_due(ctx) {
+            self.pass(ctx);
+        }
         if self.watch_at.is_some_and(|at| ctx.now.steady >= at) {
             self.watch_at = None;
             let call = StateCall::Watch {
@@ -205,6 +214,7 @@
         self.refresh(ctx);
         self.age(now);
         self.pass_at = Micros::MAX;
+        self.service_came = false;
         self.passed_at = now;
         if self.fresh(ctx) && self.types.is_some() {
             self.refresh(ctx);
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -3,11 +3,13 @@
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
-use dillcleat_core::{Config, Input, Micros, Node, Now, Output, Tuning, store};
+use dillcleat_core::store::{self, MachineRecord};
+use dillcleat_core::{Config, Input, Micros, Node, Now, Output, RequestId, Tuning};
 use dillcleat_wire::cloud::{CloudCall, CloudReply, MachineList};
+use dillcleat_wire::encode;
 use dillcleat_wire::platform::Platform;
-use dillcleat_wire::state::{Page, Row, StateCall, StateReply};
-use dillcleat_wire::user::{JobSpec, Kind, Priority};
+use dillcleat_wire::state::{Page, Row, StateCall, StateReply, value};
+use dillcleat_wire::worker::{REPORT_PATH, Report};
 
 const SETTINGS: &str = r#"
 member = "n0"
@@ -115,28 +117,39 @@
     (statuses, calls)
 }
 
-/// A job of tasks that take `cpus` each; arrays may run on spot machines.
-pub fn spec(id: &str, kind: Kind, tasks: u32, cpus: f64) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        class: "c".into(),
-        team: "t".into(),
-        kind,
-        priority: Priority::Normal,
-        tasks,
-        cpus,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: kind == Kind::Batch,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
+/// A machine as an earlier leader has put it on record.
+pub fn recorded(machine: &str, zone: &str) -> Row {
+    Row {
+        key: store::machine_key(machine),
+        value: value(&MachineRecord {
+            addr: "127.0.0.1:7".into(),
+            machine_type: "t".into(),
+            zone: zone.into(),
+            spot: false,
+        }),
+        version: 1,
+        lease: None,
+    }
+}
+
+/// The request in which a machine without tasks reports to a leader of term 1.
+pub fn report(machine: &str, zone: &str, seq: u64) -> Input {
+    let report = Report {
+        machine: machine.into(),
+        addr: "127.0.0.1:7".into(),
+        machine_type: "t".into(),
+        zone: zone.into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: 1,
+        notice_s: None,
+        tasks: Vec::new(),
+    };
+    Input::Request {
+        id: RequestId(1),
+        method: "POST".into(),
+        target: REPORT_PATH.into(),
+        body: encode(&report),
     }
 }
--- a/crates/core/tests/deaf.rs
+++ b/crates/core/tests/deaf.rs
@@ -2,54 +2,22 @@
 
 mod common;
 
-use common::step;
-use dillcleat_core::store::{self, MachineRecord};
-use dillcleat_core::{Input, MILLISECOND, Micros, RequestId, SECOND};
+use common::{recorded, report, step};
+use dillcleat_core::{Input, MILLISECOND, Micros, SECOND};
 use dillcleat_mesh::Message;
-use dillcleat_wire::encode;
-use dillcleat_wire::state::{Row, value};
-use dillcleat_wire::worker::Report;
+use dillcleat_wire::state::Row;
 
 /// How long a leader with machines on record leads without hearing a worker,
 /// having `heard` one report or none, while a sibling says whether it hears any.
 /// `pause` is a gap in its ticks after two seconds.
 fn leads_for(heard: bool, hears: bool, pause: Micros) -> Micros {
-    let machines: Vec<Row> = (0..3)
-        .map(|i| Row {
-            key: store::machine_key(&format!("m{i}")),
-            value: value(&MachineRecord {
-                addr: "127.0.0.1:7".into(),
-                machine_type: "t".into(),
-                zone: "a".into(),
-                spot: false,
-            }),
-            version: 1,
-            lease: None,
-        })
-        .collect();
+    let machines: Vec<Row> = (0..3).map(|i| recorded(&format!("m{i}"), "a")).collect();
     let mut node = common::node();
     let start = 1000 * SECOND;
     step(&mut node, start, Input::Tick, &machines);
     assert_eq!(node.leading(), Some(1));
     if heard {
-        let report = Report {
-            machine: "m0".into(),
-            addr: "127.0.0.1:7".into(),
-            machine_type: "t".into(),
-            zone: "a".into(),
-            spot: false,
-            session: 1,
-            seq: 1,
-            token: 1,
-            notice_s: None,
-            tasks: Vec::new(),
-        };
-        let input = Input::Request {
-            id: RequestId(1),
-            method: "POST".into(),
-            target: "/checkin".into(),
-            body: encode(&report),
-        };
+        let input = report("m0", "a", 1);
         assert_eq!(step(&mut node, start, input, &machines), [200]);
     }
     let mut led_for = 0;
--- a/crates/core/tests/marks.rs
+++ b/crates/core/tests/marks.rs
@@ -6,7 +6,7 @@
 use dillcleat_core::{Input, Now, Output, RequestId, SECOND};
 use dillcleat_wire::decode;
 use dillcleat_wire::state::{Row, StateCall, StateReply, Value, value};
-use dillcleat_wire::user::{JobState, JobStatus, Kind};
+use dillcleat_wire::user::{JobSpec, JobState, JobStatus, Kind};
 use std::collections::BTreeMap;
 
 /// Polls a fresh node for the job with these records in the store, key to
@@ -71,7 +71,7 @@
 
 fn description(unmarked: bool) -> Value {
     value(&OpenJob {
-        spec: common::spec("req-1", Kind::Batch, 2, 1.0),
+        spec: JobSpec::plain("req-1", Kind::Batch, 2, 1.0),
         at: 1,
         chunk: 8,
         unmarked,
--- a/crates/core/tests/proof.rs
+++ b/crates/core/tests/proof.rs
@@ -36,7 +36,7 @@
 }
 
 fn spec() -> JobSpec {
-    common::spec("req-1", Kind::Batch, 1, 1.0)
+    JobSpec::plain("req-1", Kind::Batch, 1, 1.0)
 }
 
 fn key() -> TaskKey {
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -2,14 +2,11 @@
 
 mod common;
 
-use common::step_and_calls;
-use dillcleat_core::store::{self, MachineRecord};
-use dillcleat_core::{Input, MILLISECOND, Micros, Node, RequestId, SECOND};
+use common::{recorded, report, step_and_calls};
+use dillcleat_core::{Input, MILLISECOND, Micros, SECOND};
 use dillcleat_mesh::{Message, Silence};
 use dillcleat_wire::cloud::CloudCall;
-use dillcleat_wire::encode;
-use dillcleat_wire::state::{Row, value};
-use dillcleat_wire::worker::Report;
+use dillcleat_wire::state::Row;
 
 const START: Micros = 1000 * SECOND;
 
@@ -17,44 +14,12 @@
     if machine < 3 { "cut" } else { "b" }
 }
 
-fn report(node: &mut Node, at: Micros, machine: usize, rows: &[Row]) {
-    let report = Report {
-        machine: format!("m{machine}"),
-        addr: "127.0.0.1:7".into(),
-        machine_type: "t".into(),
-        zone: zone(machine).into(),
-        spot: false,
-        session: 1,
-        seq: at / MILLISECOND,
-        token: 1,
-        notice_s: None,
-        tasks: Vec::new(),
-    };
-    let input = Input::Request {
-        id: RequestId(1),
-        method: "POST".into(),
-        target: "/checkin".into(),
-        body: encode(&report),
-    };
-    assert_eq!(step_and_calls(node, at, input, rows).0, [200]);
-}
-
 /// When the machines of a zone are deleted that was cut off before the leader
 /// began, which had `quiet_ms` from the leader before. In the cut zone machine 0
 /// alone reports, if `one_reports`.
 fn deleted_after(quiet_ms: Option<u32>, one_reports: bool) -> Vec<(String, Micros)> {
     let rows: Vec<Row> = (0..9)
-        .map(|i| Row {
-            key: store::machine_key(&format!("m{i}")),
-            value: value(&MachineRecord {
-                addr: "127.0.0.1:7".into(),
-                machine_type: "t".into(),
-                zone: zone(i).into(),
-                spot: false,
-            }),
-            version: 1,
-            lease: None,
-        })
+        .map(|i| recorded(&format!("m{i}"), zone(i)))
         .collect();
     let mut node = common::node();
     if let Some(quiet_ms) = quiet_ms {
@@ -76,7 +41,9 @@
         }
         if at.is_multiple_of(2 * SECOND) {
             for machine in (0..9).filter(|m| *m > 2 || (*m == 0 && one_reports)) {
-                report(&mut node, now, machine, &rows);
+                let seq = at / MILLISECOND + 1;
+                let input = report(&format!("m{machine}"), zone(machine), seq);
+                assert_eq!(step_and_calls(&mut node, now, input, &rows).0, [200]);
             }
         }
     }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -9,7 +9,7 @@
 
 use crate::cloud::{Cloud, Host};
 use crate::rules::Place;
-use crate::state::{PageLimit, StateService};
+use crate::state::{PageLimit, StateService, Watches};
 use crate::worker::{Happening, PATIENCE, Play, Worker};
 use dillcleat_core::store::{self, Chunk, MachineRecord, OpenJob, Types};
 use dillcleat_core::{
@@ -151,12 +151,6 @@
     Note,
 }
 
-struct Watch {
-    id: CallId,
-    prefix: String,
-    after: u64,
-}
-
 /// What a second allows, with a burst of one second's worth.
 struct Bucket {
     rate: f64,
@@ -208,7 +202,7 @@
     names: HashMap<String, u32>,
     plays: BTreeMap<String, Play>,
     unanswered: HashMap<u64, (u32, Micros, u64)>,
-    watches: BTreeMap<u64, Watch>,
+    watches: Watches<CallId>,
     next: u64,
     jobs: u32,
     /// Jobs that were open at the start, and submissions under way.
@@ -298,7 +292,7 @@
             names: HashMap::new(),
             plays: BTreeMap::new(),
             unanswered: HashMap::new(),
-            watches: BTreeMap::new(),
+            watches: Watches::default(),
             next: 0,
             jobs: 0,
             open_jobs: 0,
@@ -372,35 +366,25 @@
         self.jobs += 1;
         let service = kind == Kind::Service;
         let id = format!("req-{:06}", self.jobs);
+        let tasks = if service {
+            REPLICAS
+        } else {
+            self.rng.u32(ARRAY / 3..=ARRAY * 5 / 3)
+        };
+        let cpus = CPUS / f64::from(self.setting.slots);
         let spec = JobSpec {
-            id: id.clone(),
             class: if service { "search" } else { "merge" }.into(),
             team: format!("team-{:02}", self.rng.usize(..TEAMS)),
-            kind,
             priority: if service {
                 Priority::Production
             } else {
                 Priority::Normal
             },
-            tasks: if service {
-                REPLICAS
-            } else {
-                self.rng.u32(ARRAY / 3..=ARRAY * 5 / 3)
-            },
-            cpus: CPUS / f64::from(self.setting.slots),
-            gpus: 0.0,
             memory_gb: 60.0 / f64::from(self.setting.slots),
             image: format!("img-{:02}", self.rng.u8(..18)),
-            image_gb: 1.0,
-            types: None,
-            zone: None,
-            one_zone: false,
             spread: service,
-            spot: !service,
             estimate_s: self.setting.run as f64 / SECOND as f64,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
+            ..JobSpec::plain(&id, kind, tasks, cpus)
         };
         let play = Play {
             spec: spec.clone(),
@@ -667,8 +651,8 @@
             }
             Ev::State { id, call } => self.state_call(id, &call),
             Ev::WatchEnds { watch } => {
-                if let Some(w) = self.watches.remove(&watch) {
-                    self.watch_answer(&w);
+                if let Some((id, changes)) = self.watches.end(watch, &self.state) {
+                    self.state_answer(id, StateReply::Changes(changes));
                 }
             }
             Ev::Cloud { id, call } => {
@@ -732,49 +716,19 @@
             self.result.too_many += 1;
             Some(StateReply::TooMany)
         };
-        match (answer, call) {
-            (
-                None,
-                StateCall::Watch {
-                    prefix,
-                    after,
-                    hold_ms,
-                },
-            ) => {
-                self.next += 1;
-                let watch = Watch {
-                    id,
-                    prefix: prefix.clone(),
-                    after: *after,
-                };
-                self.watches.insert(self.next, watch);
-                let end = Ev::WatchEnds { watch: self.next };
-                self.at(self.now + hold_ms * MILLISECOND, end);
-            }
-            (answer, _) => {
-                if let Some(answer) = answer {
-                    self.state_answer(id, answer);
+        match answer {
+            Some(answer) => self.state_answer(id, answer),
+            None => {
+                if let Some((watch, time)) = self.watches.open(id, call) {
+                    self.at(self.now + time, Ev::WatchEnds { watch });
                 }
             }
         }
-        let changed: Vec<u64> = self
-            .watches
-            .iter()
-            .filter(|(_, w)| !self.state.changes(&w.prefix, w.after).events.is_empty())
-            .map(|(k, _)| *k)
-            .collect();
-        for watch in changed {
-            if let Some(w) = self.watches.remove(&watch) {
-                self.watch_answer(&w);
-            }
+        for (id, changes) in self.watches.changed(&self.state, |_| true) {
+            self.state_answer(id, StateReply::Changes(changes));
         }
     }
 
-    fn watch_answer(&mut self, w: &Watch) {
-        let changes = self.state.changes(&w.prefix, w.after);
-        self.state_answer(w.id, StateReply::Changes(changes));
-    }
-
     fn state_answer(&mut self, id: CallId, answer: StateReply) {
         let input = Box::new(Input::State {
             id,
--- a/crates/rehearsal/src/state.rs
+++ b/crates/rehearsal/src/state.rs
@@ -353,3 +353,60 @@
         keys.filter(|k| k.starts_with(prefix)).cloned().collect()
     }
 }
+
+/// Watches that wait for a change, with who asked.
+#[derive(Debug)]
+pub struct Watches<T> {
+    open: BTreeMap<u64, (T, String, u64)>,
+    next: u64,
+}
+
+impl<T> Default for Watches<T> {
+    fn default() -> Self {
+        Watches {
+            open: BTreeMap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<T: Copy> Watches<T> {
+    /// Opens a watch; None if the call is none. Returns its number and for how
+    /// long it is held.
+    pub fn open(&mut self, who: T, call: &StateCall) -> Option<(u64, Micros)> {
+        let StateCall::Watch {
+            prefix,
+            after,
+            hold_ms,
+        } = call
+        else {
+            return None;
+        };
+        self.next += 1;
+        self.open.insert(self.next, (who, prefix.clone(), *after));
+        Some((self.next, hold_ms * MILLISECOND))
+    }
+
+    /// Ends a watch whose time is over.
+    pub fn end(&mut self, watch: u64, state: &StateService) -> Option<(T, Changes)> {
+        let (who, prefix, after) = self.open.remove(&watch)?;
+        Some((who, state.changes(&prefix, after)))
+    }
+
+    /// Ends those that have something to tell to whom `may` be told.
+    pub fn changed(&mut self, state: &StateService, may: impl Fn(T) -> bool) -> Vec<(T, Changes)> {
+        let mut told = Vec::new();
+        self.open.retain(|_, (who, prefix, after)| {
+            if !may(*who) {
+                return true;
+            }
+            let changes = state.changes(prefix, *after);
+            let quiet = changes.events.is_empty();
+            if !quiet {
+                told.push((*who, changes));
+            }
+            quiet
+        });
+        told
+    }
+}
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -9,7 +9,7 @@
 use crate::cloud::Cloud;
 use crate::rules::{Breach, Checker, Place};
 use crate::scenario::{Fault, Scenario};
-use crate::state::StateService;
+use crate::state::{StateService, Watches};
 use crate::worker::{Happening, PATIENCE, Play, Worker};
 use dillcleat_core::config::DeadlineAim;
 use dillcleat_core::{
@@ -89,26 +89,17 @@
         input: Box<Input>,
     },
     State {
-        node: usize,
-        epoch: u32,
-        id: CallId,
+        caller: Caller,
         call: Box<StateCall>,
-        reply: bool,
     },
     Cloud {
-        node: usize,
-        epoch: u32,
-        id: CallId,
+        caller: Caller,
         call: Box<CloudCall>,
-        reply: bool,
     },
     Orders {
-        node: usize,
-        epoch: u32,
-        id: CallId,
+        caller: Caller,
         addr: String,
         orders: Box<Orders>,
-        reply: bool,
     },
     WatchEnds {
         watch: u64,
@@ -147,13 +138,13 @@
     Note,
 }
 
-#[derive(Debug)]
-struct Watch {
+/// Who made a call, and whether the answer gets across.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Caller {
     node: usize,
     epoch: u32,
     id: CallId,
-    prefix: String,
-    after: u64,
+    heard: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -226,7 +217,7 @@
     pub(crate) state: StateService,
     pub(crate) cloud: Cloud,
     pub(crate) workers: BTreeMap<String, Worker>,
-    watches: BTreeMap<u64, Watch>,
+    watches: Watches<Caller>,
     next: u64,
     asked: BTreeMap<u64, Asker>,
     users: Vec<User>,
@@ -330,7 +321,7 @@
             state: StateService::new(config.value_bytes, config.txn_ops),
             cloud: Cloud::new(types(), 4 * scenario.scale, config.list_lag),
             workers: BTreeMap::new(),
-            watches: BTreeMap::new(),
+            watches: Watches::default(),
             next: 0,
             asked: BTreeMap::new(),
             users: Vec::new(),
@@ -465,102 +456,21 @@
                     self.wake(node, *input);
                 }
             }
-            Ev::State {
-                node,
-                epoch,
-                id,
-                call,
-                reply,
-            } => self.state_call(node, epoch, id, &call, reply),
+            Ev::State { caller, call } => self.state_call(caller, &call),
             Ev::WatchEnds { watch } => {
-                if let Some(w) = self.watches.get(&watch) {
-                    let changes = self.state.changes(&w.prefix, w.after);
-                    if !self.state.out(self.now) {
-                        self.watch_answer(watch, changes);
-                    }
-                }
-            }
-            Ev::Cloud {
-                node,
-                epoch,
-                id,
-                call,
-                reply,
-            } => {
-                let mut rng = self.rng.fork();
-                let mut never = rng.u8(..20) == 0;
-                let mut boot = rng.u64(SECOND..20 * SECOND);
-                if self.now < self.boots.until {
-                    never = rng.u64(..self.boots.never) == 0;
-                    boot = boot * self.boots.factor + MILLISECOND;
-                }
-                let (answer, new, gone) = self
-                    .cloud
-                    .call(&call, self.now, |_| (!never).then_some(boot));
-                for machine in new.into_iter().filter(|_| !never) {
-                    self.at(self.now + boot, Ev::Up { machine });
-                }
-                for machine in gone {
-                    self.machine_ends(&machine);
-                }
-                if reply {
-                    let at = self.now + self.delay();
-                    self.input(
-                        at,
-                        node,
-                        epoch,
-                        Input::Cloud {
-                            id,
-                            reply: Ok(answer),
-                        },
-                    );
+                // In an outage it stays open.
+                if !self.state.out(self.now)
+                    && let Some((caller, changes)) = self.watches.end(watch, &self.state)
+                {
+                    self.watch_answer(caller, changes);
                 }
             }
+            Ev::Cloud { caller, call } => self.cloud_call(caller, &call),
             Ev::Orders {
-                node,
-                epoch,
-                id,
+                caller,
                 addr,
                 orders,
-                reply,
-            } => {
-                let machine = addr.trim_end_matches(":9000").to_string();
-                let Some(worker) = self.workers.get_mut(&machine) else {
-                    return;
-                };
-                if self.now < worker.hung_until {
-                    // Carried out when it goes on, though the sender is gone.
-                    let at = worker.hung_until + MILLISECOND;
-                    return self.at(
-                        at,
-                        Ev::Orders {
-                            node,
-                            epoch,
-                            id,
-                            addr,
-                            orders,
-                            reply: false,
-                        },
-                    );
-                }
-                let mut happenings = worker.pass(self.now, self.config.lease, &self.plays);
-                let (status, report, more) = worker.orders(&orders, self.now, &self.plays);
-                happenings.extend(more);
-                self.tell(&machine, happenings);
-                if reply {
-                    let body = dillcleat_wire::encode(&report);
-                    let at = self.now + self.delay();
-                    self.input(
-                        at,
-                        node,
-                        epoch,
-                        Input::Orders {
-                            id,
-                            reply: Ok((status, body)),
-                        },
-                    );
-                }
-            }
+            } => self.orders(caller, addr, orders),
             Ev::Workers => {
                 self.most_machines = self.most_machines.max(self.workers.len());
                 self.pass_workers();
--- a/crates/rehearsal/src/world/network.rs
+++ b/crates/rehearsal/src/world/network.rs
@@ -26,39 +26,41 @@
         (self.now + delay, true)
     }
 
+    /// When a call arrives, and who made it.
+    fn call(&mut self, node: usize, epoch: u32, id: CallId, held: Micros) -> (Micros, Caller) {
+        let (at, heard) = self.passage(held);
+        let caller = Caller {
+            node,
+            epoch,
+            id,
+            heard,
+        };
+        (at, caller)
+    }
+
+    /// Sends an answer, if it gets across.
+    pub(super) fn reply(&mut self, caller: Caller, input: Input) {
+        if caller.heard {
+            let at = self.now + self.delay();
+            self.input(at, caller.node, caller.epoch, input);
+        }
+    }
+
     pub(super) fn carry(&mut self, node: usize, epoch: u32, output: Output) {
         match output {
             Output::Answer { id, answer } => self.answer(node, id.0, answer),
             Output::State { id, call, timeout } => {
                 let held = self.nodes[node].state_cut;
-                let (at, reply) = self.passage(held);
+                let (at, caller) = self.call(node, epoch, id, held);
                 let call = Box::new(call);
-                self.at(
-                    at,
-                    Ev::State {
-                        node,
-                        epoch,
-                        id,
-                        call,
-                        reply,
-                    },
-                );
+                self.at(at, Ev::State { caller, call });
                 let reply = Err(CallError::NoAnswer);
                 self.input(self.now + timeout, node, epoch, Input::State { id, reply });
             }
             Output::Cloud { id, call, timeout } => {
-                let (at, reply) = self.passage(0);
+                let (at, caller) = self.call(node, epoch, id, 0);
                 let call = Box::new(call);
-                self.at(
-                    at,
-                    Ev::Cloud {
-                        node,
-                        epoch,
-                        id,
-                        call,
-                        reply,
-                    },
-                );
+                self.at(at, Ev::Cloud { caller, call });
                 let reply = Err(CallError::NoAnswer);
                 self.input(self.now + timeout, node, epoch, Input::Cloud { id, reply });
             }
@@ -71,19 +73,14 @@
                 let machine = addr.trim_end_matches(":9000");
                 let cut = self.zone_of(machine).map_or(0, |z| self.zone_cut[z]);
                 let held = self.nodes[node].workers_cut.max(cut);
-                let (at, reply) = self.passage(held);
+                let (at, caller) = self.call(node, epoch, id, held);
                 let orders = Box::new(orders);
-                self.at(
-                    at,
-                    Ev::Orders {
-                        node,
-                        epoch,
-                        id,
-                        addr,
-                        orders,
-                        reply,
-                    },
-                );
+                let ev = Ev::Orders {
+                    caller,
+                    addr,
+                    orders,
+                };
+                self.at(at, ev);
                 let reply = Err(CallError::NoAnswer);
                 self.input(self.now + timeout, node, epoch, Input::Orders { id, reply });
             }
--- a/crates/rehearsal/src/world/services.rs
+++ b/crates/rehearsal/src/world/services.rs
@@ -1,20 +1,20 @@
-//! The state service and its watches, as nodes reach them.
+//! The state service with its watches, and the cloud, as nodes reach them.
 
 use super::*;
+use dillcleat_wire::state::Changes;
 
 impl World {
-    pub(super) fn state_call(
-        &mut self,
-        node: usize,
-        epoch: u32,
-        id: CallId,
-        call: &StateCall,
-        reply: bool,
-    ) {
-        if self.now < self.nodes[node].refused_until && !matches!(call, StateCall::Watch { .. }) {
-            let at = self.now + self.delay();
+    pub(super) fn state_call(&mut self, caller: Caller, call: &StateCall) {
+        let id = caller.id;
+        let refused = self.now < self.nodes[caller.node].refused_until;
+        if refused && !matches!(call, StateCall::Watch { .. }) {
             let reply = Ok(StateReply::Unavailable);
-            return self.input(at, node, epoch, Input::State { id, reply });
+            // Refused at once, whatever else goes wrong.
+            let caller = Caller {
+                heard: true,
+                ..caller
+            };
+            return self.reply(caller, Input::State { id, reply });
         }
         let too_many =
             self.rng.u16(..500) == 0 || (self.now < self.too_many_until && self.rng.u8(..5) == 0);
@@ -25,70 +25,57 @@
         };
         match answer {
             Some(answer) => {
-                if reply {
-                    let at = self.now + self.delay();
-                    self.input(
-                        at,
-                        node,
-                        epoch,
-                        Input::State {
-                            id,
-                            reply: Ok(answer),
-                        },
-                    );
-                }
+                let reply = Ok(answer);
+                self.reply(caller, Input::State { id, reply });
             }
             None => {
-                if let StateCall::Watch {
-                    prefix,
-                    after,
-                    hold_ms,
-                } = call
-                {
-                    self.next += 1;
-                    let watch = Watch {
-                        node,
-                        epoch,
-                        id,
-                        prefix: prefix.clone(),
-                        after: *after,
-                    };
-                    self.watches.insert(self.next, watch);
-                    let end = Ev::WatchEnds { watch: self.next };
-                    self.at(self.now + hold_ms * MILLISECOND, end);
+                if let Some((watch, time)) = self.watches.open(caller, call) {
+                    self.at(self.now + time, Ev::WatchEnds { watch });
                 }
             }
         }
         self.wake_watches();
     }
 
+    pub(super) fn cloud_call(&mut self, caller: Caller, call: &CloudCall) {
+        let id = caller.id;
+        let mut rng = self.rng.fork();
+        let mut never = rng.u8(..20) == 0;
+        let mut boot = rng.u64(SECOND..20 * SECOND);
+        if self.now < self.boots.until {
+            never = rng.u64(..self.boots.never) == 0;
+            boot = boot * self.boots.factor + MILLISECOND;
+        }
+        let up = |_: &str| (!never).then_some(boot);
+        let (answer, new, gone) = self.cloud.call(call, self.now, up);
+        for machine in new.into_iter().filter(|_| !never) {
+            self.at(self.now + boot, Ev::Up { machine });
+        }
+        for machine in gone {
+            self.machine_ends(&machine);
+        }
+        let reply = Ok(answer);
+        self.reply(caller, Input::Cloud { id, reply });
+    }
+
     pub(super) fn wake_watches(&mut self) {
         self.state.expire(self.now);
         if self.state.out(self.now) {
             return;
         }
-        let due: Vec<u64> = self
-            .watches
-            .iter()
-            .filter(|(_, w)| self.now >= self.nodes[w.node].refused_until)
-            .filter(|(_, w)| !self.state.changes(&w.prefix, w.after).events.is_empty())
-            .map(|(k, _)| *k)
-            .collect();
-        for watch in due {
-            if let Some(w) = self.watches.get(&watch) {
-                let changes = self.state.changes(&w.prefix, w.after);
-                self.watch_answer(watch, changes);
-            }
+        let refused = |caller: Caller| self.nodes[caller.node].refused_until;
+        let may = |caller| self.now >= refused(caller);
+        for (caller, changes) in self.watches.changed(&self.state, may) {
+            self.watch_answer(caller, changes);
         }
     }
 
-    pub(super) fn watch_answer(&mut self, watch: u64, changes: dillcleat_wire::state::Changes) {
-        if let Some(w) = self.watches.remove(&watch) {
-            let (at, whole) = self.passage(self.nodes[w.node].state_cut);
-            if whole {
-                let reply = Ok(StateReply::Changes(changes));
-                self.input(at, w.node, w.epoch, Input::State { id: w.id, reply });
-            }
+    pub(super) fn watch_answer(&mut self, caller: Caller, changes: Changes) {
+        let (at, whole) = self.passage(self.nodes[caller.node].state_cut);
+        if whole {
+            let reply = Ok(StateReply::Changes(changes));
+            let id = caller.id;
+            self.input(at, caller.node, caller.epoch, Input::State { id, reply });
         }
     }
 }
--- a/crates/rehearsal/src/world/workers.rs
+++ b/crates/rehearsal/src/world/workers.rs
@@ -47,6 +47,39 @@
         self.at(self.now + 100 * MILLISECOND, Ev::Workers);
     }
 
+    pub(super) fn orders(&mut self, caller: Caller, addr: String, orders: Box<Orders>) {
+        let machine = addr.trim_end_matches(":9000").to_string();
+        let Some(worker) = self.workers.get_mut(&machine) else {
+            return;
+        };
+        if self.now < worker.hung_until {
+            // Carried out when it goes on, though the sender is gone.
+            let at = worker.hung_until + MILLISECOND;
+            let caller = Caller {
+                heard: false,
+                ..caller
+            };
+            let ev = Ev::Orders {
+                caller,
+                addr,
+                orders,
+            };
+            return self.at(at, ev);
+        }
+        let mut happenings = worker.pass(self.now, self.config.lease, &self.plays);
+        let (status, report, more) = worker.orders(&orders, self.now, &self.plays);
+        happenings.extend(more);
+        self.tell(&machine, happenings);
+        let reply = Ok((status, dillcleat_wire::encode(&report)));
+        self.reply(
+            caller,
+            Input::Orders {
+                id: caller.id,
+                reply,
+            },
+        );
+    }
+
     pub(super) fn tell(&mut self, machine: &str, happenings: Vec<Happening>) {
         let Some(place) = self.workers.get(machine).map(|w| w.place.clone()) else {
             return;
--- a/crates/rehearsal/tests/rules_are_checked.rs
+++ b/crates/rehearsal/tests/rules_are_checked.rs
@@ -4,31 +4,14 @@
 use dillcleat_rehearsal::rules::Place;
 use dillcleat_rehearsal::{Checker, Rule};
 use dillcleat_wire::TaskName;
-use dillcleat_wire::user::{JobSpec, JobState, Kind, Priority};
+use dillcleat_wire::user::{JobSpec, JobState, Kind};
 use std::collections::BTreeMap;
 
 fn spec(tasks: u32) -> JobSpec {
     JobSpec {
-        id: "req-1".into(),
-        class: "c".into(),
-        team: "t".into(),
-        kind: Kind::Batch,
-        priority: Priority::Normal,
-        tasks,
-        cpus: 4.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
         spread: true,
         spot: false,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
+        ..JobSpec::plain("req-1", Kind::Batch, tasks, 4.0)
     }
 }
 
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -7,37 +7,11 @@
     Floor, Images, JobView, Line, MachineView, Pace, Place, Rank, Real, Room, Shape, Standing,
     TeamView,
 };
-use dillcleat_wire::user::{JobSpec, Kind, Priority};
+use dillcleat_wire::user::{JobSpec, Kind};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A job of tasks that take `cpus` each; arrays may run on spot machines.
-pub fn spec(id: &str, kind: Kind, tasks: u32, cpus: f64) -> JobSpec {
-    JobSpec {
-        id: id.into(),
-        class: "c".into(),
-        team: "t".into(),
-        kind,
-        priority: Priority::Normal,
-        tasks,
-        cpus,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: kind == Kind::Batch,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    }
-}
-
 /// A waiting job and all that its place in the order depends on.
 #[derive(Debug, Clone)]
 pub struct Job {
--- a/crates/sched/tests/order.rs
+++ b/crates/sched/tests/order.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 fn spec(id: &str, tasks: u32) -> JobSpec {
-    common::spec(id, Kind::Batch, tasks, 1.0)
+    JobSpec::plain(id, Kind::Batch, tasks, 1.0)
 }
 
 /// Each placement of a pass as job and machine, one for each task.
--- a/crates/sched/tests/plan.rs
+++ b/crates/sched/tests/plan.rs
@@ -6,7 +6,7 @@
 use dillcleat_sched::plan::{Market, Offer, Refusals, plan};
 use dillcleat_sched::{Floor, MachineView, Shape, TeamView};
 use dillcleat_wire::cloud::MachineType;
-use dillcleat_wire::user::Kind;
+use dillcleat_wire::user::{JobSpec, Kind};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
@@ -33,7 +33,7 @@
 fn job(id: &str, kind: Kind, tasks: u32, late: u32) -> Job {
     Job {
         late,
-        ..Job::new(common::spec(id, kind, tasks, 4.0), 1.0, 0)
+        ..Job::new(JobSpec::plain(id, kind, tasks, 4.0), 1.0, 0)
     }
 }
 
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -79,6 +79,35 @@
     pub deadline_s: Option<f64>,
 }
 
+impl JobSpec {
+    /// A job of equal tasks without any special wishes, to start from: of class `c`
+    /// and team `t`, with image `i` of 1 GB. Arrays may run on spot machines.
+    pub fn plain(id: &str, kind: Kind, tasks: u32, cpus: f64) -> JobSpec {
+        JobSpec {
+            id: id.into(),
+            class: "c".into(),
+            team: "t".into(),
+            kind,
+            priority: Priority::Normal,
+            tasks,
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: kind == Kind::Batch,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+}
+
 /// Why a submission is not a job.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SpecError {
