--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -129,6 +129,12 @@
         }
     }
 
+    fn submit(&mut self, node: usize, job: usize, spec: &JobSpec) {
+        let asker = Asker::Submission { job };
+        let body = dillcleat_wire::encode(spec);
+        self.ask(node, asker, "POST", JOBS_PATH.into(), body);
+    }
+
     pub(super) fn user(&mut self, job: usize) {
         let mut node = self.rng.usize(..self.nodes.len());
         // The load balancer leaves out who does not answer its probes: users once
@@ -145,15 +151,9 @@
         match u.stage {
             Stage::Submitting => {
                 u.since.get_or_insert(now);
-                let body = dillcleat_wire::encode(&u.spec);
-                self.checker.submits(&u.spec);
-                self.ask(
-                    node,
-                    Asker::Submission { job },
-                    "POST",
-                    JOBS_PATH.into(),
-                    body,
-                );
+                let spec = u.spec.clone();
+                self.checker.submits(&spec);
+                self.submit(node, job, &spec);
             }
             Stage::Polling | Stage::Over
                 if u.ended.is_none() && u.cancel_at.is_some_and(|at| now >= at) =>
@@ -172,14 +172,7 @@
                     // Known whatever else it holds.
                     let mut spec = u.spec.clone();
                     spec.team = "unknown".into();
-                    let body = dillcleat_wire::encode(&spec);
-                    self.ask(
-                        node,
-                        Asker::Submission { job },
-                        "POST",
-                        JOBS_PATH.into(),
-                        body,
-                    );
+                    self.submit(node, job, &spec);
                 } else {
                     self.ask(node, Asker::Poll { job }, "GET", poll_path(&id), Vec::new());
                 }
