--- a/crates/core/src/leader/cut.rs
+++ b/crates/core/src/leader/cut.rs
@@ -113,3 +113,38 @@
         silent.filter_map(|place| self.machines.at(place))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::workers::Machine;
+
+    fn machine(kind: Kind, tasks: u32, cpus: f64) -> Machine {
+        let mut m = Machine::new("m", "t", "z", false, 0);
+        let spec = JobSpec::plain("req-1", kind, tasks, cpus);
+        for i in 0..tasks {
+            let slot = Machine::slot(1, 1, (0, &spec), true);
+            let key = (Rc::from("req-1"), i);
+            m.place(key, slot, (&Rc::from("i"), 1.0), 50.0);
+        }
+        m
+    }
+
+    /// Machines behind a cut were once deleted with nowhere for their replicas to
+    /// go, and came back as none (zone, rosterwise-nz-fleet).
+    #[test]
+    fn what_is_cut_off_goes_as_far_as_there_is_room_for_it() {
+        let mut elsewhere = Elsewhere {
+            replicas: 5.0,
+            arrays: 4.0,
+        };
+        let replicas = machine(Kind::Service, 2, 2.0);
+        let array = machine(Kind::Batch, 1, 3.0);
+        let empty = machine(Kind::Batch, 0, 0.0);
+        assert!(elsewhere.takes(&replicas));
+        assert!(!elsewhere.takes(&replicas), "one CPU is left for replicas");
+        assert!(elsewhere.takes(&array));
+        assert!(!elsewhere.takes(&array));
+        assert!(elsewhere.takes(&empty), "nothing on it needs room");
+    }
+}
--- a/crates/core/src/leader/pushes.rs
+++ b/crates/core/src/leader/pushes.rs
@@ -188,3 +188,45 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// With every machine to be told of a new leader, launches and stops do not
+    /// stand behind, and what does not answer comes again later.
+    #[test]
+    fn commands_go_first_and_half_of_the_turns_are_theirs() {
+        let mut pushes = Pushes::new(4);
+        for i in 0..9 {
+            pushes.plain(Rc::from(format!("p{i}")));
+        }
+        pushes.urgent("p7".into());
+        pushes.later(SECOND, "late".into(), true);
+        let mut sent = Vec::new();
+        let mut send = |pushes: &mut Pushes, now| {
+            while let Some(machine) = pushes.next(now) {
+                pushes.sent();
+                sent.push(machine.to_string());
+            }
+            std::mem::take(&mut sent)
+        };
+        assert_eq!(send(&mut pushes, 0), ["p7", "p0"]);
+        for name in ["u0", "u1", "u2"] {
+            pushes.urgent(name.into());
+        }
+        assert_eq!(send(&mut pushes, 0), ["u0", "u1"], "four are under way");
+        pushes.ended();
+        assert_eq!(
+            send(&mut pushes, SECOND),
+            ["late"],
+            "by name, once it is time"
+        );
+        pushes.ended();
+        assert_eq!(send(&mut pushes, SECOND), ["u2"]);
+        for _ in 0..4 {
+            pushes.ended();
+        }
+        assert_eq!(send(&mut pushes, SECOND), ["p1", "p2"]);
+    }
+}
