Room elsewhere is counted less what is being deleted already

Cause, found in reading: while the cloud is out each second queued another batch of machines behind a cut for deletion, each as large as the same free room. What is on machines that are being deleted has that room first.

--- a/crates/core/src/leader/cut.rs
+++ b/crates/core/src/leader/cut.rs
@@ -18,19 +18,30 @@
 }
 
 impl Elsewhere {
-    /// Whether there is room for what counts most on the machine; takes it.
-    pub fn takes(&mut self, m: &Machine) -> bool {
+    /// What counts most on the machine, and the room that it may have.
+    fn need(&mut self, m: &Machine) -> (&mut f64, f64) {
         let cpus = |service: bool| -> f64 {
             let slots = m.slots.values().filter(|s| s.service == service);
             slots.map(|s| s.room.cpus).sum()
         };
         let (replicas, arrays) = (cpus(true), cpus(false));
-        let (left, need) = if replicas > 0.0 {
+        if replicas > 0.0 {
             (&mut self.replicas, replicas)
         } else {
             (&mut self.arrays, arrays)
-        };
-        let takes = *left + 1e-6 >= need;
+        }
+    }
+
+    /// Takes the room for what is on a machine that is being deleted already.
+    fn expect(&mut self, m: &Machine) {
+        let (left, need) = self.need(m);
+        *left -= need;
+    }
+
+    /// Whether there is room for what counts most on the machine; takes it.
+    pub fn takes(&mut self, m: &Machine) -> bool {
+        let (left, need) = self.need(m);
+        let takes = need <= 0.0 || *left + 1e-6 >= need;
         if takes {
             *left -= need;
         }
@@ -50,10 +61,18 @@
             .flat_map(|(_, m)| m.slots.values().filter(|s| !s.service))
             .map(|s| s.room.cpus)
             .sum();
-        Elsewhere {
+        let mut elsewhere = Elsewhere {
             replicas: ordinary + lent,
             arrays: ordinary + spot,
+        };
+        // While the cloud is out deletions pile up, and what is on those machines
+        // will want its room first.
+        for name in &self.desk.deletes {
+            if let Some(m) = self.machines.get(name) {
+                elsewhere.expect(m);
+            }
         }
+        elsewhere
     }
 
     /// After this long without a word from it a machine has missed a report.
@@ -146,5 +165,8 @@
         assert!(elsewhere.takes(&array));
         assert!(!elsewhere.takes(&array));
         assert!(elsewhere.takes(&empty), "nothing on it needs room");
+        elsewhere.expect(&array);
+        assert!(!elsewhere.takes(&machine(Kind::Batch, 1, 0.5)));
+        assert!(elsewhere.takes(&empty));
     }
 }
--- a/crates/sched/src/line.rs
+++ b/crates/sched/src/line.rs
@@ -237,7 +237,6 @@
 pub struct Turn<'l> {
     pub place: Place,
     pub lane: usize,
-    pub team: usize,
     pub shape: &'l Rc<Shape>,
 }
 
@@ -258,7 +257,6 @@
         Some(Turn {
             place: head.place,
             lane: head.lane,
-            team: lane.team,
             shape: &lane.shape,
         })
     }
