--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -186,6 +186,11 @@
         self.teams.iter().position(|t| t.name == name)
     }
 
+    /// What users expect of the deadlines of a class.
+    pub fn aim(&self, class: &str) -> Option<&DeadlineAim> {
+        self.deadlines.iter().find(|a| a.class == class)
+    }
+
     /// How long after its last sure sight of the cancellations a leader may
     /// still answer reports. Whoever cancels elsewhere promises the task's end
     /// within `cancel`; a worker that hears nothing more ends it after `lease`.
--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -493,8 +493,7 @@
     /// When a job's standing changes by time alone.
     fn job_due(&self, ctx: &Ctx, job: &Job) -> Option<Micros> {
         let now = ctx.now.steady;
-        let mut aims = ctx.config.deadlines.iter();
-        let aim = aims.find(|a| a.class == job.spec.class);
+        let aim = ctx.config.aim(&job.spec.class);
         let useless = job.spec.deadline_s.zip(aim).map(|(due, aim)| {
             // As the time of day has it.
             let end = job
@@ -524,14 +523,10 @@
                 // hold its task until there is proof that it did not arrive.
                 let there = m.open(now) && now < m.heard_at + missing;
                 let view = total.filter(|_| there).map(|total| {
-                    let warm = match self.index.floor.view(place) {
-                        // Nothing but a change of either changes it.
-                        Some(old) if m.spot => old.warm,
-                        _ if m.spot => 0,
-                        _ => self.warm(m),
-                    };
                     let mut view = Self::view_with(m, m.free(total));
-                    view.warm = warm;
+                    if !m.spot {
+                        view.warm = self.warm(m);
+                    }
                     view
                 });
                 let dues = [m.heard_at + missing, m.blocked_until];
--- a/crates/core/src/leader/late.rs
+++ b/crates/core/src/leader/late.rs
@@ -57,8 +57,7 @@
     /// the last time at which its end is of use.
     fn slack(&self, ctx: &Ctx, job: &Job, run: f64) -> Option<f64> {
         let due = job.spec.deadline_s?;
-        let mut aims = ctx.config.deadlines.iter();
-        let aim = aims.find(|a| a.class == job.spec.class)?;
+        let aim = ctx.config.aim(&job.spec.class)?;
         // Where users put up with a few misses, the money is worth more to them:
         // paying for each cost rosterwise-nz a fifth more (0.803 to 0.765).
         if aim.share < ctx.config.tuning.late_share {
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -141,9 +141,7 @@
     /// Past the last time at which the end of the job is still of use.
     pub(super) fn overdue(&self, ctx: &Ctx, job: &Job) -> bool {
         let age = seconds(ctx.now.wall.saturating_sub(job.submitted));
-        let mut aims = ctx.config.deadlines.iter();
-        let aim = aims.find(|a| a.class == job.spec.class);
-        match (job.spec.deadline_s, aim) {
+        match (job.spec.deadline_s, ctx.config.aim(&job.spec.class)) {
             (Some(due), Some(aim)) => age >= due * aim.times,
             _ => false,
         }
@@ -168,8 +166,8 @@
         job.is_some_and(|j| j.spec.kind == Kind::Service && j.cancelled.is_none())
     }
 
-    /// Where a job's tasks are or may be, `but` for some machines. Only the rules of a spread and of a
-    /// single zone ask for it.
+    /// Where a job's tasks are or may be, `but` for some machines. Only the rules
+    /// of a spread and of a single zone ask for it.
     pub(super) fn zones(&self, job: &Job, but: &BTreeSet<Rc<str>>) -> BTreeMap<Rc<str>, u32> {
         let mut zones = BTreeMap::new();
         if !job.spec.spread && !job.spec.one_zone {
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -8,7 +8,8 @@
 impl Leader {
     pub(super) fn tend_fleet(&mut self, ctx: &Ctx) {
         let now = ctx.now.steady;
-        self.drop_silent(ctx);
+        let cut_off = self.cut_off();
+        self.drop_silent(ctx, &cut_off);
         self.return_idle(ctx);
         let keep = now.saturating_sub(4 * ctx.config.list_lag + 120 * SECOND);
         self.gone.retain(|_, at| *at > keep);
@@ -20,7 +21,6 @@
             return;
         }
         let (booting, slow) = self.booting(&types, now);
-        let cut_off = self.cut_off();
         for m in cut_off.iter().filter_map(|m| self.machines.get(m)) {
             if self.dark.insert(m.zone.clone(), now).is_none() {
                 log::info!("zone {} has fallen silent", m.zone);
@@ -174,8 +174,9 @@
     }
 
     /// Machines that fell silent are deleted: the answer is the proof that
-    /// what was on them is gone.
-    pub(super) fn drop_silent(&mut self, ctx: &Ctx) {
+    /// what was on them is gone. Those of zones that are `cut` off have rules of
+    /// their own.
+    fn drop_silent(&mut self, ctx: &Ctx, cut: &BTreeSet<Rc<str>>) {
         let now = ctx.now.steady;
         let silence = (ctx.config.lease * 4 / 10).max(2 * ctx.config.report + SECOND);
         let up: usize = self.index.sums.up.values().sum();
@@ -188,8 +189,7 @@
         // Replicas behind a cut serve until their lease ends. To delete them
         // sooner once cost a third of all replicas the time that others took
         // to boot (rough, brunnmatt-books-grown).
-        let cut = self.cut_off();
-        let mut elsewhere = self.elsewhere(&cut);
+        let mut elsewhere = self.elsewhere(cut);
         let types = self.types.clone();
         let types = types.as_deref().map_or(&[][..], Vec::as_slice);
         let index = &self.index;
@@ -255,7 +255,6 @@
         // What the reserve needs stays: it would be rented again at once.
         let reserve = self.ahead(ctx.config);
         let mut spare: BTreeMap<Rc<str>, f64> = BTreeMap::new();
-        let types = self.types.clone();
         // Those that hold the fewest images of services first.
         let mut order: Vec<(u32, Rc<str>)> = self
             .index
@@ -278,11 +277,7 @@
             let minute = now >= m.known_since + 55 * SECOND;
             let tired = m.condemned || m.gone_by.is_some();
             if !tired && empty >= idle && minute && !m.spot && reserve > 0.0 {
-                let room = types
-                    .iter()
-                    .flat_map(|ts| ts.iter())
-                    .find(|t| *t.name == *m.machine_type)
-                    .map_or(0.0, |t| t.cpus);
+                let room = self.total(&m.machine_type).map_or(0.0, |t| t.cpus);
                 let free = spare
                     .entry(m.zone.clone())
                     .or_insert_with(|| self.index.floor.ordinary(&m.zone));
