The door as a listener: TLS, tokens, apply, get, delete, a quick start

The rehearsal starts three real controllers over its stand-ins (processes), for the tests and the quick start; ports are held until all are given out, since one was given out twice.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -71,6 +71,19 @@
 impl Tuning {
     pub fn parse(text: &str) -> Result<Tuning, TuningError> {
         let t: Tuning = toml::from_str(text).map_err(|e| TuningError(one_line(&e.to_string())))?;
+        t.checked()
+    }
+
+    /// From a file's table, without the tables that others read.
+    pub fn read(table: toml::Table) -> Result<Tuning, TuningError> {
+        let t: Tuning = table
+            .try_into()
+            .map_err(|e: toml::de::Error| TuningError(one_line(&e.to_string())))?;
+        t.checked()
+    }
+
+    fn checked(self) -> Result<Tuning, TuningError> {
+        let t = self;
         for (key, v, low, high) in [
             ("training_share", t.training_share, 0.0, 1.0),
             ("pass_s", t.pass_s, 0.02, 60.0),
--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -1,18 +1,18 @@
 //! The command line.
 
 use crate::error::CliError;
+use crate::objects;
+use crate::token::Token;
 use crate::{http, serve};
-use clap::{Parser, Subcommand};
-use dillcleat_core::{Config, Tuning};
-use dillcleat_wire::platform::Platform;
+use clap::{Args, CommandFactory, Parser, Subcommand};
+use dillcleat_core::{CallError, Config, Tuning};
+use dillcleat_kube::{Key, Rules, Settings};
+use dillcleat_wire::platform::{Platform, one_line};
 use dillcleat_wire::user::{self, JobSpec, JobStatus, Kind, Priority, Refusal};
 use smol::Timer;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// How long a command of a person is tried.
-const PATIENCE: Duration = Duration::from_secs(60);
-
 #[derive(Parser)]
 #[command(
     name = "dillcleat",
@@ -38,31 +38,50 @@
         /// The platform's settings file
         file: PathBuf,
     },
+    /// Create or change Kubernetes Jobs from a file
+    Apply(objects::Apply),
+    /// Show Kubernetes Jobs, or the namespaces
+    Get(objects::Get),
+    /// Delete a Kubernetes Job
+    Delete(objects::Delete),
+    /// Make keys and tokens for Kubernetes-shaped clients
+    #[command(subcommand)]
+    Token(Token),
+    /// Print completions for a shell
+    Completions { shell: clap_complete::Shell },
     /// Submit a job
     Submit(Box<Submit>),
     /// Show how a job is
     Status {
-        /// A controller's or load balancer's address, IP:PORT
-        #[arg(long, value_name = "ADDR")]
-        server: String,
+        #[command(flatten)]
+        server: Server,
         /// The job's id, such as req-000412
         job: String,
     },
     /// Cancel a job
     Abort {
-        /// A controller's or load balancer's address, IP:PORT
-        #[arg(long, value_name = "ADDR")]
-        server: String,
+        #[command(flatten)]
+        server: Server,
         /// The job's id, such as req-000412
         job: String,
     },
 }
 
-#[derive(Parser)]
-struct Submit {
+/// Whom a command asks, and for how long.
+#[derive(Args)]
+struct Server {
     /// A controller's or load balancer's address, IP:PORT
     #[arg(long, value_name = "ADDR")]
     server: String,
+    /// For how many seconds it is tried
+    #[arg(long, value_name = "SECONDS", default_value_t = 60)]
+    timeout: u64,
+}
+
+#[derive(Parser)]
+struct Submit {
+    #[command(flatten)]
+    server: Server,
     /// The job's id, such as req-000412
     job: String,
     /// Class of jobs that it belongs to
@@ -133,17 +152,48 @@
         .map_err(|e| CliError::Settings(path.display().to_string(), e.to_string()))
 }
 
-fn settings(file: &Path, tuning: Option<&Path>) -> Result<(Platform, Config), CliError> {
+/// What a controller is started with.
+struct Start {
+    platform: Platform,
+    config: Config,
+    /// For Kubernetes-shaped clients, if they are served.
+    rules: Option<Rules>,
+}
+
+/// The operators' own file: the tuning, and the table of the clients' door.
+fn operators(path: &Path) -> Result<(Tuning, Option<Rules>), CliError> {
+    let bad = |e: String| CliError::Settings(path.display().to_string(), e);
+    let mut table: toml::Table =
+        toml::from_str(&read(path)?).map_err(|e| bad(one_line(&e.to_string())))?;
+    let rules = match table.remove("kube") {
+        None => None,
+        Some(kube) => {
+            let settings = Settings::read(kube).map_err(|e| bad(e.to_string()))?;
+            let key = read(&settings.key_file)?;
+            let key = Key::parse(&key).map_err(|e| {
+                CliError::Settings(settings.key_file.display().to_string(), e.to_string())
+            })?;
+            Some(Rules::new(settings, key))
+        }
+    };
+    let tuning = Tuning::read(table).map_err(|e| bad(e.to_string()))?;
+    Ok((tuning, rules))
+}
+
+fn settings(file: &Path, tuning: Option<&Path>) -> Result<Start, CliError> {
     let platform = Platform::parse(&read(file)?)
         .map_err(|e| CliError::Settings(file.display().to_string(), e.to_string()))?;
     let from_env = std::env::var_os("DILLCLEAT_TUNING").map(PathBuf::from);
-    let tuning = match tuning.map(Path::to_path_buf).or(from_env) {
-        None => Tuning::default(),
-        Some(path) => Tuning::parse(&read(&path)?)
-            .map_err(|e| CliError::Settings(path.display().to_string(), e.to_string()))?,
+    let (tuning, rules) = match tuning.map(Path::to_path_buf).or(from_env) {
+        None => (Tuning::default(), None),
+        Some(path) => operators(&path)?,
     };
     let config = Config::new(&platform, tuning);
-    Ok((platform, config))
+    Ok(Start {
+        platform,
+        config,
+        rules,
+    })
 }
 
 /// The objectives from which no decision follows, by kind and class.
@@ -162,14 +212,16 @@
         let tuning = self.tuning.as_deref();
         match (self.config, self.command) {
             (Some(file), None) => {
-                let (platform, config) = settings(&file, tuning)?;
-                for objective in unused(&platform) {
+                let start = settings(&file, tuning)?;
+                for objective in unused(&start.platform) {
                     log::info!("no decision follows from the objective {objective}");
                 }
-                serve::run(&platform, config)
+                serve::run(&start.platform, start.config, start.rules)
             }
             (None, Some(Command::Check { file })) => {
-                let (platform, _) = settings(&file, tuning)?;
+                let Start {
+                    platform, rules, ..
+                } = settings(&file, tuning)?;
                 println!(
                     "{}: settings of {} are good",
                     file.display(),
@@ -178,6 +230,21 @@
                 for objective in unused(&platform) {
                     println!("no decision follows from the objective {objective}");
                 }
+                if let Some(rules) = rules {
+                    println!(
+                        "Kubernetes-shaped clients are served on {}",
+                        rules.settings.listen
+                    );
+                }
+                Ok(())
+            }
+            (None, Some(Command::Apply(c))) => c.run(),
+            (None, Some(Command::Get(c))) => c.run(),
+            (None, Some(Command::Delete(c))) => c.run(),
+            (None, Some(Command::Token(c))) => c.run(),
+            (None, Some(Command::Completions { shell })) => {
+                let mut command = Cli::command();
+                clap_complete::generate(shell, &mut command, "dillcleat", &mut std::io::stdout());
                 Ok(())
             }
             (None, Some(Command::Submit(s))) => s.run(),
@@ -240,7 +307,9 @@
 }
 
 /// Asks until there is a final answer, as any client does.
-fn ask(server: &str, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, CliError> {
+fn ask(asked: &Server, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, CliError> {
+    let server = asked.server.as_str();
+    let patience = Duration::from_secs(asked.timeout);
     if server.parse::<std::net::SocketAddr>().is_err() {
         return Err(CliError::Usage(format!(
             "--server must be IP:PORT, is {server:?}"
@@ -249,7 +318,8 @@
     smol::block_on(async {
         let pool = http::Pool::new(1, 1);
         let start = Instant::now();
-        while start.elapsed() < PATIENCE {
+        let mut said = false;
+        while start.elapsed() < patience {
             let reply = pool
                 .call(server, method, path, body, Duration::from_secs(5))
                 .await;
@@ -260,12 +330,20 @@
                         .map_or_else(|_| format!("status {status}"), |r| r.error);
                     return Err(CliError::Refused(cause));
                 }
-                _ => {
+                other => {
+                    let why = match other {
+                        Ok((status, _)) => format!("answered {status}"),
+                        Err(CallError::NotSent) => "no connection".to_string(),
+                        Err(CallError::NoAnswer) => "no answer".to_string(),
+                    };
+                    if !std::mem::replace(&mut said, true) {
+                        eprintln!("{server}: {why}; trying again for {} s", asked.timeout);
+                    }
                     Timer::after(Duration::from_secs(1)).await;
                 }
             }
         }
-        Err(CliError::NoAnswer(server.to_string(), PATIENCE.as_secs()))
+        Err(CliError::NoAnswer(server.to_string(), asked.timeout))
     })
 }
 
--- a/crates/dillcleat/src/http.rs
+++ b/crates/dillcleat/src/http.rs
@@ -3,7 +3,7 @@
 
 use dillcleat_core::{Answer, CallError};
 use dillcleat_wire::BODY_LIMIT;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use smol::Timer;
 use smol::net::TcpStream;
 use std::cell::{Cell, RefCell};
@@ -31,6 +31,8 @@
     pub target: String,
     pub body: Vec<u8>,
     pub close: bool,
+    /// Of those that were asked for, by their places.
+    pub headers: Vec<Option<String>>,
 }
 
 /// Why no request came of a connection.
@@ -108,10 +110,12 @@
 }
 
 /// The server's side of a connection.
-pub struct Connection {
-    stream: TcpStream,
+pub struct Connection<S = TcpStream> {
+    stream: S,
     guard: Rc<Guard>,
     buffer: Vec<u8>,
+    /// Headers that are of use to whoever serves it.
+    wanted: &'static [&'static str],
 }
 
 impl Connection {
@@ -120,9 +124,43 @@
             guard: watchdog.guard(&stream),
             stream,
             buffer: Vec::new(),
+            wanted: &[],
+        }
+    }
+}
+
+/// A connection on which nothing may take longer than a request.
+pub struct Guarded(Rc<Guard>);
+
+impl Watchdog {
+    /// Guards a connection on which something else than a request is said first.
+    pub fn watch(&self, raw: &TcpStream) -> Guarded {
+        let guard = self.guard(raw);
+        guard.until.set(Instant::now() + REQUEST_TIME);
+        Guarded(guard)
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Connection<S> {
+    /// Over a stream of another kind, whose TCP connection is guarded already.
+    pub fn over(stream: S, guarded: Guarded, wanted: &'static [&'static str]) -> Self {
+        Connection {
+            guard: guarded.0,
+            stream,
+            buffer: Vec::new(),
+            wanted,
         }
     }
 
+    /// Writes bytes that are an answer, or a part of one.
+    pub async fn send(&mut self, bytes: &[u8], rest: Duration) -> std::io::Result<()> {
+        self.may_take(REQUEST_TIME);
+        self.stream.write_all(bytes).await?;
+        self.stream.flush().await?;
+        self.may_take(rest);
+        Ok(())
+    }
+
     fn may_take(&self, time: Duration) {
         self.guard.until.set(Instant::now() + time);
     }
@@ -152,7 +190,7 @@
     }
 
     async fn read_request(&mut self) -> Result<Request, Bad> {
-        let (head, method, target) = loop {
+        let (head, method, target, headers) = loop {
             let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut r = httparse::Request::new(&mut headers);
             match r.parse(&self.buffer) {
@@ -160,7 +198,13 @@
                     let (body, close) = body_headers(r.headers).ok_or(Bad::Malformed)?;
                     let head = Head { len, body, close };
                     let method = r.method.unwrap_or_default().to_string();
-                    break (head, method, r.path.unwrap_or_default().to_string());
+                    let wanted = self.wanted.iter().map(|name| {
+                        let mut all = r.headers.iter();
+                        let found = all.find(|h| h.name.eq_ignore_ascii_case(name))?;
+                        Some(String::from_utf8_lossy(found.value).trim().to_string())
+                    });
+                    let wanted = wanted.collect();
+                    break (head, method, r.path.unwrap_or_default().to_string(), wanted);
                 }
                 Ok(httparse::Status::Partial) if self.buffer.len() < HEAD_LIMIT => {}
                 _ => return Err(Bad::Malformed),
@@ -184,6 +228,7 @@
             target,
             body,
             close: head.close,
+            headers,
         })
     }
 
@@ -208,14 +253,19 @@
     }
 }
 
-fn reason(status: u16) -> &'static str {
+pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
         201 => "Created",
         400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
+        410 => "Gone",
         413 => "Content Too Large",
+        415 => "Unsupported Media Type",
         421 => "Misdirected Request",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
--- a/crates/dillcleat/src/main.rs
+++ b/crates/dillcleat/src/main.rs
@@ -1,10 +1,14 @@
 //! dillcleat: a cluster scheduler.
 
 mod cli;
+mod client;
+mod door;
 mod error;
 mod http;
 mod mesh;
+mod objects;
 mod serve;
+mod token;
 
 use clap::Parser;
 use std::process::ExitCode;
--- a/crates/dillcleat/src/serve.rs
+++ b/crates/dillcleat/src/serve.rs
@@ -1,11 +1,13 @@
 //! The controller process: sockets around a [`Node`], on one thread.
 
+use crate::door::{self, Incoming, Line};
 use crate::error::CliError;
 use crate::http::{Bad, Connection, Pool, Watchdog};
 use crate::mesh;
 use dillcleat_core::{
     Answer, CallError, CallId, Config, Input, Micros, Node, Now, Output, RequestId,
 };
+use dillcleat_kube::{Controller, Out, Rules};
 use dillcleat_mesh::Message;
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::platform::Platform;
@@ -31,17 +33,20 @@
 /// Frames that a sibling's connection may have open.
 const MAX_SIBLING_CONNECTIONS: u32 = 16;
 
-struct Shared {
+pub(crate) struct Shared {
     inputs: Sender<Input>,
     /// Workers' reports wait apart: after a pause hundreds come at once, and
     /// users' requests and the lease's renewal do not stand in line behind.
     reports: Sender<Input>,
     answers: RefCell<HashMap<RequestId, Sender<Answer>>>,
-    next_request: Cell<u64>,
-    clients: Cell<u32>,
-    max_clients: u32,
+    pub next_request: Cell<u64>,
+    pub clients: Cell<u32>,
+    pub max_clients: u32,
+    /// What Kubernetes-shaped clients ask, and who waits for lines.
+    pub asks: Sender<Incoming>,
+    pub lines: RefCell<HashMap<RequestId, Sender<Line>>>,
     siblings_open: Cell<u32>,
-    watchdog: Watchdog,
+    pub watchdog: Watchdog,
     state: Pool,
     cloud: Pool,
     workers: Pool,
@@ -49,24 +54,30 @@
     cloud_addr: String,
 }
 
-type Executor = Rc<LocalExecutor<'static>>;
+pub(crate) type Executor = Rc<LocalExecutor<'static>>;
 
-pub fn run(platform: &Platform, config: Config) -> Result<(), CliError> {
+pub fn run(platform: &Platform, config: Config, rules: Option<Rules>) -> Result<(), CliError> {
     let ex: Executor = Rc::new(LocalExecutor::new());
-    smol::block_on(ex.clone().run(serve(ex, platform, config)))
+    smol::block_on(ex.clone().run(serve(ex, platform, config, rules)))
 }
 
-async fn bind(addr: &str) -> Result<TcpListener, CliError> {
+pub(crate) async fn bind(addr: &str) -> Result<TcpListener, CliError> {
     TcpListener::bind(addr)
         .await
         .map_err(|e| CliError::Listen(addr.to_string(), e))
 }
 
-async fn serve(ex: Executor, platform: &Platform, config: Config) -> Result<(), CliError> {
+async fn serve(
+    ex: Executor,
+    platform: &Platform,
+    config: Config,
+    rules: Option<Rules>,
+) -> Result<(), CliError> {
     let clients = bind(&platform.client_listen).await?;
     let siblings = bind(&platform.mesh_addr).await?;
     let (inputs, core_inputs) = smol::channel::bounded(MAX_INPUTS);
     let (reports, core_reports) = smol::channel::bounded(MAX_INPUTS);
+    let (asks, core_asks) = smol::channel::bounded(MAX_INPUTS);
     let max = platform.cluster.quota.max_connections;
     let shared = Rc::new(Shared {
         inputs,
@@ -76,6 +87,8 @@
         clients: Cell::new(0),
         // The rest is for the state service, the cloud, workers and siblings.
         max_clients: max - (max / 4).max(24),
+        asks,
+        lines: RefCell::default(),
         siblings_open: Cell::new(0),
         watchdog: Watchdog::default(),
         state: Pool::new(8, 8),
@@ -98,10 +111,14 @@
         .detach();
     ex.spawn(accept_siblings(ex.clone(), shared.clone(), siblings, names))
         .detach();
+    if let Some(rules) = &rules {
+        door::open(&ex, &shared, &rules.settings).await?;
+    }
     ex.spawn(tick(shared.clone())).detach();
     log::info!("{} serves on {}", config.member, platform.client_listen);
+    let controller = Controller::new(Node::new(config), rules);
     let inputs = [core_inputs, core_reports];
-    core(ex, shared, config, inputs, speakers).await;
+    core(ex, shared, controller, inputs, core_asks, speakers).await;
     Ok(())
 }
 
@@ -128,17 +145,20 @@
 async fn core(
     ex: Executor,
     shared: Rc<Shared>,
-    config: Config,
+    mut controller: Controller,
     [inputs, reports]: [Receiver<Input>; 2],
+    asks: Receiver<Incoming>,
     speakers: Vec<Sender<Message>>,
 ) {
-    let mut node = Node::new(config);
     let start = Instant::now();
     let mut turn = 0;
     loop {
         let next = match inputs.try_recv().or_else(|_| reports.try_recv()) {
-            Ok(input) => Ok(input),
-            Err(_) => inputs.recv().or(reports.recv()).await,
+            Ok(input) => Ok(Incoming::Core(input)),
+            Err(_) => {
+                let core = async { inputs.recv().or(reports.recv()).await.map(Incoming::Core) };
+                core.or(asks.recv()).await
+            }
         };
         let Ok(input) = next else {
             return;
@@ -155,8 +175,23 @@
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |d| d.as_micros() as Micros),
         };
-        for output in node.handle(now, input) {
-            carry_out(&ex, &shared, &speakers, output);
+        let outs = match input {
+            Incoming::Core(input) => controller.handle(now, input),
+            Incoming::Ask(id, ask) => controller.ask(now, id, ask),
+            Incoming::Gone(id) => {
+                controller.gone(id);
+                continue;
+            }
+        };
+        for out in outs {
+            match out {
+                Out::Core(output) => carry_out(&ex, &shared, &speakers, output),
+                other => {
+                    if let Some(slow) = door::carry_out(&shared, other) {
+                        controller.gone(slow);
+                    }
+                }
+            }
         }
     }
 }
@@ -255,10 +290,10 @@
 }
 
 /// Counts a connection for as long as it lives.
-struct Counted<F: Fn(&Shared) -> &Cell<u32>>(Rc<Shared>, F);
+pub(crate) struct Counted<F: Fn(&Shared) -> &Cell<u32>>(Rc<Shared>, F);
 
 impl<F: Fn(&Shared) -> &Cell<u32>> Counted<F> {
-    fn new(shared: &Rc<Shared>, of: F) -> Self {
+    pub fn new(shared: &Rc<Shared>, of: F) -> Self {
         of(shared).set(of(shared).get() + 1);
         Counted(shared.clone(), of)
     }
--- /dev/null
+++ b/crates/dillcleat/src/token.rs
@@ -0,0 +1,78 @@
+//! Keys and tokens for the door.
+
+use crate::error::CliError;
+use clap::Subcommand;
+use dillcleat_kube::Key;
+use dillcleat_kube::names::{KEY_BYTES, hex};
+use dillcleat_kube::settings::Verb;
+use std::io::Read;
+use std::path::PathBuf;
+
+#[derive(Subcommand)]
+pub enum Token {
+    /// Print a new key, for the file that `kube.key_file` names
+    Key,
+    /// Print a new token, and on standard error its entry for the settings
+    New {
+        /// The operators' key
+        #[arg(long, value_name = "FILE")]
+        key_file: PathBuf,
+        /// Whom it is for, as the log names them
+        #[arg(long)]
+        name: String,
+        /// Namespaces that it sees, or *
+        #[arg(long, value_delimiter = ',', required = true)]
+        namespaces: Vec<String>,
+        /// What it may do: get, list, watch, create, update, patch, delete, or *
+        #[arg(long, value_delimiter = ',', required = true)]
+        verbs: Vec<String>,
+    },
+}
+
+/// Bytes that nobody can guess, from the system.
+fn secret() -> Result<String, CliError> {
+    let mut bytes = [0u8; KEY_BYTES];
+    let source = "/dev/urandom";
+    std::fs::File::open(source)
+        .and_then(|mut f| f.read_exact(&mut bytes))
+        .map_err(|e| CliError::Settings(source.into(), e.to_string()))?;
+    Ok(hex(&bytes))
+}
+
+fn quoted(all: &[String]) -> String {
+    let each = all.iter().map(|t| format!("{t:?}"));
+    each.collect::<Vec<_>>().join(", ")
+}
+
+impl Token {
+    pub fn run(self) -> Result<(), CliError> {
+        let (key_file, name, namespaces, verbs) = match self {
+            Token::Key => {
+                println!("{}", secret()?);
+                return Ok(());
+            }
+            Token::New {
+                key_file,
+                name,
+                namespaces,
+                verbs,
+            } => (key_file, name, namespaces, verbs),
+        };
+        let known = |v: &&String| *v == "*" || Verb::ALL.iter().any(|k| k.name() == **v);
+        if let Some(verb) = verbs.iter().find(|v| !known(v)) {
+            return Err(CliError::Usage(format!("there is no verb {verb:?}")));
+        }
+        let bad = |e: String| CliError::Settings(key_file.display().to_string(), e);
+        let text = std::fs::read_to_string(&key_file).map_err(|e| bad(e.to_string()))?;
+        let key = Key::parse(&text).map_err(|e| bad(e.to_string()))?;
+        let token = secret()?;
+        println!("{token}");
+        eprintln!(
+            "[[kube.tokens]]\nname = {name:?}\nmac = \"{}\"\nnamespaces = [{}]\nverbs = [{}]",
+            key.token(&token),
+            quoted(&namespaces),
+            quoted(&verbs)
+        );
+        Ok(())
+    }
+}
--- a/crates/dillcleat/tests/loopback.rs
+++ b/crates/dillcleat/tests/loopback.rs
@@ -3,31 +3,16 @@
 
 use dillcleat_core::SECOND;
 use dillcleat_rehearsal::loopback::{Loopback, exchange, post};
+use dillcleat_rehearsal::processes::{self, Process};
 use dillcleat_rehearsal::worker::Play;
-use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
-use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::process::{Child, Command, Output, Stdio};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_dillcleat");
 
-/// A process that ends with the test, however that ends.
-struct Node(Child);
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
-}
-
 fn file(name: &str, text: &str) -> PathBuf {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let path = dir.join(format!("{}-{name}", std::process::id()));
@@ -41,38 +26,11 @@
     mesh: &[SocketAddr],
     world: Option<&Loopback>,
 ) -> String {
-    let siblings: String = (0..clients.len())
-        .filter(|j| *j != i)
-        .map(|j| {
-            format!(
-                "[[siblings]]\nmember = \"n{j}\"\nsite = \"a\"\npeer_addr = \"{}\"\n",
-                mesh[j]
-            )
-        })
-        .collect();
-    let (state, cloud) = world.map_or((mesh[0], mesh[0]), |w| (w.state_addr, w.cloud_addr));
-    format!(
-        "member = \"n{i}\"\nsite = \"a\"\nclient_listen = \"{}\"\nmesh_addr = \"{}\"\nnew_field = 1\n{siblings}
-[endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n
-[cluster]\nsize = 3\nzones = [\"a\"]\nclock_error_ms = 250.0\n
-[[cluster.teams]]\nname = \"t\"\ncpus = 4.0\ncpus_max = 8.0\n
-[cluster.workers]\nreport_s = 1.0\nlease_s = 14.0\ncancel_s = 44.0\n
-[cluster.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 16.0\ntxn_ops = 48\n
-[cluster.cloud]\nrps = 4.0\nlist_lag_s = 1.0\n
-[cluster.quota]\ncpu_share = 0.5\nmem_mb = 72.0\nmax_connections = 200\n",
-        clients[i], mesh[i]
-    )
+    processes::settings(i, clients, mesh, world, "t")
 }
 
-fn serve(path: &PathBuf) -> Node {
-    let child = Command::new(PROGRAM)
-        .arg("--config")
-        .arg(path)
-        .env("LOG_LEVEL", "error")
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("the program starts");
-    Node(child)
+fn serve(path: &Path) -> Process {
+    Process::serve(Path::new(PROGRAM), path, None).expect("the program starts")
 }
 
 fn run(args: &[&str]) -> Output {
@@ -134,22 +92,10 @@
 
 #[test]
 fn jobs_run_through_three_processes_and_a_killed_leader() {
-    let clients: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
-    let mesh: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let (addrs, held) = processes::free_addrs(6).expect("free ports");
+    let (clients, mesh) = (addrs[..3].to_vec(), addrs[3..].to_vec());
     let names = (0..3).map(|i| (format!("n{i}"), clients[i])).collect();
-    let machine = MachineType {
-        name: "m".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 16.0,
-        cache_gb: 10.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: None,
-        boot_s: 1.0,
-        zones: vec!["a".into()],
-    };
-    let world = Loopback::start(vec![machine], names).expect("stand-ins");
+    let world = Loopback::start(vec![processes::machine(8.0)], names).expect("stand-ins");
     world.knows(play("req-1", Kind::Batch));
     world.knows(play("req-2", Kind::Service));
     let files: Vec<PathBuf> = (0..3)
@@ -160,7 +106,8 @@
             )
         })
         .collect();
-    let mut nodes: Vec<Option<Node>> = files.iter().map(|f| Some(serve(f))).collect();
+    drop(held);
+    let mut nodes: Vec<Option<Process>> = files.iter().map(|f| Some(serve(f))).collect();
     let server = clients.map_to_string();
     until("a job is accepted", || {
         run(&[
@@ -257,7 +204,7 @@
 
 #[test]
 fn settings_are_checked_before_any_socket_opens() {
-    let addrs: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let (addrs, _) = processes::free_addrs(3).expect("free ports");
     let good = settings(0, &addrs, &addrs, None);
     let path = file("good.toml", &good);
     let path = path.to_str().expect("a path of text");
--- a/crates/kube/src/yaml.rs
+++ b/crates/kube/src/yaml.rs
@@ -28,6 +28,12 @@
     Ok(read.into_iter().filter(|v| !v.is_null()).collect())
 }
 
+/// Writes a document.
+pub fn write(value: &Value) -> String {
+    // Values of JSON have nothing that YAML has not.
+    serde_saphyr::to_string(value).unwrap_or_default()
+}
+
 pub fn one(text: &str) -> Result<Value, YamlError> {
     let mut all = all(text)?;
     match all.pop() {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod loopback;
 pub mod objects;
+pub mod processes;
 pub mod rules;
 pub mod scenario;
 pub mod state;
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -5,9 +5,10 @@
 use crate::rules::Place;
 use crate::state::StateService;
 use crate::worker::{Play, Worker};
+use dillcleat_core::store::OpenJob;
 use dillcleat_core::{Micros, SECOND};
 use dillcleat_wire::cloud::{CloudCall, CloudReply, MachineType, Names, Rent};
-use dillcleat_wire::state::{StateCall, StateReply, Txn};
+use dillcleat_wire::state::{Change, StateCall, StateReply, Txn};
 use dillcleat_wire::worker::{COMMANDS_PATH, Elsewhere, Orders, REPORT_PATH, ReportAnswer};
 use dillcleat_wire::{decode, encode};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,30 @@
     plays: BTreeMap<String, Play>,
 }
 
+impl Inner {
+    /// Users upload elsewhere what their jobs do. Of jobs that nobody told of, tasks
+    /// run as long as was estimated.
+    fn learn(&mut self, call: &StateCall) {
+        let StateCall::Txn(txn) = call else {
+            return;
+        };
+        for change in &txn.then {
+            if let Change::Put { key, value, .. } = change
+                && key.starts_with(dillcleat_core::store::OPEN)
+                && let Some(open) = dillcleat_wire::state::read::<OpenJob>(value)
+            {
+                let run = dillcleat_core::micros(open.spec.estimate_s.max(1.0));
+                let id = open.spec.id.clone();
+                self.plays.entry(id).or_insert(Play {
+                    spec: open.spec,
+                    run,
+                    fails: false,
+                });
+            }
+        }
+    }
+}
+
 /// A state service, a cloud and its workers, for as long as it lives.
 #[derive(Clone)]
 pub struct Loopback {
@@ -128,6 +153,7 @@
         loop {
             let mut inner = self.inner();
             let now = self.now();
+            inner.learn(&call);
             if let Some(reply) = inner.state.call(&call, now) {
                 return state_answer(reply);
             }
