--- a/crates/kube/src/door/mod.rs
+++ b/crates/kube/src/door/mod.rs
@@ -519,12 +519,16 @@
 
     /// Takes changes up and tells them on; false if there were none to be had.
     fn changed(&mut self, ctx: &mut Ctx, reply: Result<StateReply, CallError>) -> bool {
+        // Only a leader's keeper works off what it is told.
+        let leads = ctx.node.fence().is_some();
         match reply {
             Ok(StateReply::Changes(changes)) => {
                 for turn in self.cache.apply(changes) {
                     let sent = self.watches.turned(&turn, ctx.now.wall);
                     self.send(ctx, sent);
-                    self.keeper.turned(&turn);
+                    if leads {
+                        self.keeper.turned(&turn);
+                    }
                 }
                 true
             }
--- /dev/null
+++ b/crates/rehearsal/src/alone.rs
@@ -0,0 +1,211 @@
+//! One controller alone with a door, over the stand-ins of the state service and the
+//! cloud, on simulated time.
+
+use crate::cloud::Cloud;
+use crate::objects::TOKEN;
+use crate::processes::machine;
+use crate::state::{PageLimit, StateService, Watches};
+use dillcleat_core::{CallId, Config, Input, MILLISECOND, Micros, Node, Now, Output};
+use dillcleat_core::{RequestId, SECOND};
+use dillcleat_kube::{Ask, Controller, Key, Out, Reply, Rules, Settings};
+use dillcleat_wire::state::StateReply;
+use serde_json::Value;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::{Duration, Instant};
+
+const STATE_TIME: Micros = 4 * MILLISECOND;
+pub const WALL: Micros = 1_700_000_000 * SECOND;
+
+/// Rules with one token for everything and one, `TOKEN` and `-r`, that may only read.
+pub fn rules(objects: usize, watches: usize) -> Rules {
+    // Thirty-two bytes of hexadecimal digits cannot be refused, nor what is made here.
+    let key = Key::parse(&"5c".repeat(32)).unwrap_or_else(|e| panic!("{e}"));
+    let token = |name: &str, secret: &str, verbs: &str| {
+        let mac = key.token(secret);
+        format!(
+            "[[tokens]]\nname = \"{name}\"\nmac = \"{mac}\"\nnamespaces = [\"*\"]\nverbs = [{verbs}]\n"
+        )
+    };
+    let text = format!(
+        "listen = \"127.0.0.1:1\"\nkey_file = \"none\"\nclass = \"merge\"\nmax_objects = {objects}\n\
+         max_watches = {watches}\nrepeats = [\"again\"]\n{}{}",
+        token("all", TOKEN, "\"*\""),
+        token(
+            "reader",
+            &format!("{TOKEN}-r"),
+            "\"get\", \"list\", \"watch\""
+        ),
+    );
+    let table: toml::Table = toml::from_str(&text).unwrap_or_else(|e| panic!("{e}"));
+    let settings = Settings::read(toml::Value::Table(table)).unwrap_or_else(|e| panic!("{e}"));
+    Rules::new(settings, key)
+}
+
+/// A request with the token for everything.
+pub fn ask(method: &str, target: &str, body: &Value) -> Ask {
+    let patch = "application/merge-patch+json".to_string();
+    Ask {
+        method: method.into(),
+        target: target.into(),
+        bearer: Some(TOKEN.into()),
+        content_type: (method == "PATCH").then_some(patch),
+        body: match body {
+            Value::Null => Vec::new(),
+            body => body.to_string().into_bytes(),
+        },
+        accept: None,
+    }
+}
+
+/// What happens at a time.
+#[derive(Debug)]
+pub enum Ev {
+    Input(Input),
+    Ask(RequestId, Ask),
+    WatchEnds(u64),
+}
+
+/// A controller, its stand-ins and what it has answered.
+#[derive(Debug)]
+pub struct Alone {
+    pub now: Micros,
+    order: u64,
+    events: BinaryHeap<Reverse<(Micros, u64)>>,
+    what: BTreeMap<u64, Ev>,
+    pub controller: Controller,
+    pub state: StateService,
+    cloud: Cloud,
+    watches: Watches<CallId>,
+    /// Calls that the state service was asked.
+    pub calls: u64,
+    /// Time spent in the controller.
+    pub busy: Duration,
+    /// Answers, of the users' protocol as well.
+    pub answers: Vec<(RequestId, Reply)>,
+    /// Lines of watches that went out.
+    pub chunks: u64,
+}
+
+impl Alone {
+    pub fn new(config: Config, rules: Rules, state: StateService) -> Alone {
+        Alone {
+            now: SECOND,
+            order: 0,
+            events: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            controller: Controller::new(Node::new(config), Some(rules)),
+            state: state.paged(PageLimit::FULL),
+            cloud: Cloud::new(vec![machine(8.0)], 0, 0),
+            watches: Watches::default(),
+            calls: 0,
+            busy: Duration::ZERO,
+            answers: Vec::new(),
+            chunks: 0,
+        }
+    }
+
+    pub fn at(&mut self, at: Micros, ev: Ev) {
+        self.order += 1;
+        self.events.push(Reverse((at, self.order)));
+        self.what.insert(self.order, ev);
+    }
+
+    /// Plays until then, with a tick every 50 ms.
+    pub fn until(&mut self, end: Micros) {
+        let mut tick = self.now;
+        while tick < end {
+            self.at(tick, Ev::Input(Input::Tick));
+            tick += 50 * MILLISECOND;
+        }
+        while let Some(Reverse((at, order))) = self.events.peek().copied() {
+            if at >= end {
+                break;
+            }
+            self.events.pop();
+            self.now = at;
+            let Some(ev) = self.what.remove(&order) else {
+                continue;
+            };
+            let now = Now {
+                steady: 1_000 * SECOND + at,
+                wall: WALL + at,
+            };
+            let begun = Instant::now();
+            let outs = match ev {
+                Ev::Input(input) => self.controller.handle(now, input),
+                Ev::Ask(id, ask) => self.controller.ask(now, id, ask),
+                Ev::WatchEnds(watch) => {
+                    if let Some((id, changes)) = self.watches.end(watch, &self.state) {
+                        let reply = Ok(StateReply::Changes(changes));
+                        self.at(at + STATE_TIME / 2, Ev::Input(Input::State { id, reply }));
+                    }
+                    continue;
+                }
+            };
+            self.busy += begun.elapsed();
+            for out in outs {
+                self.carry(out);
+            }
+        }
+        self.now = end;
+    }
+
+    fn carry(&mut self, out: Out) {
+        match out {
+            Out::Core(Output::State { id, call, .. }) => {
+                self.calls += 1;
+                let at = self.now + STATE_TIME;
+                match self.state.call(&call, self.now) {
+                    Some(reply) => self.at(
+                        at,
+                        Ev::Input(Input::State {
+                            id,
+                            reply: Ok(reply),
+                        }),
+                    ),
+                    None => {
+                        if let Some((watch, time)) = self.watches.open(id, &call) {
+                            self.at(self.now + time + STATE_TIME / 2, Ev::WatchEnds(watch));
+                        }
+                    }
+                }
+                for (id, changes) in self.watches.changed(&self.state, |_| true) {
+                    let reply = Ok(StateReply::Changes(changes));
+                    self.at(at, Ev::Input(Input::State { id, reply }));
+                }
+            }
+            Out::Core(Output::Cloud { id, call, .. }) => {
+                let (reply, _, _) = self.cloud.call(&call, self.now, |_| None);
+                let at = self.now + 10 * MILLISECOND;
+                self.at(
+                    at,
+                    Ev::Input(Input::Cloud {
+                        id,
+                        reply: Ok(reply),
+                    }),
+                );
+            }
+            Out::Core(Output::Answer { id, answer }) => {
+                let reply = Reply {
+                    status: answer.status,
+                    body: answer.body,
+                    retry_after: answer.retry_after,
+                };
+                self.answers.push((id, reply));
+            }
+            Out::Reply { id, reply } => self.answers.push((id, reply)),
+            Out::Chunk { .. } => self.chunks += 1,
+            Out::Core(_) | Out::Stream { .. } | Out::End { .. } => {}
+        }
+    }
+
+    /// Asks now, and plays for a second. None if there is no answer: a watch is open.
+    pub fn asked(&mut self, ask: Ask) -> Option<Reply> {
+        let id = RequestId(u64::MAX / 2 + self.order);
+        self.at(self.now, Ev::Ask(id, ask));
+        self.until(self.now + SECOND);
+        let found = self.answers.iter().position(|(of, _)| *of == id)?;
+        Some(self.answers.swap_remove(found).1)
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,6 +5,7 @@
 //! what lies beyond their inputs and outputs is played. Figures of a rehearsal
 //! say nothing about real deployments; its verdict on the rules does.
 
+pub mod alone;
 pub mod cloud;
 pub mod fleet;
 pub mod loopback;
