Renewed certificates are tested; one way to wait in tests of processes

Need: that a renewed certificate is taken up, and a broken one is not, was said and not shown. Change: the test of three processes does both; the files are looked at every two seconds.

--- a/crates/dillcleat/src/door/tls.rs
+++ b/crates/dillcleat/src/door/tls.rs
@@ -16,7 +16,7 @@
 use std::time::{Duration, SystemTime};
 
 /// How often the files are looked at.
-const LOOK: Duration = Duration::from_secs(10);
+const LOOK: Duration = Duration::from_secs(2);
 
 /// When both files were written last.
 type Written = [Option<SystemTime>; 2];
--- a/crates/dillcleat/tests/door.rs
+++ b/crates/dillcleat/tests/door.rs
@@ -3,10 +3,10 @@
 
 use dillcleat_kube::Key;
 use dillcleat_rehearsal::loopback::exchange;
-use dillcleat_rehearsal::processes::Trio;
+use dillcleat_rehearsal::processes::{Trio, until};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_dillcleat");
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
@@ -18,6 +18,10 @@
     dir
 }
 
+fn certificate() -> rcgen::CertifiedKey<rcgen::KeyPair> {
+    rcgen::generate_simple_self_signed(vec!["127.0.0.1".into()]).expect("a certificate")
+}
+
 struct Client {
     dir: PathBuf,
     server: String,
@@ -31,7 +35,7 @@
         let mut command = Command::new(PROGRAM);
         command
             .args(args)
-            .args(["--server", &self.server, "--timeout", "30", "--token-file"])
+            .args(["--server", &self.server, "--token-file"])
             .arg(token)
             .arg("--ca")
             .arg(self.dir.join("tls.crt"));
@@ -71,17 +75,6 @@
     path.to_str().expect("a path of text").to_string()
 }
 
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(
-            start.elapsed() < Duration::from_secs(60),
-            "not within 60 s: {what}"
-        );
-        std::thread::sleep(Duration::from_millis(100));
-    }
-}
-
 /// Waits for the end of a child.
 fn ends(mut child: Child) -> bool {
     let mut status = None;
@@ -95,7 +88,9 @@
 #[test]
 fn jobs_through_tls_while_controllers_are_killed() {
     let dir = folder("door");
-    let made = rcgen::generate_simple_self_signed(vec!["127.0.0.1".into()]).expect("a certificate");
+    let made = certificate();
+    // What the server shows, and what its clients trust.
+    std::fs::write(dir.join("server.crt"), made.cert.pem()).expect("a file");
     std::fs::write(dir.join("tls.crt"), made.cert.pem()).expect("a file");
     std::fs::write(dir.join("tls.key"), made.signing_key.serialize_pem()).expect("a file");
     std::fs::write(dir.join("kube.key"), KEY).expect("a file");
@@ -109,7 +104,7 @@
     let kube = format!(
         "key_file = {:?}\nclass = \"merge\"\ntls = {{ cert = {:?}, key = {:?} }}\n{}{}",
         dir.join("kube.key"),
-        dir.join("tls.crt"),
+        dir.join("server.crt"),
         dir.join("tls.key"),
         entry("all", "\"*\""),
         entry("reader", "\"get\", \"list\", \"watch\""),
@@ -219,6 +214,18 @@
             .refused(&["get", "job", "x", "-n", "others"])
             .contains("403")
     );
+    // A certificate that cannot be used leaves the old one; a new one is taken up.
+    std::fs::write(dir.join("server.crt"), "nonsense").expect("a file");
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(clients[0].says(&["get", "jobs"]).contains("first"));
+    let renewed = certificate();
+    std::fs::write(dir.join("tls.key"), renewed.signing_key.serialize_pem()).expect("a file");
+    std::fs::write(dir.join("server.crt"), renewed.cert.pem()).expect("a file");
+    std::fs::write(dir.join("tls.crt"), renewed.cert.pem()).expect("a file");
+    until("the new certificate is taken up", || {
+        let mut command = clients[0].command(&["get", "jobs", "--timeout", "1"]);
+        command.output().is_ok_and(|o| o.status.success())
+    });
     // Nobody is spoken to without TLS.
     assert_eq!(
         exchange(trio.doors[0], b"GET /version HTTP/1.1\r\n\r\n").map(|(s, _)| s),
--- a/crates/dillcleat/tests/loopback.rs
+++ b/crates/dillcleat/tests/loopback.rs
@@ -3,13 +3,12 @@
 
 use dillcleat_core::SECOND;
 use dillcleat_rehearsal::loopback::{Loopback, exchange, post};
-use dillcleat_rehearsal::processes::{self, Process};
+use dillcleat_rehearsal::processes::{self, Process, until};
 use dillcleat_rehearsal::worker::Play;
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_dillcleat");
 
@@ -50,17 +49,6 @@
     String::from_utf8_lossy(&o.stdout).trim().to_string()
 }
 
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !holds() {
-        assert!(
-            start.elapsed() < Duration::from_secs(60),
-            "not within 60 s: {what}"
-        );
-        std::thread::sleep(Duration::from_millis(200));
-    }
-}
-
 fn play(id: &str, kind: Kind) -> Play {
     Play {
         spec: JobSpec {
--- a/crates/rehearsal/src/processes.rs
+++ b/crates/rehearsal/src/processes.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// A process that ends with its owner, however that ends.
 #[derive(Debug)]
@@ -54,6 +55,18 @@
     Ok((addrs.collect::<io::Result<_>>()?, held))
 }
 
+/// Waits until something holds; panics, for tests, if it does not within a minute.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(
+            start.elapsed() < Duration::from_secs(60),
+            "not within 60 s: {what}"
+        );
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
 /// A machine type of the stand-ins.
 pub fn machine(cpus: f64) -> MachineType {
     MachineType {
