--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -43,9 +43,9 @@
     /// Show Kubernetes Jobs, or the namespaces
     Get(objects::Get),
     /// Show everything of one Kubernetes Job
-    Describe(objects::Describe),
+    Describe(objects::One),
     /// Delete a Kubernetes Job
-    Delete(objects::Delete),
+    Delete(objects::One),
     /// Make keys and tokens for Kubernetes-shaped clients
     #[command(subcommand)]
     Token(Token),
@@ -242,8 +242,8 @@
             }
             (None, Some(Command::Apply(c))) => c.run(),
             (None, Some(Command::Get(c))) => c.run(),
-            (None, Some(Command::Describe(c))) => c.run(),
-            (None, Some(Command::Delete(c))) => c.run(),
+            (None, Some(Command::Describe(c))) => c.describe(),
+            (None, Some(Command::Delete(c))) => c.delete(),
             (None, Some(Command::Token(c))) => c.run(),
             (None, Some(Command::Completions { shell })) => {
                 let mut command = Cli::command();
--- a/crates/dillcleat/src/objects.rs
+++ b/crates/dillcleat/src/objects.rs
@@ -57,19 +57,9 @@
     watch: bool,
 }
 
+/// One object by its name.
 #[derive(Args)]
-pub struct Describe {
-    #[command(flatten)]
-    server: Server,
-    /// jobs
-    resource: Resource,
-    name: String,
-    #[arg(short, long)]
-    namespace: String,
-}
-
-#[derive(Args)]
-pub struct Delete {
+pub struct One {
     #[command(flatten)]
     server: Server,
     /// jobs
@@ -415,8 +405,8 @@
     }
 }
 
-impl Describe {
-    pub fn run(self) -> Result<(), CliError> {
+impl One {
+    pub fn describe(self) -> Result<(), CliError> {
         let target = own(self.resource, &self.namespace, &self.name)?;
         let (status, job) = self.server.client()?.call(&Request::get(&target))?;
         if status != 200 {
@@ -461,10 +451,8 @@
         }
         Ok(())
     }
-}
 
-impl Delete {
-    pub fn run(self) -> Result<(), CliError> {
+    pub fn delete(self) -> Result<(), CliError> {
         let target = own(self.resource, &self.namespace, &self.name)?;
         let request = Request {
             method: "DELETE",
