The door read once more: what was written twice, and what was done for nothing

A controller without the door took the room of its queue of asks all the same, and moved every output to a second list; the keeper copied an object's whole record to find that nothing is wanted; a table's row made the whole object for its metadata; a list copied its token and selectors. Change: those are gone. Behaviour as before.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -22,10 +22,18 @@
 }
 
 /// How long an ordinary call to the state service may take.
-pub const STATE_TIMEOUT: Micros = 1500 * MILLISECOND;
+const STATE_TIMEOUT: Micros = 1500 * MILLISECOND;
 pub const CLOUD_TIMEOUT: Micros = 6 * SECOND;
 pub const ORDERS_TIMEOUT: Micros = 1500 * MILLISECOND;
 
+/// How long this call to the state service may take.
+pub fn state_timeout(call: &StateCall) -> Micros {
+    match call {
+        StateCall::Watch { hold_ms, .. } => hold_ms * MILLISECOND + STATE_TIMEOUT,
+        _ => STATE_TIMEOUT,
+    }
+}
+
 /// What a module may do while it handles an input.
 pub struct Ctx<'a> {
     pub now: Now,
@@ -56,10 +64,7 @@
 
 impl Ctx<'_> {
     pub fn state(&mut self, call: StateCall, waiter: Waiter) -> CallId {
-        let timeout = match &call {
-            StateCall::Watch { hold_ms, .. } => hold_ms * MILLISECOND + STATE_TIMEOUT,
-            _ => STATE_TIMEOUT,
-        };
+        let timeout = state_timeout(&call);
         let id = self.calls.open(waiter, self.now);
         self.out.push(Output::State { id, call, timeout });
         id
--- a/crates/dillcleat/src/serve.rs
+++ b/crates/dillcleat/src/serve.rs
@@ -77,7 +77,9 @@
     let siblings = bind(&platform.mesh_addr).await?;
     let (inputs, core_inputs) = smol::channel::bounded(MAX_INPUTS);
     let (reports, core_reports) = smol::channel::bounded(MAX_INPUTS);
-    let (asks, core_asks) = smol::channel::bounded(MAX_INPUTS);
+    // The room of such a queue is taken at once: nobody asks where there is no door.
+    let may_ask = if rules.is_some() { MAX_INPUTS } else { 1 };
+    let (asks, core_asks) = smol::channel::bounded(may_ask);
     let max = platform.cluster.quota.max_connections;
     let shared = Rc::new(Shared {
         inputs,
--- a/crates/dillcleat/src/token.rs
+++ b/crates/dillcleat/src/token.rs
@@ -58,8 +58,7 @@
                 verbs,
             } => (key_file, name, namespaces, verbs),
         };
-        let known = |v: &&String| *v == "*" || Verb::ALL.iter().any(|k| k.name() == **v);
-        if let Some(verb) = verbs.iter().find(|v| !known(v)) {
+        if let Some(verb) = verbs.iter().find(|v| !Verb::is_entry(v)) {
             return Err(CliError::Usage(format!("there is no verb {verb:?}")));
         }
         let bad = |e: String| CliError::Settings(key_file.display().to_string(), e);
--- a/crates/dillcleat/tests/door.rs
+++ b/crates/dillcleat/tests/door.rs
@@ -1,6 +1,9 @@
 //! Kubernetes-shaped clients against three real processes, with TLS and tokens, while
 //! controllers are killed.
 
+mod common;
+
+use common::{KEY, certificate, folder, install};
 use dillcleat_kube::Key;
 use dillcleat_rehearsal::loopback::exchange;
 use dillcleat_rehearsal::processes::{Trio, until};
@@ -9,19 +12,6 @@
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_dillcleat");
-const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
-
-/// A folder of this test's own.
-fn folder(name: &str) -> PathBuf {
-    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&dir).expect("a folder");
-    dir
-}
-
-fn certificate() -> rcgen::CertifiedKey<rcgen::KeyPair> {
-    rcgen::generate_simple_self_signed(vec!["127.0.0.1".into()]).expect("a certificate")
-}
-
 struct Client {
     dir: PathBuf,
     server: String,
@@ -90,10 +80,8 @@
     let dir = folder("door");
     let made = certificate();
     // What the server shows, and what its clients trust.
-    std::fs::write(dir.join("server.crt"), made.cert.pem()).expect("a file");
+    install(&dir, &made);
     std::fs::write(dir.join("tls.crt"), made.cert.pem()).expect("a file");
-    std::fs::write(dir.join("tls.key"), made.signing_key.serialize_pem()).expect("a file");
-    std::fs::write(dir.join("kube.key"), KEY).expect("a file");
     let key = Key::parse(KEY).expect("a key");
     let entry = |token: &str, verbs: &str| {
         format!(
@@ -227,8 +215,7 @@
     std::thread::sleep(Duration::from_secs(3));
     assert!(clients[0].says(&["get", "jobs"]).contains("first"));
     let renewed = certificate();
-    std::fs::write(dir.join("tls.key"), renewed.signing_key.serialize_pem()).expect("a file");
-    std::fs::write(dir.join("server.crt"), renewed.cert.pem()).expect("a file");
+    install(&dir, &renewed);
     std::fs::write(dir.join("tls.crt"), renewed.cert.pem()).expect("a file");
     until("the new certificate is taken up", || {
         let mut command = clients[0].command(&["get", "jobs", "--timeout", "1"]);
@@ -261,7 +248,6 @@
             String::from_utf8_lossy(&[o.stdout, o.stderr].concat()).to_string(),
         )
     };
-    std::fs::write(dir.join("kube.key"), KEY).expect("a file");
     let good = format!(
         "[kube]\nlisten = \"127.0.0.1:6443\"\nkey_file = {:?}\n",
         dir.join("kube.key")
--- a/crates/dillcleat/tests/library.rs
+++ b/crates/dillcleat/tests/library.rs
@@ -1,6 +1,9 @@
 //! An ordinary Kubernetes client library against three real processes, with TLS and a
 //! token, while one of them is killed.
 
+mod common;
+
+use common::{KEY, certificate, folder, install};
 use dillcleat_kube::Key;
 use dillcleat_rehearsal::processes::Trio;
 use futures_lite::StreamExt;
@@ -13,7 +16,6 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 const TOKEN: &str = "a-token-of-the-library";
 
 fn job(name: &str, suspend: bool) -> Job {
@@ -210,17 +212,13 @@
 
 #[test]
 fn an_ordinary_client_library_while_controllers_are_killed() {
-    let dir =
-        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-library", std::process::id()));
-    std::fs::create_dir_all(&dir).expect("a folder");
-    let made = rcgen::generate_simple_self_signed(vec!["127.0.0.1".into()]).expect("a certificate");
-    std::fs::write(dir.join("tls.crt"), made.cert.pem()).expect("a file");
-    std::fs::write(dir.join("tls.key"), made.signing_key.serialize_pem()).expect("a file");
-    std::fs::write(dir.join("kube.key"), KEY).expect("a file");
+    let dir = folder("library");
+    let made = certificate();
+    install(&dir, &made);
     let kube = format!(
         "key_file = {:?}\ntls = {{ cert = {:?}, key = {:?} }}\n[[kube.tokens]]\nname = \"library\"\nmac = \"{}\"\nnamespaces = [\"books\"]\nverbs = [\"*\"]\n",
         dir.join("kube.key"),
-        dir.join("tls.crt"),
+        dir.join("server.crt"),
         dir.join("tls.key"),
         Key::parse(KEY).expect("a key").token(TOKEN),
     );
--- a/crates/kube/src/door/mod.rs
+++ b/crates/kube/src/door/mod.rs
@@ -19,7 +19,7 @@
 use crate::watches::{Filter, Sent, Watches};
 use crate::{Ask, Out, Reply, keeper, patch, table, translate, view};
 use dillcleat_core::budget::Need;
-use dillcleat_core::calls::STATE_TIMEOUT;
+use dillcleat_core::calls::state_timeout;
 use dillcleat_core::store::{self, JobMark, OpenJob};
 use dillcleat_core::{
     CallError, CallId, MILLISECOND, Micros, Node, Now, Output, RequestId, SECOND, Told,
@@ -89,7 +89,6 @@
 #[derive(Debug)]
 pub struct Door {
     rules: Rules,
-    tokens: Vec<Rc<Token>>,
     cache: Cache,
     calls: HashMap<CallId, Waiting>,
     next: u64,
@@ -107,12 +106,11 @@
 /// Whether a document is deeper or wider than what is read.
 fn too_complex(value: &Value, depth: usize, fields: &mut usize) -> bool {
     *fields += 1;
-    let inner: Box<dyn Iterator<Item = &Value>> = match value {
+    let mut inner: Box<dyn Iterator<Item = &Value>> = match value {
         Value::Object(map) => Box::new(map.values()),
         Value::Array(items) => Box::new(items.iter()),
         _ => return *fields > FIELDS,
     };
-    let mut inner = inner;
     depth == 0 || *fields > FIELDS || inner.any(|v| too_complex(v, depth - 1, fields))
 }
 
@@ -125,10 +123,7 @@
             let text = std::str::from_utf8(body).map_err(|e| Fault::BadRequest(e.to_string()))?;
             crate::yaml::one(text).map_err(|e| Fault::BadRequest(e.to_string()))?
         }
-        "" | "application/json" => {
-            serde_json::from_slice(body).map_err(|e| Fault::BadRequest(e.to_string()))?
-        }
-        _ if Form::of(media).is_some() => {
+        json if matches!(json, "" | "application/json") || Form::of(json).is_some() => {
             serde_json::from_slice(body).map_err(|e| Fault::BadRequest(e.to_string()))?
         }
         other => {
@@ -176,9 +171,7 @@
 
 impl Door {
     pub fn new(rules: Rules) -> Door {
-        let tokens = rules.settings.tokens.iter().cloned().map(Rc::new);
         Door {
-            tokens: tokens.collect(),
             rules,
             cache: Cache::default(),
             calls: HashMap::new(),
@@ -211,10 +204,7 @@
     fn call(&mut self, ctx: &mut Ctx, call: StateCall, waiting: Waiting) {
         self.next += 1;
         let id = CallId(OWN | self.next);
-        let timeout = match &call {
-            StateCall::Watch { hold_ms, .. } => hold_ms * MILLISECOND + STATE_TIMEOUT,
-            _ => STATE_TIMEOUT,
-        };
+        let timeout = state_timeout(&call);
         self.calls.insert(id, waiting);
         ctx.out.push(Out::Core(Output::State { id, call, timeout }));
     }
@@ -255,7 +245,6 @@
         let (path, query) = ask.target.split_once('?').unwrap_or((&ask.target, ""));
         let secret = ask.bearer.as_deref().ok_or(Fault::Unauthorized)?;
         let token = self.rules.token(secret).ok_or(Fault::Unauthorized)?;
-        let token = self.tokens.get(token).cloned().ok_or(Fault::Unauthorized)?;
         let query = Query::parse(query)?;
         let (verb, scope) = match target(&ask.method, path, query.watch)? {
             Target::About(about) => {
@@ -338,9 +327,14 @@
         if self.waiting.len() >= MAX_WAITING {
             return Err(Fault::TooMany);
         }
+        self.wait(ctx, request);
+        Ok(())
+    }
+
+    /// Has a request wait until the objects are as new as it.
+    fn wait(&mut self, ctx: &mut Ctx, request: Request) {
         self.waiting.push_back(request);
         self.look(ctx);
-        Ok(())
     }
 
     /// Brings the objects up to date for those who wait, unless that is under way.
--- a/crates/kube/src/door/read.rs
+++ b/crates/kube/src/door/read.rs
@@ -120,9 +120,8 @@
     Filter {
         kind,
         namespace,
-        labels: request.query.labels.clone(),
-        fields: request.query.fields.clone(),
-        token: (*request.token).clone(),
+        query: request.query.clone(),
+        token: request.token.clone(),
     }
 }
 
--- a/crates/kube/src/door/write.rs
+++ b/crates/kube/src/door/write.rs
@@ -132,7 +132,8 @@
         Err(invalid(name, vec![Cause::new("", Why::Invalid, what)]))
     }
 
-    pub(super) fn create(&mut self, ctx: &mut Ctx, request: Request) -> Result<(), Fault> {
+    /// What a create asks for: the object as its client wrote it, and as it is read.
+    fn asked_for(&self, ctx: &Ctx, request: &Request) -> Result<(Value, Name, Wanted), Fault> {
         let Scope::All(kind, Some(namespace)) = request.scope.clone() else {
             return Err(Fault::NotAllowed);
         };
@@ -150,6 +151,11 @@
             namespace,
             name: wanted.name.clone(),
         };
+        Ok((object, name, wanted))
+    }
+
+    pub(super) fn create(&mut self, ctx: &mut Ctx, request: Request) -> Result<(), Fault> {
+        let (object, name, wanted) = self.asked_for(ctx, &request)?;
         for field in ["resourceVersion", "uid"] {
             if text(&object, &format!("/metadata/{field}")).is_some_and(|v| !v.is_empty()) {
                 let path = format!("metadata.{field}");
@@ -166,8 +172,7 @@
         let creation = self.prepare(ctx, request, wanted, name, (1, 0))?;
         if creation.request.query.dry_run {
             // Whether there is one is said as of now.
-            self.waiting.push_back(creation.request);
-            self.look(ctx);
+            self.wait(ctx, creation.request);
             return Ok(());
         }
         // One more change than a submission of the same job.
@@ -274,8 +279,7 @@
                     // It is there, perhaps by an earlier try of ours whose answer
                     // was lost.
                     self.writes -= 1;
-                    self.waiting.push_back(creation.request);
-                    return self.look(ctx);
+                    return self.wait(ctx, creation.request);
                 }
                 if hit(creation.name.deleted_key()) {
                     let key = creation.name.deleted_key();
@@ -303,16 +307,7 @@
 
     /// The objects are as new as a create whose name was found taken.
     pub(super) fn create_again(&mut self, ctx: &mut Ctx, request: Request) -> Result<(), Fault> {
-        let object = written_by_client(request.body.clone().unwrap_or_default());
-        let Scope::All(kind, Some(namespace)) = request.scope.clone() else {
-            return Err(Fault::NotAllowed);
-        };
-        let wanted = self.wanted(kind, &namespace, &object)?;
-        let name = Name {
-            kind,
-            namespace,
-            name: wanted.name.clone(),
-        };
+        let (_, name, wanted) = self.asked_for(ctx, &request)?;
         let Some(there) = self.cache.get(&name).cloned() else {
             if !request.query.dry_run {
                 return self.create(ctx, request);
@@ -336,7 +331,7 @@
             return Ok(());
         }
         Err(Fault::Exists {
-            resource: kind.resource(),
+            resource: name.kind.resource(),
             name: name.name,
             more: String::new(),
         })
@@ -624,16 +619,12 @@
                         log::error!("{name}: its reference belongs to another job");
                         conflict(&name, "its reference belongs to another job")
                     }
-                    _ => {
-                        self.waiting.push_back(request);
-                        return self.look(ctx);
-                    }
+                    _ => return self.wait(ctx, request),
                 }
             }
             (Err(e), _) => {
                 request.uncertain |= e == CallError::NoAnswer;
-                self.waiting.push_back(request);
-                return self.look(ctx);
+                return self.wait(ctx, request);
             }
             (Ok(StateReply::TooMany), _) => Fault::TooMany,
             (Ok(StateReply::Malformed), _) => {
--- a/crates/kube/src/keeper.rs
+++ b/crates/kube/src/keeper.rs
@@ -13,7 +13,6 @@
 use dillcleat_wire::user::JobState;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
-use std::rc::Rc;
 
 /// Changes and looks that may be under way at once.
 const AT_ONCE: usize = 8;
@@ -121,28 +120,27 @@
     /// The transaction that does it; None if there is nothing to do.
     fn txn(self, object: &Object, fence: u64, wall: Micros) -> Option<Txn> {
         let key = object.name.key();
-        let txn = Txn::default()
+        let mut txn = Txn::default()
             .compare(store::TERM, fence)
             .compare(key.clone(), object.version);
-        let mut record: Record = object.record.clone();
-        Some(match self {
+        let mut state = object.record.state.clone();
+        match self {
             Step::Nothing => return None,
-            Step::Expire => delete(txn, object),
-            Step::Tell(why) => {
-                record.state.end = Some(End { at: wall, why });
-                txn.put(key, &record)
-            }
-            Step::Count(failed) => {
-                record.state.failed = failed;
-                txn.put(key, &record)
-            }
+            Step::Expire => return Some(delete(txn, object)),
+            Step::Tell(why) => state.end = Some(End { at: wall, why }),
+            Step::Count(failed) => state.failed = failed,
             Step::Stop(why, failed) => {
-                record.state.failed = failed;
-                record.state.end = Some(End { at: wall, why });
-                let job = record.state.job.clone().unwrap_or_default();
-                cancel(txn, object, &job, wall).put(key, &record)
+                state.failed = failed;
+                state.end = Some(End { at: wall, why });
+                let job = state.job.as_deref().unwrap_or_default();
+                txn = cancel(txn, object, job, wall);
             }
-        })
+        }
+        let record = Record {
+            state,
+            ..object.record.clone()
+        };
+        Some(txn.put(key, &record))
     }
 }
 
@@ -316,7 +314,6 @@
             if let Some(object) = cache.get(&name)
                 && !self.busy.contains(&name)
             {
-                let object: &Rc<Object> = object;
                 let job = object.record.state.job.as_ref();
                 let facts = job.and_then(|job| self.facts.get(job));
                 if let Some(txn) = decide(object, facts, wall).txn(object, fence, wall) {
--- a/crates/kube/src/lib.rs
+++ b/crates/kube/src/lib.rs
@@ -100,6 +100,10 @@
     }
 
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Out> {
+        if self.door.is_none() {
+            let outputs = self.node.handle(now, input).into_iter();
+            return outputs.map(Out::Core).collect();
+        }
         let mut out = Vec::new();
         match input {
             Input::State { id, reply } if Door::owns(id) => {
--- a/crates/kube/src/settings.rs
+++ b/crates/kube/src/settings.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::rc::Rc;
 
 /// The table `[kube]` of the operators' settings.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -92,6 +93,11 @@
         Verb::Delete,
     ];
 
+    /// Whether a token's entry may name this: a verb, or `*` for all.
+    pub fn is_entry(text: &str) -> bool {
+        text == "*" || Verb::ALL.iter().any(|verb| verb.name() == text)
+    }
+
     pub fn name(self) -> &'static str {
         match self {
             Verb::Get => "get",
@@ -150,8 +156,7 @@
             if unhex(&token.mac).is_none_or(|m| m.len() != 32) {
                 return Err(SettingsError::Mac(token.name.clone()));
             }
-            let known = |v: &&String| *v == "*" || Verb::ALL.iter().any(|k| k.name() == **v);
-            if let Some(verb) = token.verbs.iter().find(|v| !known(v)) {
+            if let Some(verb) = token.verbs.iter().find(|v| !Verb::is_entry(v)) {
                 return Err(SettingsError::Verb(token.name.clone(), verb.clone()));
             }
         }
@@ -164,26 +169,27 @@
 pub struct Rules {
     pub settings: Settings,
     pub key: Key,
-    macs: Vec<Vec<u8>>,
+    /// Tokens with their MACs.
+    tokens: Vec<(Vec<u8>, Rc<Token>)>,
 }
 
 impl Rules {
     pub fn new(settings: Settings, key: Key) -> Rules {
-        let macs = settings.tokens.iter();
+        let tokens = settings.tokens.iter();
+        let read = |t: &Token| (unhex(&t.mac).unwrap_or_default(), Rc::new(t.clone()));
         Rules {
-            macs: macs.map(|t| unhex(&t.mac).unwrap_or_default()).collect(),
+            tokens: tokens.map(read).collect(),
             settings,
             key,
         }
     }
 
-    /// The number of the token that this is. Looks at every one, so that the time
-    /// tells nothing.
-    pub fn token(&self, secret: &str) -> Option<usize> {
+    /// The token that this is. Looks at every one, so that the time tells nothing.
+    pub fn token(&self, secret: &str) -> Option<Rc<Token>> {
         let mut found = None;
-        for (i, mac) in self.macs.iter().enumerate() {
+        for (mac, token) in &self.tokens {
             if self.key.is_token(secret, mac) {
-                found = Some(i);
+                found = Some(token.clone());
             }
         }
         found
--- a/crates/kube/src/view.rs
+++ b/crates/kube/src/view.rs
@@ -95,14 +95,13 @@
     }
 }
 
-/// The object in full.
-pub fn object(object: &Object, progress: Progress) -> Value {
+fn metadata(object: &Object) -> ObjectMeta {
     let record = &object.record;
     let mut annotations = record.annotations.clone();
     if let Some(job) = &record.state.job {
         annotations.insert(JOB.into(), job.clone());
     }
-    let metadata = ObjectMeta {
+    ObjectMeta {
         name: Some(object.name.name.clone()),
         namespace: Some(object.name.namespace.clone()),
         uid: Some(record.uid.clone()),
@@ -112,29 +111,32 @@
         labels: Some(record.labels.clone()).filter(|l| !l.is_empty()),
         annotations: Some(annotations).filter(|a| !a.is_empty()),
         ..ObjectMeta::default()
-    };
+    }
+}
+
+/// The object in full.
+pub fn object(object: &Object, progress: Progress) -> Value {
     match object.name.kind {
         Kind::Job => {
             let shell = Job {
-                metadata,
+                metadata: metadata(object),
                 spec: None,
                 status: Some(status(object, progress)),
             };
             // Its spec is kept as the client wrote it.
             let mut value = json!(shell);
-            value["spec"] = record.spec.clone();
+            value["spec"] = object.record.spec.clone();
             value
         }
     }
 }
 
-/// Only what says which object it is, for rows of tables and bookmarks.
+/// Only what says which object it is, for rows of tables.
 pub fn partial(object: &Object) -> Value {
-    let mut whole = self::object(object, None);
     json!({
         "apiVersion": "meta.k8s.io/v1",
         "kind": "PartialObjectMetadata",
-        "metadata": whole["metadata"].take(),
+        "metadata": metadata(object),
     })
 }
 
--- a/crates/kube/src/watches.rs
+++ b/crates/kube/src/watches.rs
@@ -2,8 +2,8 @@
 
 use crate::cache::{Cache, Turn};
 use crate::record::{Kind, Object};
-use crate::select::Selector;
 use crate::settings::Token;
+use crate::target::Query;
 use crate::{table, view};
 use dillcleat_core::{Micros, RequestId, SECOND};
 use serde_json::{Value, json};
@@ -18,9 +18,8 @@
 pub struct Filter {
     pub kind: Kind,
     pub namespace: Option<String>,
-    pub labels: Selector,
-    pub fields: Selector,
-    pub token: Token,
+    pub query: Rc<Query>,
+    pub token: Rc<Token>,
 }
 
 impl Filter {
@@ -34,8 +33,8 @@
         name.kind == self.kind
             && self.namespace.as_ref().is_none_or(|n| *n == name.namespace)
             && self.token.sees(&name.namespace)
-            && self.labels.takes_labels(&object.record.labels)
-            && self.fields.takes_fields(field)
+            && self.query.labels.takes_labels(&object.record.labels)
+            && self.query.fields.takes_fields(field)
     }
 }
 
--- a/crates/rehearsal/examples/doors.rs
+++ b/crates/rehearsal/examples/doors.rs
@@ -8,7 +8,8 @@
 use clap::{Parser, Subcommand};
 use dillcleat_core::{Config, Input, MILLISECOND, Micros, RequestId, SECOND, Tuning};
 use dillcleat_kube::record::{JobState, Kind, Name, Record};
-use dillcleat_rehearsal::alone::{Alone, Ev, WALL, ask, rules};
+use dillcleat_rehearsal::alone::{Alone, Ev, WALL, ask};
+use dillcleat_rehearsal::objects::rules_for;
 use dillcleat_rehearsal::state::StateService;
 use dillcleat_rehearsal::world::config;
 use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind as NativeKind};
@@ -81,7 +82,7 @@
 fn creates(label: &str, config: Config, native: bool, seconds: u64, offered: u64) {
     let mut bench = Alone::new(
         config,
-        rules(1_000_000, 10),
+        rules_for(1_000_000, 10),
         StateService::new(16 * 1024, 48),
     );
     bench.until(10 * SECOND);
@@ -174,7 +175,7 @@
         state.put(name.key(), &record);
     }
     let before = held();
-    let rules = rules(objects as usize + 1, watchers as usize);
+    let rules = rules_for(objects as usize + 1, watchers as usize);
     let mut bench = Alone::new(deployment(500.0, 200.0), rules, state);
     bench.until(10 * SECOND);
     let (known, _) = bench.controller.door.as_ref().map_or((0, 0), |d| d.sizes());
--- a/crates/rehearsal/src/alone.rs
+++ b/crates/rehearsal/src/alone.rs
@@ -7,7 +7,7 @@
 use crate::state::{PageLimit, StateService, Watches};
 use dillcleat_core::{CallId, Config, Input, MILLISECOND, Micros, Node, Now, Output};
 use dillcleat_core::{RequestId, SECOND};
-use dillcleat_kube::{Ask, Controller, Key, Out, Reply, Rules, Settings};
+use dillcleat_kube::{Ask, Controller, Out, Reply, Rules};
 use dillcleat_wire::state::StateReply;
 use serde_json::Value;
 use std::cmp::Reverse;
@@ -17,31 +17,6 @@
 const STATE_TIME: Micros = 4 * MILLISECOND;
 pub const WALL: Micros = 1_700_000_000 * SECOND;
 
-/// Rules with one token for everything and one, `TOKEN` and `-r`, that may only read.
-pub fn rules(objects: usize, watches: usize) -> Rules {
-    // Thirty-two bytes of hexadecimal digits cannot be refused, nor what is made here.
-    let key = Key::parse(&"5c".repeat(32)).unwrap_or_else(|e| panic!("{e}"));
-    let token = |name: &str, secret: &str, verbs: &str| {
-        let mac = key.token(secret);
-        format!(
-            "[[tokens]]\nname = \"{name}\"\nmac = \"{mac}\"\nnamespaces = [\"*\"]\nverbs = [{verbs}]\n"
-        )
-    };
-    let text = format!(
-        "listen = \"127.0.0.1:1\"\nkey_file = \"none\"\nclass = \"merge\"\nmax_objects = {objects}\n\
-         max_watches = {watches}\nrepeats = [\"again\"]\n{}{}",
-        token("all", TOKEN, "\"*\""),
-        token(
-            "reader",
-            &format!("{TOKEN}-r"),
-            "\"get\", \"list\", \"watch\""
-        ),
-    );
-    let table: toml::Table = toml::from_str(&text).unwrap_or_else(|e| panic!("{e}"));
-    let settings = Settings::read(toml::Value::Table(table)).unwrap_or_else(|e| panic!("{e}"));
-    Rules::new(settings, key)
-}
-
 /// A request with the token for everything.
 pub fn ask(method: &str, target: &str, body: &Value) -> Ask {
     let patch = "application/merge-patch+json".to_string();
--- a/crates/rehearsal/src/objects.rs
+++ b/crates/rehearsal/src/objects.rs
@@ -11,15 +11,37 @@
 /// The token of every client here.
 pub const TOKEN: &str = "a-token-for-rehearsals";
 
+/// The operators' key of every rehearsal.
+fn key() -> Key {
+    // Thirty-two bytes of hexadecimal digits cannot be refused.
+    Key::parse(&"5c".repeat(32)).unwrap_or_else(|e| panic!("{e}"))
+}
+
 /// The rules of a rehearsal's doors.
 pub fn rules() -> Rules {
-    // Thirty-two bytes of hexadecimal digits cannot be refused.
-    let key = Key::parse(&"5c".repeat(32)).unwrap_or_else(|e| panic!("{e}"));
+    rules_for(5_000, 500)
+}
+
+/// Rules with one token for everything and one, `TOKEN` and `-r`, that may only read.
+pub fn rules_for(objects: usize, watches: usize) -> Rules {
+    let key = key();
+    let token = |name: &str, secret: &str, verbs: &str| {
+        let mac = key.token(secret);
+        format!(
+            "[[tokens]]\nname = \"{name}\"\nmac = \"{mac}\"\nnamespaces = [\"*\"]\nverbs = [{verbs}]\n"
+        )
+    };
     let text = format!(
-        "listen = \"127.0.0.1:1\"\nkey_file = \"none\"\n[[tokens]]\nname = \"all\"\nmac = \"{}\"\n\
-         namespaces = [\"*\"]\nverbs = [\"*\"]\n",
-        key.token(TOKEN)
+        "listen = \"127.0.0.1:1\"\nkey_file = \"none\"\nclass = \"merge\"\nmax_objects = {objects}\n\
+         max_watches = {watches}\nrepeats = [\"again\"]\n{}{}",
+        token("all", TOKEN, "\"*\""),
+        token(
+            "reader",
+            &format!("{TOKEN}-r"),
+            "\"get\", \"list\", \"watch\""
+        ),
     );
+    // What is made here cannot be refused.
     let table: toml::Table = toml::from_str(&text).unwrap_or_else(|e| panic!("{e}"));
     let settings = Settings::read(toml::Value::Table(table)).unwrap_or_else(|e| panic!("{e}"));
     Rules::new(settings, key)
@@ -66,7 +88,7 @@
             namespace: spec.team.clone(),
             name: format!("job-{number}"),
         };
-        let key = rules().key;
+        let key = key();
         let uid = key.uid("jobs", &name.namespace, &name.name, 1);
         spec.id = key.job(&name.namespace, &name.name, &uid);
         let mut plan = Plan {
--- a/crates/rehearsal/tests/limits.rs
+++ b/crates/rehearsal/tests/limits.rs
@@ -2,8 +2,8 @@
 
 use dillcleat_core::{Config, RequestId, SECOND};
 use dillcleat_kube::{Ask, Reply};
-use dillcleat_rehearsal::alone::{Alone, Ev, ask, rules};
-use dillcleat_rehearsal::objects::TOKEN;
+use dillcleat_rehearsal::alone::{Alone, Ev, ask};
+use dillcleat_rehearsal::objects::{TOKEN, rules_for};
 use dillcleat_rehearsal::state::StateService;
 use dillcleat_rehearsal::world::config;
 use serde_json::{Value, json};
@@ -12,7 +12,7 @@
 
 fn alone(config: Config, objects: usize, watches: usize) -> Alone {
     let state = StateService::new(config.value_bytes, config.txn_ops);
-    let mut alone = Alone::new(config, rules(objects, watches), state);
+    let mut alone = Alone::new(config, rules_for(objects, watches), state);
     alone.until(10 * SECOND);
     alone
 }
