--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -146,11 +146,15 @@
             Ok(StateReply::Committed { .. }) => {
                 self.under_way -= 1;
                 self.admitted(&id, job.spec.tasks);
+                let due = match job.spec.deadline_s {
+                    Some(due) => format!("due in {due} s"),
+                    None => "no deadline".to_string(),
+                };
                 log::info!(
-                    "accepted {id}: {} tasks of {}, due in {:?} s",
+                    "accepted {id}: {} tasks of {} for {}, {due}",
                     job.spec.tasks,
                     job.spec.class,
-                    job.spec.deadline_s
+                    job.spec.team,
                 );
                 let status = JobStatus {
                     id,
--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -4,6 +4,7 @@
 use clap::{Parser, ValueEnum};
 use dillcleat_rehearsal::{Form, Scenario, World};
 use std::process::ExitCode;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 /// Plays random days with troubles. LOG_LEVEL shows what the controllers say; of use
@@ -50,6 +51,7 @@
         Given::Objects => Form::Objects,
         Given::Mixed => Form::Mixed,
     };
+    let least = Mutex::new(None);
     let next = AtomicU64::new(args.from);
     let (bad, created, told, late) = (
         AtomicUsize::new(0),
@@ -75,14 +77,26 @@
                     let o = World::new(scenario).run();
                     created.fetch_add(o.objects.0, Ordering::Relaxed);
                     told.fetch_add(o.objects.1, Ordering::Relaxed);
+                    if let Some((name, share)) = o.served.least() {
+                        let mut least = least.lock().expect("no holder panics");
+                        let lower = |(_, s, _): &(String, f64, u64)| share < *s;
+                        if least.as_ref().is_none_or(lower) {
+                            *least = Some((name, share, seed));
+                        }
+                    }
                     late.fetch_add(o.late_hits, Ordering::Relaxed);
                     let clean = o.breaches.is_empty()
                         && o.malformed.is_empty()
                         && o.unfinished.is_empty()
                         && o.left.is_empty()
-                        && o.stale.is_empty();
+                        && o.stale.is_empty()
+                        && o.served.starved().is_empty();
                     if !clean {
                         bad.fetch_add(1, Ordering::Relaxed);
+                        if !o.served.starved().is_empty() {
+                            println!("seed {seed}: too little for {:?}", o.served.starved());
+                            print!("{}", o.served);
+                        }
                         println!(
                             "seed {seed}: {:?} malformed {:?} unfinished {:?} left {:?} stale {:?} on {faults:?}",
                             o.breaches, o.malformed, o.unfinished, o.left, o.stale
@@ -96,6 +110,9 @@
         let late = late.load(Ordering::Relaxed);
         println!("{late} machines went by calls that came late");
     }
+    if let Some((name, share, seed)) = least.into_inner().expect("no holder panics") {
+        println!("least served: {name}, {share:.3}, on day {seed}");
+    }
     let bad = bad.into_inner();
     let (created, told) = (created.into_inner(), told.into_inner());
     println!("{} days, {bad} with something wrong", args.to - args.from);
--- /dev/null
+++ b/crates/rehearsal/examples/shares.rs
@@ -0,0 +1,153 @@
+//! How much of each class and team was served on days of the users' bench, from their
+//! reports (`--report`) and logs (`--log info`).
+//!
+//! By class and by team: arrays that were due, from the log. By class only, as the
+//! report tells it: replica time, and submissions that were answered.
+
+use clap::Parser;
+use dillcleat_core::{Micros, micros};
+use dillcleat_rehearsal::Shares;
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Prints a table for each day; fails if less than half of a class or team was served.
+#[derive(Parser)]
+struct Args {
+    /// Folders of days: in each NAME.json, a day's report, stands beside NAME.log
+    #[arg(required = true)]
+    days: Vec<PathBuf>,
+}
+
+#[derive(Deserialize)]
+struct DayReport {
+    duration_s: f64,
+    classes: BTreeMap<String, ClassReport>,
+}
+
+#[derive(Deserialize)]
+struct ClassReport {
+    jobs: f64,
+    accepted: f64,
+    #[serde(default)]
+    up: Option<f64>,
+}
+
+/// An array as the log tells of it.
+struct Array<'a> {
+    tasks: f64,
+    class: &'a str,
+    team: &'a str,
+    due: Micros,
+}
+
+fn seconds(text: &str) -> Option<Micros> {
+    text.parse().ok().map(micros)
+}
+
+/// `accepted JOB: N tasks of CLASS for TEAM, due in S s`, without its first word.
+fn array(at: Micros, text: &str) -> Option<(&str, Array<'_>)> {
+    let (job, rest) = text.split_once(": ")?;
+    let (tasks, rest) = rest.split_once(" tasks of ")?;
+    let (class, rest) = rest.split_once(" for ")?;
+    let (team, due) = rest.split_once(", due in ")?;
+    let due = seconds(due.trim().strip_suffix(" s")?)?;
+    let array = Array {
+        tasks: tasks.parse().ok()?,
+        class,
+        team,
+        due: at + due,
+    };
+    Some((job, array))
+}
+
+fn shares(report: &DayReport, log: &str) -> Shares {
+    let mut arrays = BTreeMap::new();
+    let mut done: BTreeMap<&str, Micros> = BTreeMap::new();
+    let mut cancelled = BTreeSet::new();
+    for line in log.lines() {
+        let mut words = line.split_whitespace();
+        let Some(at) = words.next().and_then(seconds) else {
+            continue;
+        };
+        let Some((_, text)) = line.split_once(" info ") else {
+            continue;
+        };
+        if let Some(rest) = text.strip_prefix("accepted ") {
+            arrays.extend(array(at, rest));
+        } else if let Some(job) = text.trim_end().strip_suffix(": done") {
+            done.entry(job).or_insert(at);
+        } else if let Some(job) = text.strip_prefix("cancelled ") {
+            cancelled.insert(job.trim_end());
+        }
+    }
+    let end = micros(report.duration_s);
+    let mut shares = Shares::default();
+    for (job, a) in arrays {
+        if a.due >= end || cancelled.contains(job) {
+            continue;
+        }
+        // What is done after the day, when nothing else is asked for, does not count.
+        let ended = done.get(job).filter(|at| **at <= end);
+        let was = f64::from(u8::from(ended.is_some()));
+        let in_time = f64::from(u8::from(ended.is_some_and(|at| *at <= a.due)));
+        shares.count(a.class, a.team, |s| {
+            s.work.add(a.due, a.tasks, a.tasks * was);
+            s.in_time.add(a.due, 1.0, in_time);
+        });
+    }
+    for (class, of) in &report.classes {
+        shares.count_class(class, |s| {
+            s.answers.add(0, of.jobs, of.accepted);
+            if let Some(up) = of.up {
+                let time = of.jobs * report.duration_s;
+                s.replicas.add(0, time, time * up);
+            }
+        });
+    }
+    shares
+}
+
+/// Prints a day's table; whether enough was served.
+fn day(report: &Path) -> Result<bool, Box<dyn Error>> {
+    let log = String::from_utf8_lossy(&std::fs::read(report.with_extension("log"))?).into_owned();
+    let shares = shares(&serde_json::from_slice(&std::fs::read(report)?)?, &log);
+    println!("{}:\n\n{shares}", report.with_extension("").display());
+    if let Some((name, share)) = shares.least() {
+        println!("Least served: {name}, {share:.3}.\n");
+    }
+    let starved = shares.starved();
+    if !starved.is_empty() {
+        println!("FAILED, too little for {}.\n", starved.join(", "));
+    }
+    Ok(starved.is_empty())
+}
+
+fn all(folders: &[PathBuf]) -> Result<bool, Box<dyn Error>> {
+    let mut enough = true;
+    for folder in folders {
+        let entries = std::fs::read_dir(folder)?;
+        let paths: Result<Vec<PathBuf>, _> = entries.map(|e| e.map(|e| e.path())).collect();
+        let mut reports = paths?;
+        reports.retain(|p| p.extension().is_some_and(|e| e == "json"));
+        reports.sort();
+        for report in reports {
+            let served = day(&report).map_err(|e| format!("{}: {e}", report.display()))?;
+            enough &= served;
+        }
+    }
+    Ok(enough)
+}
+
+fn main() -> ExitCode {
+    match all(&Args::parse().days) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -305,6 +305,13 @@
         self.starts
     }
 
+    /// How many of a job's tasks are on machines now, and have completed.
+    pub fn tasks(&self, id: &str) -> (u32, u32) {
+        let on = self.on.keys().filter(|t| t.job == id).count();
+        let done = self.jobs.get(id).map_or(0, |j| j.done.len());
+        (on as u32, done as u32)
+    }
+
     /// Whether every task of a job has completed.
     pub fn complete(&self, id: &str) -> bool {
         self.jobs
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -11,6 +11,7 @@
 use crate::objects::{self, Plan, Watcher};
 use crate::rules::{Breach, Checker, Place};
 use crate::scenario::{Cut, Fault, Form, Scenario};
+use crate::served::Shares;
 use crate::state::{StateService, Watches};
 use crate::worker::{Happening, PATIENCE, Play, Worker};
 use dillcleat_core::config::DeadlineAim;
@@ -66,6 +67,8 @@
     pub late_hits: usize,
     /// The most machines that were up at once.
     pub machines: usize,
+    /// How much of each class and team was served.
+    pub served: Shares,
     /// Leaders that were elected.
     pub terms: u64,
     /// How many inputs of each kind the nodes took, and how long that took.
@@ -223,6 +226,9 @@
     cancel_at: Option<Micros>,
     accepted: bool,
     ended: Option<JobState>,
+    /// When it was told first that the job is accepted, and that it has ended.
+    accepted_at: Option<Micros>,
+    ended_at: Option<Micros>,
     again: u32,
     /// The Job that it is handed in as.
     object: Option<Plan>,
@@ -290,6 +296,7 @@
     lost: usize,
     /// Machines that went by calls whose sender led no more when they were carried out.
     late_hits: usize,
+    served: Shares,
     costs: Costs,
 }
 
@@ -406,6 +413,7 @@
             most_machines: 0,
             lost: 0,
             late_hits: 0,
+            served: Shares::default(),
             costs: Costs::new(),
             scenario,
         };
@@ -451,6 +459,7 @@
         let end = self.now;
         self.checker.finish(end);
         self.finish_objects(end);
+        self.finish_served();
         let unfinished = self
             .users
             .iter()
@@ -479,6 +488,7 @@
             lost: self.lost,
             late_hits: self.late_hits,
             machines: self.most_machines,
+            served: self.served,
             terms,
             costs: self.costs,
         }
@@ -617,6 +627,7 @@
             Ev::Workers => {
                 self.most_machines = self.most_machines.max(self.workers.len());
                 self.pass_workers();
+                self.look_at_replicas();
             }
             Ev::Checkin {
                 machine,
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -2,6 +2,12 @@
 
 use super::network::Way;
 use super::*;
+use crate::served::Served;
+
+/// How often replicas are counted.
+const LOOK: Micros = SECOND;
+/// From this time after its acceptance a service is expected to be up.
+const STARTED: Micros = 60 * SECOND;
 
 impl World {
     pub(super) fn add_user(&mut self, job: usize) {
@@ -66,6 +72,8 @@
             cancel_at,
             accepted: false,
             ended: None,
+            accepted_at: None,
+            ended_at: None,
             again: 0,
             object,
         });
@@ -228,6 +236,20 @@
         self.digest.update(status.to_be_bytes());
         self.digest.update(format!("{asker:?} {state:?}"));
         let ended = state.filter(|s| matches!(s, JobState::Done | JobState::Cancelled));
+        if let Asker::Submission { job } | Asker::Poll { job } = asker {
+            let u = &mut self.users[job];
+            let known = matches!(status, 200 | 201);
+            if known {
+                u.accepted_at.get_or_insert(now);
+            }
+            if ended.is_some() {
+                u.ended_at.get_or_insert(now);
+            }
+            let answered = f64::from(u8::from(known || status == 404));
+            let (class, team) = (&u.spec.class, &u.spec.team);
+            let add = |s: &mut Served| s.answers.add(now, 1.0, answered);
+            self.served.count(class, team, add);
+        }
         match asker {
             Asker::Worker { .. } | Asker::Object { .. } | Asker::Watcher => {}
             Asker::Stranger { id } => self.checker.answered_poll(&id, status, state, now),
@@ -285,4 +307,58 @@
             }
         }
     }
+
+    /// Counts the replicas that run now, of services that were accepted a while ago and
+    /// that nobody has asked to cancel.
+    pub(super) fn look_at_replicas(&mut self) {
+        let cut = self.site_cut.iter().filter(|c| self.now < c.until).count();
+        // With most zones cut off from everything nobody could keep replicas up.
+        if !self.now.is_multiple_of(LOOK) || cut * 2 > ZONES.len() {
+            return;
+        }
+        let wanted = |u: &&User| {
+            u.spec.kind == Kind::Service
+                && u.accepted_at.is_some_and(|at| self.now > at + STARTED)
+                && u.ended.is_none()
+                && u.cancel_at.is_none_or(|at| self.now < at)
+        };
+        // No more counts than a team's limit lets run at once.
+        let mut cpus: BTreeMap<&str, f64> = BTreeMap::new();
+        for u in self.users.iter().filter(wanted) {
+            let all = u.spec.cpus * f64::from(u.spec.tasks);
+            *cpus.entry(&u.spec.team).or_default() += all;
+        }
+        let may = |team: &str| {
+            let limits = self.config.teams.iter();
+            let mut limits = limits.filter(|t| t.name == team && t.cpus_max > 0.0);
+            limits
+                .next()
+                .map_or(1.0, |t| (t.cpus_max / cpus[team]).min(1.0))
+        };
+        for u in self.users.iter().filter(wanted) {
+            let (on, _) = self.checker.tasks(&u.spec.id);
+            let all = f64::from(u.spec.tasks) * may(&u.spec.team);
+            let on = f64::from(on);
+            let add = |s: &mut Served| s.replicas.add(self.now, all, on);
+            self.served.count(&u.spec.class, &u.spec.team, add);
+        }
+    }
+
+    /// Counts what was done of the arrays that were to be done.
+    pub(super) fn finish_served(&mut self) {
+        for u in &self.users {
+            let due = u.accepted_at.zip(u.spec.deadline_s);
+            let due = due.map(|(at, due)| at + dillcleat_core::micros(due));
+            let Some(due) = due.filter(|at| *at < self.now && u.cancel_at.is_none()) else {
+                continue;
+            };
+            let (_, done) = self.checker.tasks(&u.spec.id);
+            let (all, done) = (f64::from(u.spec.tasks), f64::from(done));
+            let in_time = f64::from(u8::from(u.ended_at.is_some_and(|at| at <= due)));
+            self.served.count(&u.spec.class, &u.spec.team, |s| {
+                s.work.add(due, all, done);
+                s.in_time.add(due, 1.0, in_time);
+            });
+        }
+    }
 }
