What a leader has learned is told to its siblings, and outlives it

Change: with each beat the leader tells what has changed, and 16 arrays in turn (mesh version 4; new nodes understand version 3). A job's credit is told less the leader's clock, so that ageing needs no telling. A new leader takes what is of an earlier term, heard within ten minutes and sane; all else costs what was lost before. A node that leads no more keeps what it knew itself.

--- a/crates/core/src/leader/jobs.rs
+++ b/crates/core/src/leader/jobs.rs
@@ -183,6 +183,7 @@
         attempt: u64,
         ran: Option<Micros>,
     ) {
+        let place = self.jobs.place(&key.0);
         let Some(job) = self.jobs.get_mut(&key.0) else {
             return;
         };
@@ -197,6 +198,7 @@
             let ran = seconds(ran);
             let t = ctx.config.tuning.training_tasks.max(1) as usize;
             if !job.trained {
+                self.taught.extend(place);
                 job.samples.push(ran);
                 if job.samples.len() >= t.min(job.tasks.len()) {
                     let mean = job.samples.iter().sum::<f64>() / job.samples.len() as f64;
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -138,11 +138,13 @@
             }
         }
         log::info!(
-            "term {}: took up {} jobs and {} machines",
+            "term {}: took up {} jobs and {} machines, with what was learned of {} jobs",
             self.term,
             self.jobs.len(),
-            self.machines.len()
+            self.machines.len(),
+            self.inherited_jobs
         );
+        self.inherited = Inherited::default();
     }
 
     pub(super) fn guess(&self, config: &Config, class: &str) -> f64 {
@@ -169,8 +171,10 @@
             let version = open.mark_version(version);
             let guess = self.guess(ctx.config, &open.spec.class);
             self.service_came |= open.spec.kind == Kind::Service;
-            self.jobs
-                .insert(Rc::from(id), Job::new(open, version, team, guess));
+            let mut job = Job::new(open, version, team, guess);
+            self.inherit(id, &mut job);
+            let place = self.jobs.insert(Rc::from(id), job);
+            self.taught.insert(place);
             self.pass_at = ctx.now.steady;
         } else if let Some(id) = key.strip_prefix(store::CANCELLED) {
             let at = state::read::<CancelledJob>(value).map_or(0, |c| c.at);
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -12,6 +12,7 @@
 mod rent;
 mod reports;
 mod room;
+mod teach;
 mod write;
 
 use self::boots::Boots;
@@ -20,6 +21,7 @@
 use crate::blame::Record;
 use crate::calls::{CallError, Ctx};
 use crate::desk::{Desk, Errand, Rental};
+use crate::learned::Inherited;
 use crate::ledger::{Batch, Item, Ledger};
 use crate::sched::plan::{Market, Refusals, plan};
 use crate::sched::yields::{Victim, make_room};
@@ -285,6 +287,14 @@
     types_stored: bool,
     /// Mean run time per class, learned from finished tasks, in seconds.
     guesses: HashMap<String, f64>,
+    /// What the leader before has learned, for jobs that are taken up.
+    inherited: Inherited,
+    /// Jobs that were taken up as the leader before knew them.
+    inherited_jobs: usize,
+    /// Jobs of which something was learned that siblings have yet to be told.
+    taught: BTreeSet<Place>,
+    /// Of the others the one that was told last.
+    told_next: Place,
     /// A guess has changed since waiting jobs were last ordered by them.
     guesses_changed: bool,
     /// When tasks may be stopped for replicas again.
@@ -313,6 +323,7 @@
         term: u64,
         term_version: u64,
         types: Option<Rc<Vec<MachineType>>>,
+        inherited: Inherited,
     ) -> Leader {
         let now = ctx.now.steady;
         let mut leader = Leader {
@@ -342,7 +353,11 @@
             silent_before: HashMap::new(),
             types_stored: types.is_some(),
             types,
-            guesses: HashMap::new(),
+            guesses: inherited.classes.clone(),
+            inherited,
+            inherited_jobs: 0,
+            taught: BTreeSet::new(),
+            told_next: 0,
             guesses_changed: false,
             room_at: now,
             service_came: false,
--- /dev/null
+++ b/crates/core/src/leader/teach.rs
@@ -0,0 +1,88 @@
+//! What is told of what this leader has learned, for one that follows.
+
+use super::*;
+use dillcleat_mesh::{Learned, LearnedJob, MAX_CLASSES, MAX_LEARNED, MAX_SAMPLES};
+
+/// Jobs that are told again in turn in one message, and places that are looked at for
+/// them, services and what has gone among them. With a hundred a message a leader of
+/// forty arrays spoke ten times as much among controllers, for nothing.
+const IN_TURN: usize = 16;
+const LOOKED_AT: Place = 128;
+
+impl Leader {
+    /// Some of what was learned: jobs of which it has changed, and then the next ones
+    /// in turn, so that who missed something hears it a little later. What ageing does
+    /// to a job need not be told again: it follows from the clock.
+    pub fn learned(&mut self) -> Option<Learned> {
+        if self.stage != Stage::Ready {
+            return None;
+        }
+        let mut jobs = Vec::new();
+        while jobs.len() < MAX_LEARNED
+            && let Some(place) = self.taught.pop_first()
+        {
+            jobs.extend(self.learned_of(place));
+        }
+        let all = self.jobs.places();
+        let mut told = 0;
+        for _ in 0..all.min(LOOKED_AT) {
+            if jobs.len() >= MAX_LEARNED || told >= IN_TURN {
+                break;
+            }
+            self.told_next = (self.told_next + 1) % all;
+            let learned = self.learned_of(self.told_next);
+            told += usize::from(learned.is_some());
+            jobs.extend(learned);
+        }
+        Some(self.told(jobs))
+    }
+
+    /// All of it, for this node itself when it leads no more.
+    pub fn all_learned(&self) -> Option<Learned> {
+        let jobs = (0..self.jobs.places()).filter_map(|place| self.learned_of(place));
+        (self.stage == Stage::Ready).then(|| self.told(jobs.collect()))
+    }
+
+    fn told(&self, jobs: Vec<LearnedJob>) -> Learned {
+        let classes = self.guesses.iter().take(MAX_CLASSES);
+        Learned {
+            term: self.term,
+            clock: self.clock,
+            classes: classes.map(|(class, s)| (class.clone(), *s)).collect(),
+            jobs,
+        }
+    }
+
+    fn learned_of(&self, place: Place) -> Option<LearnedJob> {
+        let (id, job) = self.jobs.at(place)?;
+        if job.spec.kind != Kind::Batch || job.cancelled.is_some() || job.ending {
+            return None;
+        }
+        let samples = job.samples.iter().take(MAX_SAMPLES);
+        Some(LearnedJob {
+            job: id.to_string(),
+            initial_size: job.initial_size,
+            size: job.size,
+            credit: job.credit - job.ageing_since.unwrap_or(0.0),
+            ages: job.ageing_since.is_some(),
+            trained: job.trained,
+            samples: samples.copied().collect(),
+        })
+    }
+
+    /// Takes over what the leader before knew of a job that is taken up.
+    pub(super) fn inherit(&mut self, id: &str, job: &mut Job) {
+        let Some(learned) = self.inherited.take(id) else {
+            return;
+        };
+        if job.spec.kind != Kind::Batch {
+            return;
+        }
+        self.inherited_jobs += 1;
+        job.initial_size = learned.initial_size;
+        job.size = learned.size;
+        job.credit = learned.credit;
+        job.trained = learned.trained;
+        job.samples = learned.samples;
+    }
+}
--- /dev/null
+++ b/crates/core/src/learned.rs
@@ -0,0 +1,94 @@
+//! What the leader before has learned, as far as it told.
+//!
+//! Virtual sizes, samples and mean run times are nowhere but in a leader's memory, and
+//! went with it: large jobs waited anew at every change of leader. A leader now tells
+//! its siblings some of them with each beat. Hints: a lost one costs what was lost
+//! before, and no rule rests on any.
+
+use crate::{Config, Micros, SECOND};
+use dillcleat_mesh::{Learned, LearnedJob};
+use std::collections::HashMap;
+
+/// What was not told again for so long is not believed: its job has ended, or the
+/// leader that told it has. In that time twenty thousand jobs have their turn.
+const BELIEVED: Micros = 600 * SECOND;
+
+/// What a node has heard of a leader.
+#[derive(Debug, Default)]
+pub struct Heard {
+    /// Of which term it is.
+    term: u64,
+    clock: f64,
+    classes: Vec<(String, f64)>,
+    jobs: HashMap<String, (LearnedJob, Micros)>,
+}
+
+/// What a new leader takes over.
+#[derive(Debug, Default)]
+pub struct Inherited {
+    clock: f64,
+    pub classes: HashMap<String, f64>,
+    jobs: HashMap<String, LearnedJob>,
+}
+
+impl Heard {
+    /// Takes in what a leader tells. A later term's leader has what the one before
+    /// knew, as far as it was heard, and has gone on from there.
+    pub fn take(&mut self, config: &Config, learned: Learned, now: Micros) {
+        if learned.term < self.term {
+            return;
+        }
+        if learned.term > self.term {
+            *self = Heard {
+                term: learned.term,
+                ..Heard::default()
+            };
+        }
+        self.clock = learned.clock;
+        if !learned.classes.is_empty() {
+            self.classes = learned.classes;
+        }
+        // Some 250 bytes each: at most a sixteenth of the memory.
+        let limit = (config.memory_mb * 1e6 / 16.0 / 250.0) as usize;
+        if self.jobs.len() + learned.jobs.len() > limit {
+            self.jobs.retain(|_, (_, at)| now < *at + BELIEVED);
+        }
+        for job in learned.jobs {
+            if self.jobs.len() < limit || self.jobs.contains_key(&job.job) {
+                self.jobs.insert(job.job.clone(), (job, now));
+            }
+        }
+    }
+
+    /// What the leader of a new term may use: nothing of its own term or a later one,
+    /// which others have begun or nobody has, and nothing old.
+    pub fn inherit(&mut self, term: u64, now: Micros) -> Inherited {
+        let heard = std::mem::take(self);
+        if heard.term >= term {
+            return Inherited::default();
+        }
+        let jobs = heard.jobs.into_iter();
+        let recent = jobs.filter(|(_, (_, at))| now < *at + BELIEVED);
+        Inherited {
+            clock: heard.clock,
+            classes: heard
+                .classes
+                .into_iter()
+                .filter(|(_, s)| *s > 0.0)
+                .collect(),
+            jobs: recent.map(|(id, (job, _))| (id, job)).collect(),
+        }
+    }
+}
+
+impl Inherited {
+    /// What was learned of a job, with its credit as of when the leader was last heard.
+    pub fn take(&mut self, id: &str) -> Option<LearnedJob> {
+        let mut job = self.jobs.remove(id)?;
+        if std::mem::take(&mut job.ages) {
+            job.credit += self.clock;
+        }
+        let sane = job.size > 0.0 && job.initial_size > 0.0 && job.credit >= 0.0;
+        sane.then_some(job)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 mod known;
 pub mod leader;
 pub mod leadership;
+mod learned;
 pub mod ledger;
 pub mod node;
 pub mod shelf;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,6 +6,7 @@
 use crate::calls::{Calls, Ctx};
 use crate::leader::{Leader, Note};
 use crate::leadership::{Change, Leadership};
+use crate::learned::Heard;
 use crate::store::OpenJob;
 use crate::waiters::{Leading, Waiter};
 use crate::warrant::Standing;
@@ -53,6 +54,8 @@
     /// last, and when that was said.
     silent: HashMap<String, Micros>,
     silent_at: Micros,
+    /// What leaders have told of what they learned.
+    learned: Heard,
     /// When the state service last answered this node.
     served_at: Option<Micros>,
     beat_at: Micros,
@@ -74,6 +77,7 @@
             siblings: HashMap::new(),
             silent: HashMap::new(),
             silent_at: 0,
+            learned: Heard::default(),
             served_at: None,
             beat_at: 0,
             worker_at: 0,
@@ -284,7 +288,8 @@
         match change {
             Some(Change::Elected { term, term_version }) => {
                 let types = self.leadership.types.clone();
-                let mut leader = Leader::new(&mut ctx, term, term_version, types);
+                let inherited = self.learned.inherit(term, now.steady);
+                let mut leader = Leader::new(&mut ctx, term, term_version, types, inherited);
                 leader.standing.proved = self.leadership.proved();
                 if now.steady < self.silent_at + HINT {
                     leader.expect_silence(std::mem::take(&mut self.silent));
@@ -292,7 +297,12 @@
                 self.leader = Some(leader);
                 self.beat_at = now.steady;
             }
-            Some(Change::Deposed) => self.leader = None,
+            Some(Change::Deposed) => {
+                // It may lead again before anybody else has.
+                if let Some(learned) = self.leader.take().and_then(|l| l.all_learned()) {
+                    self.learned.take(&self.config, learned, now.steady);
+                }
+            }
             None => {}
         }
     }
@@ -536,6 +546,11 @@
                     message: Message::Silent(silent),
                 });
             }
+            if let Some(learned) = leader.learned() {
+                out.push(Output::Mesh {
+                    message: Message::Learned(learned),
+                });
+            }
             let progress = leader.progress();
             for p in &progress {
                 self.admission
@@ -584,6 +599,9 @@
                     .collect();
                 self.silent_at = now.steady;
             }
+            Message::Learned(learned) => {
+                self.learned.take(&self.config, learned, now.steady);
+            }
             Message::Progress(jobs) => {
                 if self.admission.progress.len() > MAX_PROGRESS {
                     self.admission.progress.clear();
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -79,6 +79,8 @@
 pub struct Around {
     pub state: bool,
     pub cloud: bool,
+    /// Rows of the queue.
+    pub queue: Vec<Row>,
     /// Watches that wait for an answer.
     pub watches: Vec<CallId>,
 }
@@ -88,6 +90,7 @@
         Around {
             state: true,
             cloud: true,
+            queue: Vec::new(),
             watches: Vec::new(),
         }
     }
@@ -126,6 +129,7 @@
                         StateCall::List { prefix, .. } => StateReply::Page(Page {
                             rows: match prefix.as_str() {
                                 store::MACHINES => machines.to_vec(),
+                                store::QUEUE => around.queue.clone(),
                                 _ => vec![],
                             },
                             more: false,
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -7,7 +7,10 @@
 //! lost or forged hint costs time only.
 
 /// Version of the format; frames of another version close the connection.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
+/// The version before, of which every frame is one of this version as well: in a
+/// rolling upgrade new nodes hear old ones, old ones do without the new ones' hints.
+const BEFORE: u8 = 3;
 /// Bound of one frame's length field.
 pub const MAX_FRAME: usize = 64 * 1024;
 /// Bound of the jobs in one progress message.
@@ -16,6 +19,43 @@
 /// Bound of the zones in one message about silence.
 pub const MAX_ZONES: usize = 100;
 
+/// Bound of the jobs in one message about what was learned.
+pub const MAX_LEARNED: usize = 100;
+/// Bound of the classes in one.
+pub const MAX_CLASSES: usize = 64;
+/// Bound of a job's samples in one.
+pub const MAX_SAMPLES: usize = 16;
+
+/// What a leader has learned of an array, for one that follows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LearnedJob {
+    pub job: String,
+    /// Size as of the first guess, in CPU-seconds.
+    pub initial_size: f64,
+    /// The same, or the final size once it is trained.
+    pub size: f64,
+    /// What ageing has taken off it, in CPU-seconds; less the leader's clock if it
+    /// ages. So it stays what it is while the job ages, and need not be told again.
+    pub credit: f64,
+    pub ages: bool,
+    pub trained: bool,
+    /// Run times of its training tasks, in seconds.
+    pub samples: Vec<f64>,
+}
+
+/// What a leader has learned, in part: each message brings some jobs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Learned {
+    /// The leader's term.
+    pub term: u64,
+    /// What ageing has taken off any array that was active all the time, in
+    /// CPU-seconds.
+    pub clock: f64,
+    /// Mean run times by class, in seconds.
+    pub classes: Vec<(String, f64)>,
+    pub jobs: Vec<LearnedJob>,
+}
+
 /// A zone that has fallen silent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Silence {
@@ -32,7 +72,7 @@
     pub running: u32,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Message {
     /// The first frame of a connection: who speaks.
     Hello { member: String },
@@ -50,6 +90,8 @@
     Progress(Vec<Progress>),
     /// From the leader: zones that have fallen silent as a whole.
     Silent(Vec<Silence>),
+    /// From the leader: what it has learned of some jobs.
+    Learned(Learned),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -68,6 +110,8 @@
     Text,
     #[error("a flag is neither 0 nor 1")]
     Flag,
+    #[error("a number is not finite")]
+    Number,
 }
 
 /// The length that a frame's first four bytes announce.
@@ -88,6 +132,36 @@
     out.extend_from_slice(&text.as_bytes()[..end]);
 }
 
+fn put_f64(out: &mut Vec<u8>, number: f64) {
+    out.extend_from_slice(&number.to_bits().to_be_bytes());
+}
+
+fn put_learned(out: &mut Vec<u8>, learned: &Learned) {
+    out.extend_from_slice(&learned.term.to_be_bytes());
+    put_f64(out, learned.clock);
+    let n = learned.classes.len().min(MAX_CLASSES);
+    out.extend_from_slice(&(n as u16).to_be_bytes());
+    for (class, mean) in &learned.classes[..n] {
+        put_text(out, class);
+        put_f64(out, *mean);
+    }
+    let n = learned.jobs.len().min(MAX_LEARNED);
+    out.extend_from_slice(&(n as u16).to_be_bytes());
+    for j in &learned.jobs[..n] {
+        put_text(out, &j.job);
+        put_f64(out, j.initial_size);
+        put_f64(out, j.size);
+        put_f64(out, j.credit);
+        out.push(u8::from(j.ages));
+        out.push(u8::from(j.trained));
+        let n = j.samples.len().min(MAX_SAMPLES);
+        out.extend_from_slice(&(n as u16).to_be_bytes());
+        for sample in &j.samples[..n] {
+            put_f64(out, *sample);
+        }
+    }
+}
+
 impl Message {
     /// The whole frame, length included.
     pub fn encode(&self) -> Vec<u8> {
@@ -130,6 +204,10 @@
                     out.extend_from_slice(&z.quiet_ms.to_be_bytes());
                 }
             }
+            Message::Learned(learned) => {
+                out.push(5);
+                put_learned(&mut out, learned);
+            }
         }
         let len = (out.len() - 4) as u32;
         out[..4].copy_from_slice(&len.to_be_bytes());
@@ -140,7 +218,7 @@
     pub fn decode(frame: &[u8]) -> Result<Message, FrameError> {
         let mut r = Reader(frame);
         match r.u8()? {
-            VERSION => {}
+            VERSION | BEFORE => {}
             v => return Err(FrameError::Version(v)),
         }
         let message = match r.u8()? {
@@ -153,10 +231,7 @@
                 asked: r.u32()?,
             },
             3 => {
-                let n = r.u16()? as usize;
-                if n > MAX_PROGRESS {
-                    return Err(FrameError::TooLong(n));
-                }
+                let n = r.count(MAX_PROGRESS)?;
                 let mut jobs = Vec::with_capacity(n);
                 for _ in 0..n {
                     jobs.push(Progress {
@@ -168,10 +243,7 @@
                 Message::Progress(jobs)
             }
             4 => {
-                let n = r.u16()? as usize;
-                if n > MAX_ZONES {
-                    return Err(FrameError::TooLong(n));
-                }
+                let n = r.count(MAX_ZONES)?;
                 let mut zones = Vec::with_capacity(n);
                 for _ in 0..n {
                     zones.push(Silence {
@@ -181,6 +253,7 @@
                 }
                 Message::Silent(zones)
             }
+            5 => Message::Learned(r.learned()?),
             k => return Err(FrameError::Kind(k)),
         };
         if r.0.is_empty() {
@@ -224,6 +297,54 @@
         }
     }
 
+    /// A number of things, of which there may be `most`.
+    fn count(&mut self, most: usize) -> Result<usize, FrameError> {
+        match self.u16()? as usize {
+            n if n > most => Err(FrameError::TooLong(n)),
+            n => Ok(n),
+        }
+    }
+
+    fn f64(&mut self) -> Result<f64, FrameError> {
+        let number = f64::from_bits(self.u64()?);
+        number
+            .is_finite()
+            .then_some(number)
+            .ok_or(FrameError::Number)
+    }
+
+    fn learned(&mut self) -> Result<Learned, FrameError> {
+        let (term, clock) = (self.u64()?, self.f64()?);
+        let n = self.count(MAX_CLASSES)?;
+        let mut classes = Vec::with_capacity(n);
+        for _ in 0..n {
+            classes.push((self.text()?, self.f64()?));
+        }
+        let n = self.count(MAX_LEARNED)?;
+        let mut jobs = Vec::with_capacity(n);
+        for _ in 0..n {
+            let mut job = LearnedJob {
+                job: self.text()?,
+                initial_size: self.f64()?,
+                size: self.f64()?,
+                credit: self.f64()?,
+                ages: self.flag()?,
+                trained: self.flag()?,
+                samples: Vec::new(),
+            };
+            for _ in 0..self.count(MAX_SAMPLES)? {
+                job.samples.push(self.f64()?);
+            }
+            jobs.push(job);
+        }
+        Ok(Learned {
+            term,
+            clock,
+            classes,
+            jobs,
+        })
+    }
+
     fn text(&mut self) -> Result<String, FrameError> {
         let n = self.u16()? as usize;
         if n > self.0.len() {
@@ -261,6 +382,20 @@
                 zone: "a".into(),
                 quiet_ms: 9_000,
             }]),
+            Message::Learned(Learned {
+                term: 7,
+                clock: 12.5,
+                classes: vec![("merge".into(), 40.25)],
+                jobs: vec![LearnedJob {
+                    job: "req-1".into(),
+                    initial_size: 240.0,
+                    size: 120.5,
+                    credit: -3.0,
+                    ages: true,
+                    trained: false,
+                    samples: vec![30.0, 31.5],
+                }],
+            }),
         ];
         for m in messages {
             let frame = m.encode();
@@ -273,10 +408,28 @@
             let mut long = frame.clone();
             long.push(0);
             assert_eq!(Message::decode(&long[4..]), Err(FrameError::Long));
+            let mut before = frame.clone();
+            before[4] = 3;
+            assert!(Message::decode(&before[4..]).is_ok());
             let mut other = frame;
             other[4] = 9;
             assert_eq!(Message::decode(&other[4..]), Err(FrameError::Version(9)));
         }
         assert!(frame_len([255; 4]).is_err());
     }
+
+    /// An age that is no number would put its job first or last for good.
+    #[test]
+    fn numbers_that_are_none_are_refused() {
+        for clock in [f64::NAN, f64::INFINITY] {
+            let frame = Message::Learned(Learned {
+                term: 1,
+                clock,
+                classes: Vec::new(),
+                jobs: Vec::new(),
+            })
+            .encode();
+            assert_eq!(Message::decode(&frame[4..]), Err(FrameError::Number));
+        }
+    }
 }
