--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -29,7 +29,7 @@
 use crate::shelf::Shelf;
 use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob};
 use crate::waiters::{Leading as Step, Waiter};
-use crate::warrant::{Deed, Ground, Standing};
+use crate::warrant::{Deed, Footing, Ground};
 use crate::workers::{Machine, SlotEvent, Source, TaskKey};
 use crate::{Answer, CallId, Config, Counts, MILLISECOND, Micros, SECOND, micros, seconds};
 use dillcleat_mesh::Progress;
@@ -267,7 +267,7 @@
     /// Since when reports are not answered, for want of a sure look.
     blind_since: Option<Micros>,
     /// Its right to act, as its node saw it last.
-    pub standing: Standing,
+    pub footing: Footing,
     watch_at: Option<Micros>,
     jobs: Shelf<Job>,
     machines: Shelf<Machine>,
@@ -342,7 +342,7 @@
             watch_sent: now,
             sighted: now,
             blind_since: None,
-            standing: Standing::default(),
+            footing: Footing::default(),
             watch_at: None,
             jobs: Shelf::default(),
             machines: Shelf::default(),
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -75,7 +75,7 @@
         let now = ctx.now.steady;
         let fleet: usize = self.index.sums.up.values().sum();
         let most = (fleet as f64 * ctx.config.tuning.delete_share) as usize;
-        let leave = |deed| self.standing.leave(ctx.config, now, deed);
+        let leave = |deed| self.footing.leave(ctx.config, now, deed);
         if let Some((errand, call, leave)) = self.desk.next(now, most, leave) {
             let waiter = self.waiter(Step::Cloud(errand));
             ctx.cloud(call, &leave, waiter);
@@ -85,7 +85,7 @@
     /// Whether it may be done now.
     pub(super) fn may(&self, ctx: &Ctx, deed: Deed) -> bool {
         let now = ctx.now.steady;
-        self.standing.leave(ctx.config, now, deed).is_some()
+        self.footing.leave(ctx.config, now, deed).is_some()
     }
 
     /// This process was not running for a while, or did not listen: what it did not
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -5,7 +5,7 @@
 /// What of a machine a report may change, its slots aside, and something is
 /// derived from.
 #[derive(PartialEq, Eq)]
-struct Marks {
+struct Standing {
     machine_type: Rc<str>,
     zone: Rc<str>,
     spot: bool,
@@ -16,9 +16,9 @@
     strays: bool,
 }
 
-impl Marks {
-    fn of(m: &Machine) -> Marks {
-        Marks {
+impl Standing {
+    fn of(m: &Machine) -> Standing {
+        Standing {
             machine_type: m.machine_type.clone(),
             zone: m.zone.clone(),
             spot: m.spot,
@@ -88,7 +88,7 @@
             return;
         };
         // Most reports of a large fleet say that nothing has changed.
-        let before = self.machines.at(place).map(|(_, m)| Marks::of(m));
+        let before = self.machines.at(place).map(|(_, m)| Standing::of(m));
         let Some(m) = self.machines.quiet(place) else {
             return;
         };
@@ -130,7 +130,7 @@
             log::info!("{}: heard again, not deleting it", m.name);
             m.leaving = false;
         }
-        let after = Some(Marks::of(m));
+        let after = Some(Standing::of(m));
         let starts = |e: &SlotEvent| matches!(e, SlotEvent::Running(_));
         if stays
             || before != after
@@ -168,7 +168,7 @@
     /// What the machine is told. Work that is to run elsewhere is stopped only by who
     /// can prove that it leads.
     pub(super) fn commands(&self, ctx: &Ctx, m: &Machine) -> Vec<dillcleat_wire::worker::Command> {
-        let lasting = self.standing.proved(ctx.config, ctx.now.steady);
+        let lasting = self.footing.proved(ctx.config, ctx.now.steady);
         m.commands(lasting, |task, attempt| self.settled(task, attempt))
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -9,7 +9,7 @@
 use crate::learned::Heard;
 use crate::store::OpenJob;
 use crate::waiters::{Leading, Waiter};
-use crate::warrant::Standing;
+use crate::warrant::Footing;
 use crate::{
     Answer, Config, Counts, Input, MILLISECOND, Micros, Now, Output, RequestId, SECOND, Told,
     micros,
@@ -171,9 +171,9 @@
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
         self.awake(now, &mut out);
-        let standing = match input {
-            Input::Tick => self.standing(now),
-            _ => Standing::default(),
+        let footing = match input {
+            Input::Tick => self.footing(now),
+            _ => Footing::default(),
         };
         let mut ctx = Ctx {
             now,
@@ -187,7 +187,7 @@
                 self.leadership.tick(&mut ctx);
                 self.admission.tick(&mut ctx);
                 if let Some(leader) = &mut self.leader {
-                    leader.standing = standing;
+                    leader.footing = footing;
                     leader.tick(&mut ctx);
                 }
                 if now.steady >= self.beat_at {
@@ -214,7 +214,7 @@
                     Some((Waiter::Leadership(step), sent)) => {
                         change = self.leadership.reply(&mut ctx, step, sent, reply);
                         if let Some(leader) = &mut self.leader {
-                            leader.standing.proved = self.leadership.proved();
+                            leader.footing.proved = self.leadership.proved();
                         }
                     }
                     Some((Waiter::Leader { term, step }, sent)) => {
@@ -290,7 +290,7 @@
                 let types = self.leadership.types.clone();
                 let inherited = self.learned.inherit(term, now.steady);
                 let mut leader = Leader::new(&mut ctx, term, term_version, types, inherited);
-                leader.standing.proved = self.leadership.proved();
+                leader.footing.proved = self.leadership.proved();
                 if now.steady < self.silent_at + HINT {
                     leader.expect_silence(std::mem::take(&mut self.silent));
                 }
@@ -479,7 +479,7 @@
     }
 
     /// What this node knows of its right to act as leader.
-    fn standing(&mut self, now: Now) -> Standing {
+    fn footing(&mut self, now: Now) -> Footing {
         let fresh = |s: &&Sibling| now.steady < s.heard + FRESH;
         let heard = |name: &String| self.siblings.get(name).filter(fresh).is_some();
         let far = &self.config.far_siblings;
@@ -491,7 +491,7 @@
         let out = most && none_served && !apart;
         let since = self.out_since.filter(|_| out).unwrap_or(now.steady);
         self.out_since = out.then_some(since);
-        Standing {
+        Footing {
             proved: self.leadership.proved(),
             // Words that were held up come all at once, as old as they are, and no
             // more of them follow (seed 5479 of the days of cuts).
--- a/crates/core/src/warrant.rs
+++ b/crates/core/src/warrant.rs
@@ -25,7 +25,7 @@
 
 /// What a leader knows of its right to act, as its node sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Standing {
+pub struct Footing {
     /// When the call was sent by whose answer this node was last proved to lead.
     pub proved: Micros,
     /// The state service answers nobody: so say most of the controllers, this one
@@ -57,14 +57,14 @@
     Delete(Ground),
 }
 
-/// Leave to send one call; only a [`Standing`] gives it.
+/// Leave to send one call; only a [`Footing`] gives it.
 #[derive(Debug)]
 pub struct Leave {
     until: Micros,
     lasting: bool,
 }
 
-impl Standing {
+impl Footing {
     /// Whether this node led a moment ago.
     pub fn proved(&self, config: &Config, now: Micros) -> bool {
         now < self.proved + proof_time(config)
@@ -125,13 +125,13 @@
         for ttl in [0.5, 2.5, 60.0] {
             let config = config(ttl);
             let sent = 100 * SECOND;
-            let standing = Standing {
+            let footing = Footing {
                 proved: sent,
-                ..Standing::default()
+                ..Footing::default()
             };
             let silent = Deed::Delete(Ground::Silent);
             for deed in [Deed::Rent, silent, Deed::Delete(Ground::Cancelled)] {
-                let leave = standing.leave(&config, sent + 100_000, deed);
+                let leave = footing.leave(&config, sent + 100_000, deed);
                 let leave = leave.expect("proved a moment ago");
                 let last = sent + 100_000 + leave.within(sent + 100_000);
                 // By a clock that runs 0.05% slow.
@@ -140,11 +140,11 @@
                     "{ttl} {deed:?}"
                 );
                 assert!(
-                    standing.leave(&config, last, deed).is_none(),
+                    footing.leave(&config, last, deed).is_none(),
                     "{ttl} {deed:?}"
                 );
             }
-            let look = standing.leave(&config, sent + 100 * SECOND, Deed::Look);
+            let look = footing.leave(&config, sent + 100 * SECOND, Deed::Look);
             assert!(look.is_some_and(|l| !l.covers(&CloudCall::Delete(Vec::new()))));
         }
     }
@@ -152,11 +152,11 @@
     #[test]
     fn an_outage_leaves_only_what_cancellations_need() {
         let config = config(2.5);
-        let standing = Standing {
+        let footing = Footing {
             outage: true,
-            ..Standing::default()
+            ..Footing::default()
         };
-        let given = |deed| standing.leave(&config, 100 * SECOND, deed).is_some();
+        let given = |deed| footing.leave(&config, 100 * SECOND, deed).is_some();
         assert!(given(Deed::Delete(Ground::Cancelled)));
         assert!(!given(Deed::Delete(Ground::Silent)));
         assert!(!given(Deed::Delete(Ground::Returned)));
