--- a/crates/core/src/leader/cut.rs
+++ b/crates/core/src/leader/cut.rs
@@ -122,11 +122,10 @@
             }
         }
         let missed = &self.index.silent | &self.index.booting;
-        let missed = missed
+        let mut missed = missed
             .into_iter()
             .filter_map(|place| self.machines.at(place));
-        heard.values().all(|n| *n == 0)
-            && missed.into_iter().any(|(_, m)| m.recorded && far(&m.zone))
+        heard.values().all(|n| *n == 0) && missed.any(|(_, m)| m.recorded && far(&m.zone))
     }
 
     /// Zones that have fallen silent, and since when, for a leader to come.
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -168,6 +168,7 @@
         Some(job.submitted.saturating_add(due))
     }
 
+    /// Past the last time at which the end of the job is still of use.
     pub(super) fn overdue(ctx: &Ctx, job: &Job) -> bool {
         Self::of_use_until(ctx.config, job).is_some_and(|end| ctx.now.wall >= end)
     }
--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -106,8 +106,8 @@
             });
         }
     });
-    if late.load(Ordering::Relaxed) > 0 {
-        let late = late.load(Ordering::Relaxed);
+    let late = late.into_inner();
+    if late > 0 {
         println!("{late} machines went by calls that came late");
     }
     if let Some((name, share, seed)) = least.into_inner().expect("no holder panics") {
--- a/crates/rehearsal/src/served.rs
+++ b/crates/rehearsal/src/served.rs
@@ -12,7 +12,7 @@
 /// From so much on a share is judged.
 const ENOUGH_TASKS: f64 = 20.0;
 /// In seconds of one replica.
-const ENOUGH_REPLICA_TIME: f64 = 900.0;
+const ENOUGH_REPLICA_TIME: f64 = 600.0;
 const ENOUGH_REQUESTS: f64 = 50.0;
 const MINUTE: Micros = 60 * SECOND;
 
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -176,8 +176,8 @@
     epoch: u32,
     id: CallId,
     heard: bool,
-    /// Who led, by the state service, when the call was put on its way; None if that
-    /// was just before it arrived.
+    /// Of a call to the cloud: who led, by the state service, when it was put on its
+    /// way; None if that was just before it arrived.
     led: Option<Led>,
     /// Its luck is drawn apart, so that what else happens is what it would be
     /// without it.
--- a/crates/rehearsal/src/world/network.rs
+++ b/crates/rehearsal/src/world/network.rs
@@ -55,6 +55,20 @@
         way
     }
 
+    /// `at`, or later if a message between the two is held back; None if it is lost.
+    pub(super) fn held(
+        &self,
+        from: Option<usize>,
+        to: Option<usize>,
+        at: Micros,
+    ) -> Option<Micros> {
+        match self.way(from, to) {
+            Way::Open => Some(at),
+            Way::Held(until) => Some(at.max(until)),
+            Way::Lost => None,
+        }
+    }
+
     /// Who leads, by the state service.
     pub(super) fn leads(&self, node: usize) -> Led {
         match self.state.read::<Lead>(dillcleat_core::store::LEAD) {
@@ -117,7 +131,7 @@
             epoch,
             id,
             heard,
-            led: Some(self.leads(node)),
+            led: None,
             aside,
         };
         (at, caller)
@@ -133,11 +147,8 @@
         held: Micros,
         aside: bool,
     ) -> Option<(Micros, Caller)> {
-        match self.way(Self::site(node), to) {
-            Way::Open => Some(self.call(node, epoch, id, held, aside)),
-            Way::Held(until) => Some(self.call(node, epoch, id, held.max(until), aside)),
-            Way::Lost => None,
-        }
+        let held = self.held(Self::site(node), to, held)?;
+        Some(self.call(node, epoch, id, held, aside))
     }
 
     /// Sends an answer, if it gets across.
@@ -146,12 +157,8 @@
     }
 
     pub(super) fn reply_from(&mut self, zone: Option<usize>, caller: Caller, input: Input) {
-        let way = self.way(zone, Self::site(caller.node));
-        if caller.heard && way != Way::Lost {
-            let at = match way {
-                Way::Held(until) => until,
-                _ => self.now,
-            };
+        let held = self.held(zone, Self::site(caller.node), self.now);
+        if let Some(at) = held.filter(|_| caller.heard) {
             let at = at + self.delay_of(caller.aside);
             self.input(at, caller.node, caller.epoch, input);
         }
@@ -208,10 +215,12 @@
                     let caller = match connects {
                         Some(_) => Caller {
                             heard: true,
-                            led: None,
                             ..caller
                         },
-                        None => caller,
+                        None => Caller {
+                            led: Some(self.leads(node)),
+                            ..caller
+                        },
                     };
                     let call = Box::new(call);
                     self.at(at, Ev::Cloud { caller, call });
@@ -243,12 +252,10 @@
             Output::Told(_) => {}
             Output::Mesh { message } => {
                 for to in (0..self.nodes.len()).filter(|to| *to != node) {
-                    let (mut at, whole) = self.passage(0);
-                    match self.way(Self::site(node), Self::site(to)) {
-                        Way::Open => {}
-                        Way::Held(until) => at = at.max(until),
-                        Way::Lost => continue,
-                    }
+                    let (at, whole) = self.passage(0);
+                    let Some(at) = self.held(Self::site(node), Self::site(to), at) else {
+                        continue;
+                    };
                     let cut = self.nodes[node].mesh_cut.max(self.nodes[to].mesh_cut);
                     let frame = message.encode();
                     if whole
--- a/crates/rehearsal/src/world/services.rs
+++ b/crates/rehearsal/src/world/services.rs
@@ -1,6 +1,5 @@
 //! The state service with its watches, and the cloud, as nodes reach them.
 
-use super::network::Way;
 use super::*;
 use crate::rules::Rule;
 use dillcleat_wire::state::Changes;
@@ -98,12 +97,10 @@
     }
 
     pub(super) fn watch_answer(&mut self, caller: Caller, changes: Changes) {
-        let mut held = self.nodes[caller.node].state_cut;
-        match self.way(None, Self::site(caller.node)) {
-            Way::Open => {}
-            Way::Held(until) => held = held.max(until),
-            Way::Lost => return,
-        }
+        let held = self.nodes[caller.node].state_cut;
+        let Some(held) = self.held(None, Self::site(caller.node), held) else {
+            return;
+        };
         let (at, whole) = self.passage_of(held, caller.aside);
         if whole {
             let reply = Ok(StateReply::Changes(changes));
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -96,11 +96,10 @@
         let mut at = self.now + self.delay() / 4;
         let from_region = !matches!(self.asked.get(&request), Some(Asker::Worker { .. }));
         if from_region {
-            match self.way(None, Self::site(node)) {
-                Way::Open => {}
-                Way::Held(until) => at = at.max(until),
-                Way::Lost => return,
-            }
+            let Some(held) = self.held(None, Self::site(node), at) else {
+                return;
+            };
+            at = held;
         }
         let input = Input::Request {
             id: RequestId(request),
@@ -123,12 +122,10 @@
                 sent,
             } => {
                 let zone = self.zone_of(&machine).unwrap_or(0);
-                let mut held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
-                match self.way(Self::site(node), Some(zone)) {
-                    Way::Open => {}
-                    Way::Held(until) => held = held.max(until),
-                    Way::Lost => return,
-                }
+                let held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
+                let Some(held) = self.held(Self::site(node), Some(zone), held) else {
+                    return;
+                };
                 let (at, whole) = self.passage(held);
                 if whole {
                     let answer = Box::new(answer);
--- a/crates/rehearsal/src/world/workers.rs
+++ b/crates/rehearsal/src/world/workers.rs
@@ -1,6 +1,5 @@
 //! Workers and their reports.
 
-use super::network::Way;
 use super::*;
 
 impl World {
@@ -27,15 +26,11 @@
                     w.report_at = self.now + self.rng.u64(15..25) * SECOND / 10;
                     let node = w.node;
                     let zone = ZONES.iter().position(|z| *z == w.place.zone).unwrap_or(0);
-                    let mut held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
-                    match self.way(Some(zone), Self::site(node)) {
-                        Way::Open => {}
-                        Way::Held(until) => held = held.max(until),
-                        Way::Lost => {
-                            self.tell(&name, happenings);
-                            continue;
-                        }
-                    }
+                    let held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
+                    let Some(held) = self.held(Some(zone), Self::site(node), held) else {
+                        self.tell(&name, happenings);
+                        continue;
+                    };
                     let (at, whole) = self.passage(held);
                     let report = Box::new(report);
                     let machine = name.clone();
