--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -5,8 +5,10 @@
 //! absence of a mark is compared with the store after the request came in,
 //! because another node may just have told the user of its end.
 
+mod names;
 mod replies;
 
+use self::names::Naming;
 use crate::budget::{Budget, Need};
 use crate::calls::{CallError, Ctx};
 use crate::known::{Cache, Known};
@@ -43,6 +45,9 @@
     checking: HashMap<String, Vec<Ask>>,
     checks: usize,
     under_way: usize,
+    /// Submissions whose names are being looked up, by number.
+    namings: HashMap<u64, Naming>,
+    last_naming: u64,
     /// Users' requests since the last beat, and how many come in a second.
     asked: u32,
     asked_per_s: f64,
@@ -106,6 +111,8 @@
             checking: HashMap::new(),
             checks: 0,
             under_way: 0,
+            namings: HashMap::new(),
+            last_naming: 0,
             asked: 0,
             asked_per_s: 0.0,
             progress: HashMap::new(),
@@ -148,17 +155,22 @@
     }
 
     /// A job is in the store, and open.
-    pub fn admitted(&mut self, id: &str, tasks: u32) {
+    pub fn admitted(&mut self, job: &OpenJob) {
         let mark = JobMark {
             s: Mark::Open,
-            n: tasks,
+            n: job.spec.tasks,
         };
-        self.cache.put(id, Known { mark, version: 0 });
+        let known = Known {
+            mark,
+            version: 0,
+            service: job.spec.kind == Kind::Service,
+        };
+        self.cache.put(&job.spec.id, known);
     }
 
     /// The leader of this process has stored a job's end.
     pub fn ended(&mut self, id: &str, mark: JobMark) {
-        self.cache.put(id, Known { mark, version: 0 });
+        self.cache.put(id, Known::ended(mark));
         self.progress.remove(id);
     }
 
@@ -216,16 +228,20 @@
         let job = OpenJob {
             spec: *spec,
             at: ctx.now.wall,
-            chunk: ctx.config.chunk_tasks(),
+            chunk: ctx.config.chunk_tasks,
             unmarked: true,
             at_most: None,
         };
-        if state::json_size(&state::value(&job)) > ctx.config.value_bytes {
-            return self.ask(
-                ctx,
-                id,
-                refuse(400, "the job's description is too long".into()),
-            );
+        let (bytes, most) = (
+            state::json_size(&state::value(&job)),
+            ctx.config.value_bytes,
+        );
+        if bytes > most {
+            let cause = format!("the job's description takes {bytes} bytes, at most {most} fit");
+            return self.ask(ctx, id, refuse(400, cause));
+        }
+        if !job.spec.awaits.is_empty() {
+            return self.name(ctx, request, job);
         }
         let now = ctx.now.steady;
         if self.under_way >= MAX_UNDER_WAY
--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -59,6 +59,7 @@
                 }
                 self.check(ctx);
             }
+            Step::Name { naming, name, mark } => self.name_found(ctx, naming, name, mark, reply),
             Step::Create {
                 request,
                 job,
@@ -78,13 +79,7 @@
         match reply {
             Ok(StateReply::Found(row)) => match row.read::<OpenJob>() {
                 Some(job) => {
-                    let known = Known {
-                        mark: JobMark {
-                            s: Mark::Open,
-                            n: job.spec.tasks,
-                        },
-                        version: job.mark_version(row.version),
-                    };
+                    let known = Known::open(&job, &row);
                     self.cache.put(&id, known);
                     // A cancelled job's description stays until its tasks are
                     // gone: that there is one does not yet say that it is open.
@@ -116,6 +111,7 @@
                     let known = Known {
                         mark,
                         version: row.version,
+                        service: false,
                     };
                     self.cache.put(id, known);
                     self.settle(ctx, id, Some(known), ask);
@@ -145,13 +141,17 @@
         match reply {
             Ok(StateReply::Committed { .. }) => {
                 self.under_way -= 1;
-                self.admitted(&id, job.spec.tasks);
+                self.admitted(&job);
                 let due = match job.spec.deadline_s {
                     Some(due) => format!("due in {due} s"),
                     None => "no deadline".to_string(),
                 };
+                let after = match job.spec.awaits.as_slice() {
+                    [] => String::new(),
+                    names => format!(", after {}", names.join(" ")),
+                };
                 log::info!(
-                    "accepted {id}: {} tasks of {} for {}, {due}",
+                    "accepted {id}: {} tasks of {} for {}, {due}{after}",
                     job.spec.tasks,
                     job.spec.class,
                     job.spec.team,
@@ -201,7 +201,7 @@
                     s: Mark::Cancelled,
                     n,
                 };
-                self.cache.put(&id, Known { mark, version: 0 });
+                self.cache.put(&id, Known::ended(mark));
                 log::info!("cancelled {id}");
                 let status = self.status(&id, mark);
                 ctx.answer(request, Answer::body(200, &status));
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -137,10 +137,16 @@
     pub lease: Micros,
     pub cancel: Micros,
     pub clock_error: Micros,
+    /// Of the state service, the smaller of the limits that it has and of those that
+    /// it will have: what is newly written fits both.
     pub state_rps: f64,
     pub state_write_rps: f64,
     pub value_bytes: usize,
     pub txn_ops: usize,
+    /// What a value may take until the limits fall: chunks of that size are on record.
+    pub value_bytes_before: usize,
+    /// Tasks of a newly submitted job in one chunk.
+    pub chunk_tasks: u32,
     pub cloud_rps: f64,
     pub list_lag: Micros,
     pub memory_mb: f64,
@@ -155,6 +161,9 @@
 impl Config {
     pub fn new(p: &Platform, tuning: Tuning) -> Config {
         let c = &p.cluster;
+        let next = &c.state.next;
+        let bytes = |kb: f64| (kb * 1024.0) as usize;
+        let value_bytes = bytes(next.value_kb.unwrap_or(f64::MAX).min(c.state.value_kb));
         Config {
             member: p.member.clone(),
             zone: p.zone.clone(),
@@ -170,10 +179,12 @@
             lease: micros(c.workers.lease_s),
             cancel: micros(c.workers.cancel_s),
             clock_error: micros(c.clock_error_ms / 1e3),
-            state_rps: c.state.rps,
-            state_write_rps: c.state.write_rps,
-            value_bytes: (c.state.value_kb * 1024.0) as usize,
-            txn_ops: c.state.txn_ops as usize,
+            state_rps: next.rps.unwrap_or(f64::MAX).min(c.state.rps),
+            state_write_rps: next.write_rps.unwrap_or(f64::MAX).min(c.state.write_rps),
+            value_bytes,
+            txn_ops: next.txn_ops.unwrap_or(u32::MAX).min(c.state.txn_ops) as usize,
+            value_bytes_before: bytes(c.state.value_kb),
+            chunk_tasks: chunk_tasks(value_bytes),
             cloud_rps: c.cloud.rps,
             list_lag: micros(c.cloud.list_lag_s),
             memory_mb: c.quota.mem_mb,
@@ -228,9 +239,18 @@
         self.cancel.saturating_sub(self.lease + margin)
     }
 
-    /// Tasks per stored chunk, so that a chunk's record fits a value even with
-    /// every task placed. A placed task takes some 60 bytes in JSON.
-    pub fn chunk_tasks(&self) -> u32 {
-        ((self.value_bytes / 80).clamp(8, 256)) as u32
+    /// Tasks in a part of a chunk that is too large to be written again.
+    pub fn part_tasks(&self) -> u32 {
+        (chunk_tasks(self.value_bytes) / 2).max(1)
     }
 }
+
+/// What a placed task takes of a chunk's record in JSON, with names of machines of up
+/// to two dozen letters. A chunk of longer ones is written in parts.
+const TASK_BYTES: usize = 40;
+
+/// Tasks per stored chunk. Those of an array start and end together, and one change
+/// tells of all of them that lie together; but a chunk is written whole.
+pub fn chunk_tasks(value_bytes: usize) -> u32 {
+    (value_bytes / TASK_BYTES).clamp(8, 128) as u32
+}
--- a/crates/core/src/known.rs
+++ b/crates/core/src/known.rs
@@ -1,7 +1,9 @@
 //! What a node has seen of jobs' records.
 
 use crate::Config;
-use crate::store::{JobMark, Mark};
+use crate::store::{JobMark, Mark, OpenJob};
+use dillcleat_wire::state::Row;
+use dillcleat_wire::user::Kind;
 use std::collections::{HashMap, VecDeque};
 
 #[derive(Debug, Clone, Copy)]
@@ -9,6 +11,31 @@
     pub mark: JobMark,
     /// Of an open job's mark; 0 if it has none.
     pub version: u64,
+    /// It is open, and a service.
+    pub service: bool,
+}
+
+impl Known {
+    /// As its description tells of it.
+    pub fn open(job: &OpenJob, row: &Row) -> Known {
+        Known {
+            mark: JobMark {
+                s: Mark::Open,
+                n: job.spec.tasks,
+            },
+            version: job.mark_version(row.version),
+            service: job.spec.kind == Kind::Service,
+        }
+    }
+
+    /// Its end is in the store.
+    pub fn ended(mark: JobMark) -> Known {
+        Known {
+            mark,
+            version: 0,
+            service: false,
+        }
+    }
 }
 
 /// Jobs whose record this node has seen. Bounded; the oldest are forgotten
--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -394,6 +394,7 @@
         let warm = |m: &MachineView| if m.free.cpus > 0.0 { m.warm } else { 0 };
         let view = |i: &Index, place| i.floor.view(place).map(|m| (m.free, warm(m), m.spot));
         [
+            ("who waits for whom", self.audit_waits()),
             ("sums", old.sums == new.sums),
             ("line", line(&old) == line(new)),
             ("floor", places.all(|p| view(&old, p) == view(new, p))),
@@ -454,6 +455,7 @@
     fn standing(&self, ctx: &Ctx, id: &Rc<str>, job: &Job) -> Option<Standing> {
         let now = ctx.now.steady;
         let waits = job.cancelled.is_none()
+            && !job.held
             && job.placeable() > 0
             && now >= job.blocked_until
             && job.record.may_start(job.placed(), now);
@@ -476,11 +478,11 @@
         };
         let rank = |first: bool, size: f64, remaining: f64| Rank {
             service: Reverse(first && job.spec.kind == Kind::Service),
-            priority: Reverse(job.spec.priority),
+            priority: Reverse(job.priority),
             tiny: Reverse(first && job.tiny(ctx.config)),
             size: Real(size),
             remaining: Real(remaining),
-            submitted: job.submitted,
+            submitted: job.ready_at,
             id: id.clone(),
         };
         Some(Standing {
@@ -569,6 +571,7 @@
     fn pace(&mut self, clock: f64) {
         let ages = self.spec.kind == Kind::Batch
             && self.cancelled.is_none()
+            && !self.held
             && !self.ending
             && !self.record.doubtful();
         match (ages, self.ageing_since) {
@@ -595,7 +598,7 @@
         } else {
             placed.min(i64::from(config.tuning.training_tasks)) * cpus
         };
-        let serving = service && self.cancelled.is_none();
+        let serving = service && self.cancelled.is_none() && !self.held;
         let mut waits = config.waits.iter();
         let wait = waits.position(|(class, _)| *class == self.spec.class);
         JobPart {
@@ -611,7 +614,7 @@
                 0
             },
             image: serving.then(|| self.image.clone()),
-            reserve: wait.filter(|_| service).map(|wait| {
+            reserve: wait.filter(|_| service && !self.held).map(|wait| {
                 // A zone takes up to half of a spread service.
                 let share = self.spec.tasks.div_ceil(2);
                 let replicas = config.tuning.reserve_replicas.max(share);
--- a/crates/core/src/leader/jobs.rs
+++ b/crates/core/src/leader/jobs.rs
@@ -7,13 +7,16 @@
 
 impl Leader {
     /// A job is cancelled: nothing of it starts, and what runs is stopped.
-    pub(super) fn stop_job(&mut self, id: &Rc<str>) {
+    pub(super) fn stop_job(&mut self, ctx: &Ctx, id: &Rc<str>) {
         log::info!("{id}: cancelled, stopping its tasks");
         // The cancellation may have overtaken the record of its last
         // completion: then that is not written, and the job is to be cleared.
         if let Some(job) = self.jobs.get_mut(id) {
             job.ending = false;
+            job.stopped = true;
         }
+        self.leaves_line(ctx, id);
+        self.cancel_dependents(id);
         self.notes.push(Note::Stopped(id.to_string()));
         let unstored: Vec<u32> = self.mark_cancelled(id);
         for i in unstored {
@@ -94,19 +97,18 @@
         }
     }
 
-    pub(super) fn forget_job(&mut self, id: &Rc<str>) {
+    pub(super) fn forget_job(&mut self, ctx: &Ctx, id: &Rc<str>) {
+        self.leaves_line(ctx, id);
         if let Some(job) = self.jobs.remove(id) {
-            for (i, v) in job.chunk_versions.iter().enumerate() {
-                if *v > 0 {
-                    self.ledger.push(Item::Drop(store::chunk_key(id, i as u32)));
-                }
+            for span in job.spans.stored() {
+                self.ledger.push(Item::Drop(store::tasks_key(id, span)));
             }
         }
     }
 
     pub(super) fn touch(&mut self, key: &TaskKey) {
         if let Some(job) = self.jobs.get(&key.0) {
-            let item = Item::Chunk(key.0.clone(), key.1 / job.chunk_tasks);
+            let item = Item::Tasks(key.0.clone(), job.spans.of(key.1));
             self.ledger.push(item);
         }
     }
--- a/crates/core/src/leader/late.rs
+++ b/crates/core/src/leader/late.rs
@@ -56,6 +56,13 @@
     /// late. A job that cannot meet its deadline any more is counted against
     /// the last time at which its end is of use.
     fn slack(&self, ctx: &Ctx, job: &Job, run: f64) -> Option<f64> {
+        if let Some(due) = &job.due {
+            // What waits for it sets when it has to end.
+            let left = seconds(due.at.saturating_sub(ctx.now.wall));
+            let takes = run + ctx.config.tuning.fetch_s;
+            let in_time = left >= self.soonest_boot() + takes;
+            return in_time.then_some(left - takes * ctx.config.tuning.late_factor);
+        }
         let due = job.spec.deadline_s?;
         let aim = ctx.config.aim(&job.spec.class)?;
         // Where users put up with a few misses, the money is worth more to them:
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -116,7 +116,7 @@
         let cancelled = ids(|j| j.cancelled.is_some());
         let done = ids(|j| j.done as usize == j.tasks.len());
         for id in cancelled {
-            self.stop_job(&id);
+            self.stop_job(ctx, &id);
         }
         for id in done {
             self.check_done(&id);
@@ -138,11 +138,12 @@
             }
         }
         log::info!(
-            "term {}: took up {} jobs and {} machines, with what was learned of {} jobs",
+            "term {}: took up {} jobs and {} machines, with what was learned of {} jobs; {} wait for others",
             self.term,
             self.jobs.len(),
             self.machines.len(),
-            self.inherited_jobs
+            self.inherited_jobs,
+            self.graph.waiting()
         );
         self.inherited = Inherited::default();
     }
@@ -171,11 +172,13 @@
             let version = open.mark_version(version);
             let guess = self.guess(ctx.config, &open.spec.class);
             self.service_came |= open.spec.kind == Kind::Service;
-            let mut job = Job::new(open, version, team, guess);
+            let mut job = Job::new(open, version, team, guess, ctx.config.part_tasks());
             self.inherit(id, &mut job);
-            let place = self.jobs.insert(Rc::from(id), job);
+            let id: Rc<str> = Rc::from(id);
+            let place = self.jobs.insert(id.clone(), job);
             self.taught.insert(place);
             self.pass_at = ctx.now.steady;
+            self.joins(ctx, &id);
         } else if let Some(id) = key.strip_prefix(store::CANCELLED) {
             let at = state::read::<CancelledJob>(value).map_or(0, |c| c.at);
             // Other clocks may be off, so the older of the two readings counts.
@@ -188,14 +191,14 @@
             {
                 job.cancelled = Some(ctx.now.steady.saturating_sub(ago.min(ctx.config.cancel)));
                 if self.stage == Stage::Ready {
-                    self.stop_job(&id);
+                    self.stop_job(ctx, &id);
                 }
             }
         }
     }
 
     pub(super) fn task_row(&mut self, ctx: &Ctx, row: &Row) {
-        let Some((id, index)) = store::parse_chunk_key(&row.key) else {
+        let Some((id, span)) = store::parse_tasks_key(&row.key) else {
             return;
         };
         let Some(id) = self.jobs.name(id) else {
@@ -210,15 +213,19 @@
         };
         let now = ctx.now.steady;
         let types = self.types.clone();
+        if matches!(span, Span::Part { .. }) {
+            // Parts are written once the lower limits are in force, and stand above
+            // their chunk, which came before.
+            self.value_bytes = ctx.config.value_bytes;
+            self.unload(&id, span);
+        }
         let Some(place) = self.jobs.place(&id) else {
             return;
         };
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        if let Some(v) = job.chunk_versions.get_mut(index as usize) {
-            *v = row.version;
-        }
+        job.spans.set_version(span, row.version);
         let n = job.tasks.len() as u32;
         for (i, attempt) in chunk.w {
             if let Some(t) = job.tasks.get_mut(i as usize) {
@@ -263,4 +270,25 @@
             m.place((id.clone(), i), slot, image, cache);
         }
     }
+
+    /// Takes back what a chunk said of some tasks.
+    fn unload(&mut self, id: &Rc<str>, span: Span) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for i in job.spans.range(span) {
+            let task = &mut job.tasks[i as usize];
+            match std::mem::replace(&mut task.state, TaskState::Waiting) {
+                TaskState::Placed { machine, .. } => {
+                    if let Some(m) = self.machines.get_mut(&machine) {
+                        m.slots.remove(&(id.clone(), i));
+                    }
+                }
+                TaskState::Done => job.done -= 1,
+                TaskState::Waiting => {}
+            }
+            task.attempt = 0;
+            job.waiting.insert(i);
+        }
+    }
 }
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -12,22 +12,27 @@
 mod rent;
 mod reports;
 mod room;
+mod spans;
 mod teach;
+mod waits;
 mod write;
 
 use self::boots::Boots;
 use self::index::Index;
 use self::pushes::Pushes;
+use self::spans::Spans;
+use self::waits::{Due, Proofs};
 use crate::blame::Record;
 use crate::calls::{CallError, Ctx};
 use crate::desk::{Desk, Errand, Rental};
+use crate::graph::Graph;
 use crate::learned::Inherited;
 use crate::ledger::{Batch, Item, Ledger};
 use crate::sched::plan::{Market, Refusals, plan};
 use crate::sched::yields::{Victim, make_room};
 use crate::sched::{self, Floor, JobView, Line, MachineView, Place, Room, Shape, TeamView};
 use crate::shelf::Shelf;
-use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob};
+use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob, Span};
 use crate::waiters::{Leading as Step, Waiter};
 use crate::warrant::{Deed, Footing, Ground};
 use crate::workers::{Machine, SlotEvent, Source, TaskKey};
@@ -36,7 +41,7 @@
 use dillcleat_wire::TaskName;
 use dillcleat_wire::cloud::{CloudReply, Condition, MachineList, MachineType, Rent};
 use dillcleat_wire::state::{self, Change, Event, Page, Row, StateCall, StateReply, Txn, Value};
-use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::user::{JobSpec, Kind, Priority};
 use dillcleat_wire::worker::{Orders, Report, ReportAnswer, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -108,15 +113,26 @@
     /// The version of its mark as long as it is open.
     version: u64,
     submitted: u64,
-    chunk_tasks: u32,
+    /// Since when it waits for room, as the time of day has it: it was submitted, or
+    /// the last job that it waited for was seen to be done.
+    ready_at: u64,
+    /// It waits for other jobs, and takes part in nothing.
+    held: bool,
+    /// The highest priority of its own and of the jobs that wait for it.
+    priority: Priority,
+    /// By when it has to end for the jobs that wait for it.
+    due: Option<Due>,
     /// The most tasks that may be placed at once.
     at_most: Option<u32>,
-    chunk_versions: Vec<u64>,
+    spans: Spans,
     tasks: Vec<Task>,
     waiting: BTreeSet<u32>,
     done: u32,
     running: BTreeSet<u32>,
     cancelled: Option<Micros>,
+    /// Its cancellation is in the store: it was seen there. `cancelled` alone may be
+    /// a mark that has changed and is yet to be read.
+    stopped: bool,
     /// Its end is being written.
     ending: bool,
     /// Run times of its training tasks, in seconds.
@@ -137,17 +153,19 @@
 }
 
 impl Job {
-    fn new(open: OpenJob, version: u64, team: usize, guess: f64) -> Job {
+    fn new(open: OpenJob, version: u64, team: usize, guess: f64, part_tasks: u32) -> Job {
         let n = open.spec.tasks;
-        let chunk_tasks = open.chunk.max(1);
         let size = f64::from(n) * open.spec.cpus * guess;
         Job {
             team,
             version,
             submitted: open.at,
-            chunk_tasks,
+            ready_at: open.at,
+            held: false,
+            priority: open.spec.priority,
+            due: None,
             at_most: open.at_most,
-            chunk_versions: vec![0; n.div_ceil(chunk_tasks) as usize],
+            spans: Spans::new(n, open.chunk, part_tasks),
             tasks: vec![
                 Task {
                     attempt: 0,
@@ -159,6 +177,7 @@
             done: 0,
             running: BTreeSet::new(),
             cancelled: None,
+            stopped: false,
             ending: false,
             samples: Vec::new(),
             initial_size: size,
@@ -209,17 +228,10 @@
             .saturating_sub(self.samples.len() as u32 + self.placed() as u32)
     }
 
-    /// The tasks of a chunk.
-    fn range(&self, index: u32) -> std::ops::Range<u32> {
-        let from = index.saturating_mul(self.chunk_tasks);
-        from..from
-            .saturating_add(self.chunk_tasks)
-            .min(self.tasks.len() as u32)
-    }
-
-    fn chunk(&self, index: u32) -> Chunk {
+    /// The record of some of its tasks.
+    fn record_of(&self, span: Span) -> Chunk {
         let mut chunk = Chunk::default();
-        for i in self.range(index) {
+        for i in self.spans.range(span) {
             let t = &self.tasks[i as usize];
             match &t.state {
                 TaskState::Waiting if t.attempt > 0 => chunk.w.push((i, t.attempt)),
@@ -236,9 +248,9 @@
         chunk
     }
 
-    /// Placements of a chunk that are not stored: task and attempt.
-    fn unstored(&self, index: u32) -> impl Iterator<Item = (u32, u64)> {
-        self.range(index).filter_map(|i| {
+    /// Placements of some of its tasks that are not stored: task and attempt.
+    fn unstored(&self, span: Span) -> impl Iterator<Item = (u32, u64)> {
+        self.spans.range(span).filter_map(|i| {
             let t = &self.tasks[i as usize];
             let unstored = matches!(t.state, TaskState::Placed { stored: false, .. });
             unstored.then_some((i, t.attempt))
@@ -270,6 +282,10 @@
     pub footing: Footing,
     watch_at: Option<Micros>,
     jobs: Shelf<Job>,
+    /// Which of the open jobs wait for which.
+    graph: Graph,
+    /// Jobs that others wait for and that are not open here.
+    proofs: Proofs,
     machines: Shelf<Machine>,
     index: Index,
     /// What ageing has taken off any job that was active all the time, in
@@ -278,6 +294,9 @@
     pushes: Pushes,
     gone: HashMap<String, Micros>,
     ledger: Ledger,
+    /// What a value may take, as far as is known: less once the state service has
+    /// refused one.
+    value_bytes: usize,
     desk: Desk,
     refusals: Refusals,
     boots: Boots,
@@ -345,12 +364,15 @@
             footing: Footing::default(),
             watch_at: None,
             jobs: Shelf::default(),
+            graph: Graph::default(),
+            proofs: Proofs::default(),
             machines: Shelf::default(),
             index: Index::new(ctx.config),
             clock: 0.0,
             pushes: Pushes::new(ctx.config.max_orders),
             gone: HashMap::new(),
             ledger: Ledger::default(),
+            value_bytes: ctx.config.value_bytes_before,
             desk: Desk::new(ctx.config.cloud_rps, now),
             refusals: Refusals::default(),
             boots: Boots::default(),
@@ -407,20 +429,9 @@
             },
             Step::Watch => self.watched(ctx, sent, reply),
             Step::Ledger => self.written(ctx, reply),
-            Step::Reread { key } => {
-                let Some(batch) = self.ledger.batch.take() else {
-                    return;
-                };
-                match reply {
-                    Ok(StateReply::Found(row)) => self.applied(ctx, batch, row.version),
-                    _ => {
-                        self.ledger.batch = Some(batch);
-                        let waiter = self.waiter(Step::Reread { key: key.clone() });
-                        ctx.state(StateCall::Get { key }, waiter);
-                    }
-                }
-            }
+            Step::Reread { key } => self.reread(ctx, key, reply),
             Step::Ended { id } => self.ended(ctx, id, reply),
+            Step::Dependency { id } => self.proved(ctx, id, reply),
             Step::Push { .. } | Step::Cloud(_) => {}
         }
     }
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -66,6 +66,7 @@
             let waiter = self.waiter(Step::Watch);
             ctx.state(call, waiter);
         }
+        self.look_for_proofs(ctx);
         self.write(ctx);
         self.push_orders(ctx);
         self.call_cloud(ctx);
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -162,7 +162,7 @@
         if job.cancelled.is_some() {
             return true;
         }
-        !job.ending && self.ledger.settled(id, task.index / job.chunk_tasks)
+        !job.ending && self.ledger.settled(id, job.spans.of(task.index))
     }
 
     /// What the machine is told. Work that is to run elsewhere is stopped only by who
--- /dev/null
+++ b/crates/core/src/leader/waits.rs
@@ -0,0 +1,290 @@
+//! Jobs that wait for others: who is ready, whose cancellation follows from another,
+//! and what a job inherits of those that wait for it.
+
+use super::*;
+
+/// Marks of dependencies that may be read at once, and the part of the state service's
+/// requests that this may take: a new leader with many waiting jobs reads them beside
+/// its other work.
+const PROOFS_AT_ONCE: usize = 8;
+const PROOFS_PART: f64 = 0.15;
+/// When a dependency that is neither open here nor marked is looked at again. It is
+/// about to be seen open, or its team has gone from the settings.
+const AGAIN: Micros = SECOND;
+
+/// By when a job has to end for those that wait for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Due {
+    /// As the time of day has it.
+    pub at: Micros,
+}
+
+/// Dependencies whose ends are to be proved by their marks.
+#[derive(Debug, Default)]
+pub(super) struct Proofs {
+    /// To be read, each from some time on.
+    wanted: BTreeMap<Rc<str>, Micros>,
+    under_way: usize,
+    /// Reads that may be made now, and since when that has grown.
+    allowed: (f64, Micros),
+}
+
+impl Proofs {
+    fn next(&mut self, now: Micros, per_s: f64) -> Option<Rc<str>> {
+        if self.wanted.is_empty() || self.under_way >= PROOFS_AT_ONCE {
+            return None;
+        }
+        let grown = seconds(now.saturating_sub(self.allowed.1)) * per_s;
+        self.allowed = ((self.allowed.0 + grown).min(per_s.max(2.0)), now);
+        if self.allowed.0 < 1.0 {
+            return None;
+        }
+        let due = self.wanted.iter().find(|(_, at)| now >= **at);
+        let id = due.map(|(id, _)| id.clone())?;
+        self.wanted.remove(&id);
+        self.allowed.0 -= 1.0;
+        self.under_way += 1;
+        Some(id)
+    }
+}
+
+impl Leader {
+    /// A job was taken up: it may wait for others, and others for it.
+    pub(super) fn joins(&mut self, ctx: &Ctx, id: &Rc<str>) {
+        // That it is open is seen here: no mark needs to be read for it.
+        self.proofs.wanted.remove(id);
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let awaits = job.spec.awaits.clone();
+        let mut cancelled = false;
+        for name in awaits {
+            let known = self.jobs.name(&name).cloned();
+            match &known {
+                // Whatever came first, the cancellation or who waits for it.
+                Some(known) => cancelled |= self.jobs.get(known).is_some_and(|j| j.stopped),
+                // Not being open proves nothing: pages of a load are of different
+                // revisions, and a watch tells of a job after one that names it.
+                None => {
+                    self.proofs.wanted.insert(Rc::from(name.as_str()), 0);
+                }
+            }
+            let dependency = known.unwrap_or_else(|| Rc::from(name));
+            self.graph.add(id, dependency);
+        }
+        if self.graph.waits(id)
+            && let Some(job) = self.jobs.get_mut(id)
+        {
+            job.held = true;
+        }
+        if cancelled {
+            self.ledger.push(Item::Cancel(id.clone()));
+        }
+        self.set_lift(ctx, id);
+        self.raise(ctx, id);
+    }
+
+    /// Reads marks of dependencies that are not open here.
+    pub(super) fn look_for_proofs(&mut self, ctx: &mut Ctx) {
+        let per_s = ctx.config.state_rps * PROOFS_PART;
+        while let Some(id) = self.proofs.next(ctx.now.steady, per_s) {
+            if self.graph.needed(&id) {
+                let key = store::job_key(&id);
+                let waiter = self.waiter(Step::Dependency { id });
+                ctx.state(StateCall::Get { key }, waiter);
+            } else {
+                self.proofs.under_way -= 1;
+            }
+        }
+    }
+
+    /// The mark of a dependency, or that it has none.
+    pub(super) fn proved(&mut self, ctx: &Ctx, id: Rc<str>, reply: Result<StateReply, CallError>) {
+        self.proofs.under_way -= 1;
+        let mark = match &reply {
+            Ok(StateReply::Found(row)) => row.read::<JobMark>().map(|m| m.s),
+            _ => None,
+        };
+        match mark {
+            Some(Mark::Done) => self.dependency_done(ctx, &id),
+            Some(Mark::Cancelled) => self.cancel_dependents(&id),
+            Some(Mark::Open) | None => {
+                let pause = match reply {
+                    Ok(StateReply::Absent { .. } | StateReply::Found(_)) => AGAIN,
+                    _ => RETRY,
+                };
+                if self.graph.needed(&id) && !self.jobs.contains_key(&id) {
+                    self.proofs.wanted.insert(id, ctx.now.steady + pause);
+                }
+            }
+        }
+    }
+
+    /// A job's end is proved: what waited for nothing else becomes active.
+    pub(super) fn dependency_done(&mut self, ctx: &Ctx, id: &Rc<str>) {
+        for ready in self.graph.done(id) {
+            let Some(job) = self.jobs.get_mut(&ready) else {
+                continue;
+            };
+            log::info!("{ready}: ready, all that it waited for is done");
+            job.held = false;
+            job.ready_at = ctx.now.wall.max(job.submitted);
+            self.service_came |= job.spec.kind == Kind::Service;
+            self.pass_at = ctx.now.steady;
+        }
+    }
+
+    /// A job is cancelled, and with it all that need it. None of them has started.
+    pub(super) fn cancel_dependents(&mut self, id: &Rc<str>) {
+        for dependent in self.graph.downstream(id) {
+            log::info!("{dependent}: cancelled with {id}, for which it waits");
+            self.ledger.push(Item::Cancel(dependent));
+        }
+    }
+
+    /// The cancellation of a job that waited is in the store.
+    pub(super) fn cancelled_with(&mut self, ctx: &Ctx, id: &Rc<str>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.cancelled.get_or_insert(ctx.now.steady);
+        job.stopped = true;
+        let n = job.spec.tasks;
+        let placed = job.placed();
+        let mark = JobMark {
+            s: Mark::Cancelled,
+            n,
+        };
+        self.notes.push(Note::Ended(id.to_string(), mark));
+        if placed > 0 {
+            // It waits, and yet something of it was started: by a version that knows
+            // of no waiting.
+            return self.stop_job(ctx, id);
+        }
+        // Jobs that wait for this one may have come while its mark was written (seed
+        // 282 of the days of pipelines).
+        self.cancel_dependents(id);
+        self.forget_job(ctx, id);
+        self.ledger.push(Item::Drop(store::open_key(id)));
+    }
+
+    /// A job waits no more, since it has ended.
+    pub(super) fn leaves_line(&mut self, ctx: &Ctx, id: &Rc<str>) {
+        let before: Vec<Rc<str>> = self.graph.dependencies(id).cloned().collect();
+        self.graph.remove(id);
+        for dependency in before {
+            let open = self.jobs.get(&dependency).is_some_and(|j| !j.stopped);
+            if open && self.set_lift(ctx, &dependency) {
+                self.raise(ctx, &dependency);
+            }
+        }
+    }
+
+    /// What a job has of itself and of those that wait for it.
+    fn lift(&self, ctx: &Ctx, id: &Rc<str>, job: &Job) -> (Priority, Option<Due>) {
+        let mut lift = (job.spec.priority, None);
+        for dependent in self.graph.dependents(id) {
+            if let Some(dependent) = self.jobs.get(dependent) {
+                lift = self.lifted_by(ctx, lift, dependent);
+            }
+        }
+        lift
+    }
+
+    /// The same once one more job waits.
+    fn lifted_by(
+        &self,
+        ctx: &Ctx,
+        (priority, due): (Priority, Option<Due>),
+        dependent: &Job,
+    ) -> (Priority, Option<Due>) {
+        if dependent.cancelled.is_some() {
+            return (priority, due);
+        }
+        // Its work has to be done after this one, and so on down the longest way.
+        let takes = self.expected_run(ctx.config, dependent) + ctx.config.tuning.fetch_s;
+        let end = dependent.due.or_else(|| self.own_due(ctx, dependent));
+        let end = end.map(|due| Due {
+            at: due.at.saturating_sub(micros(takes)),
+        });
+        let due = match (due, end) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        (priority.max(dependent.priority), due)
+    }
+
+    /// By when a job has to end by its own deadline, where that is worth money.
+    fn own_due(&self, ctx: &Ctx, job: &Job) -> Option<Due> {
+        let due = job.spec.deadline_s?;
+        let aim = ctx.config.aim(&job.spec.class)?;
+        let strict = aim.share >= ctx.config.tuning.late_share;
+        strict.then(|| Due {
+            at: job.submitted.saturating_add(micros(due)),
+        })
+    }
+
+    /// Works a job's lift out anew; true if it has changed.
+    fn set_lift(&mut self, ctx: &Ctx, id: &Rc<str>) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let lift = self.lift(ctx, id, job);
+        if (job.priority, job.due) == lift {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            (job.priority, job.due) = lift;
+        }
+        true
+    }
+
+    /// Lets those that a job waits for have what it has, and those before them. After
+    /// a fall they are worked out anew, each as often as it is on a way.
+    fn raise(&mut self, ctx: &Ctx, id: &Rc<str>) {
+        let mut next: Vec<Rc<str>> = self.graph.dependencies(id).cloned().collect();
+        // Only a stored cycle, which no submission can make, takes so many steps.
+        let mut steps = 16 * (self.jobs.len() + 1);
+        while let Some(before) = next.pop() {
+            steps -= 1;
+            if steps == 0 {
+                return log::error!("{id}: waits for itself");
+            }
+            if self.set_lift(ctx, &before) {
+                next.extend(self.graph.dependencies(&before).cloned());
+            }
+        }
+    }
+
+    /// Whether a job's cancellation is to be written, or its mark to be read.
+    fn ends_with(&self, id: &Rc<str>) -> bool {
+        self.ledger.cancels(id) || self.jobs.get(id).is_some_and(|j| j.cancelled.is_some())
+    }
+
+    /// What of the waiting is not as it would be if it were derived from the jobs
+    /// alone. For rehearsals.
+    pub(super) fn audit_waits(&self) -> bool {
+        let edges = self.jobs.iter().all(|(id, job)| {
+            let waits = self.graph.waits(id);
+            let named = |d: &Rc<str>| job.spec.awaits.iter().any(|a| **a == **d);
+            (job.stopped || job.held == waits) && self.graph.dependencies(id).all(named)
+        });
+        let known = self.graph.awaited().all(|id| {
+            let open = self.jobs.contains_key(id);
+            open || self.proofs.wanted.contains_key(id)
+                || self.proofs.under_way > 0
+                || self.graph.dependents(id).all(|d| self.ends_with(d))
+        });
+        let lifted = self.jobs.iter().all(|(id, job)| {
+            let of = |d: &Rc<str>| self.jobs.get(d).filter(|d| d.cancelled.is_none());
+            let most = self
+                .graph
+                .dependents(id)
+                .filter_map(of)
+                .map(|d| d.priority)
+                .max();
+            job.stopped || most.is_none_or(|most| job.priority >= most)
+        });
+        edges && known && lifted && self.graph.is_sound()
+    }
+}
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -2,6 +2,17 @@
 
 use super::*;
 
+/// When what the state service has refused by itself is tried again.
+const ASIDE: Micros = 30 * SECOND;
+
+impl Job {
+    /// Whether this record of its tasks is written now.
+    fn writes(&self, span: Span) -> bool {
+        let split = matches!(span, Span::Chunk(chunk) if self.spans.is_split(chunk));
+        !self.ending && self.cancelled.is_none() && !split
+    }
+}
+
 impl Leader {
     pub(super) fn write(&mut self, ctx: &mut Ctx) {
         if let Some(at) = self.ledger.resend_at {
@@ -19,6 +30,7 @@
         if self.ledger.batch.is_some() {
             return;
         }
+        self.ledger.take_back(ctx.now.steady);
         let part = ctx.config.state_write_rps * LATER_PART;
         self.ledger.refill(ctx.now.steady, part);
         if self.ledger.is_idle() {
@@ -30,22 +42,33 @@
             placed: Vec::new(),
             uncertain: false,
         };
-        let mut bytes = 0;
-        while batch.txn.then.len() + 3 <= ctx.config.txn_ops && bytes < BATCH_BYTES {
-            let next = self.ledger.pop().or_else(|| self.ledger.pop_later());
-            let Some(item) = next else {
+        let most = self.ledger.most.unwrap_or(usize::MAX);
+        let (mut bytes, mut cancels) = (0, 0);
+        while batch.txn.then.len() + 3 <= ctx.config.txn_ops
+            && bytes < BATCH_BYTES
+            && batch.items.len() < most
+        {
+            let next = self.ledger.pop(batch.items.len(), cancels);
+            let Some(item) = next.or_else(|| self.ledger.pop_later()) else {
                 break;
             };
-            let before = batch.txn.then.len();
+            let before = batch.mark();
             if !self.add(&item, &mut batch) {
                 continue;
             }
-            for change in &batch.txn.then[before..] {
-                bytes += 64;
-                if let Change::Put { key, value, .. } = change {
-                    bytes += key.len() + state::json_size(value);
-                }
+            let new = batch.txn.then[before.0..].iter();
+            let sizes = new.map(|change| match change {
+                Change::Put { key, value, .. } => (key.len(), state::json_size(value)),
+                Change::Delete { .. } => (0, 0),
+            });
+            let sizes: Vec<(usize, usize)> = sizes.collect();
+            if sizes.iter().any(|(_, value)| *value > self.value_bytes) {
+                batch.back_to(before);
+                self.too_large(ctx, item);
+                continue;
             }
+            bytes += sizes.iter().map(|(k, v)| 64 + k + v).sum::<usize>();
+            cancels += usize::from(matches!(item, Item::Cancel(_)));
             batch.items.push(item);
         }
         if batch.items.is_empty() {
@@ -57,6 +80,21 @@
         ctx.state(call, waiter);
     }
 
+    /// A record that does not fit a value any more.
+    fn too_large(&mut self, ctx: &Ctx, item: Item) {
+        if let Item::Tasks(id, Span::Chunk(chunk)) = &item
+            && let Some(job) = self.jobs.get_mut(id)
+        {
+            log::info!("{id}: chunk {chunk} is written in parts from now on");
+            for part in job.spans.split(*chunk).into_iter().rev() {
+                self.ledger.push_front(Item::Tasks(id.clone(), part));
+            }
+            return;
+        }
+        log::error!("{item:?}: does not fit a value of the state service");
+        self.ledger.put_aside(item, ctx.now.steady + ASIDE);
+    }
+
     /// Adds an item's changes and conditions; false if it needs none.
     pub(super) fn add(&self, item: &Item, batch: &mut Batch) -> bool {
         let txn = std::mem::take(&mut batch.txn);
@@ -69,15 +107,15 @@
             }
         };
         let (txn, added) = match item {
-            Item::Chunk(id, index) => match self.jobs.get(id) {
-                Some(job) if !job.ending && job.cancelled.is_none() => {
-                    let key = store::chunk_key(id, *index);
-                    let record = job.chunk(*index);
+            Item::Tasks(id, span) => match self.jobs.get(id) {
+                Some(job) if job.writes(*span) => {
+                    let key = store::tasks_key(id, *span);
+                    let record = job.record_of(*span);
                     let mut txn = txn
-                        .compare(key.clone(), job.chunk_versions[*index as usize])
+                        .compare(key.clone(), job.spans.version(*span))
                         .put(key, &record);
                     let before = batch.placed.len();
-                    let new = job.unstored(*index);
+                    let new = job.unstored(*span);
                     batch
                         .placed
                         .extend(new.map(|(i, attempt)| ((id.clone(), i), attempt)));
@@ -101,6 +139,18 @@
                 }
                 _ => (txn, false),
             },
+            Item::Cancel(id) => match self.jobs.get(id) {
+                Some(job) if job.cancelled.is_none() && self.graph.waits(id) => {
+                    let mark = JobMark {
+                        s: Mark::Cancelled,
+                        n: job.spec.tasks,
+                    };
+                    // One change: its description goes when there is time for it.
+                    let txn = with_job(txn, id, job.version).put(store::job_key(id), &mark);
+                    (txn, true)
+                }
+                _ => (txn, false),
+            },
             Item::Clear(id) => {
                 let txn = txn
                     .delete(store::open_key(id))
@@ -156,8 +206,9 @@
                 }
                 self.conflict(ctx, batch, &failed);
             }
-            Ok(StateReply::Malformed | StateReply::LeaseGone) => {
-                log::error!("the state service calls a batch malformed");
+            Ok(StateReply::Malformed) => self.over_limit(ctx, batch),
+            Ok(StateReply::LeaseGone) => {
+                log::error!("the state service misses a lease that no batch has");
                 self.notes.push(Note::Outdated);
             }
             other => {
@@ -168,6 +219,89 @@
         }
     }
 
+    /// A batch broke a limit, which may have fallen a moment ago. It was not applied;
+    /// an earlier try of it, which had no answer, may have been. To end the term for it
+    /// would only let the next leader meet the same.
+    fn over_limit(&mut self, ctx: &mut Ctx, batch: Batch) {
+        let own = batch.own_key().filter(|_| batch.uncertain);
+        log::info!(
+            "the state service refuses a batch of {} items: smaller ones from now on",
+            batch.items.len()
+        );
+        match own {
+            // No copy of it can be applied from now on, so one look settles it.
+            Some(key) => {
+                self.ledger.batch = Some(batch);
+                let waiter = self.waiter(Step::Reread { key: key.clone() });
+                ctx.state(StateCall::Get { key }, waiter);
+            }
+            None => self.again_smaller(ctx, batch),
+        }
+    }
+
+    /// Whether an earlier try of the batch was applied, by a key of it that only this
+    /// leader writes.
+    pub(super) fn reread(
+        &mut self,
+        ctx: &mut Ctx,
+        key: String,
+        reply: Result<StateReply, CallError>,
+    ) {
+        let Some(batch) = self.ledger.batch.take() else {
+            return;
+        };
+        let before = batch.version(&key);
+        match reply {
+            Ok(StateReply::Found(row)) if row.version == before => self.again_smaller(ctx, batch),
+            Ok(StateReply::Absent { .. }) if before == 0 => self.again_smaller(ctx, batch),
+            Ok(StateReply::Found(row)) => self.applied(ctx, batch, row.version),
+            _ => {
+                self.ledger.batch = Some(batch);
+                let waiter = self.waiter(Step::Reread { key: key.clone() });
+                ctx.state(StateCall::Get { key }, waiter);
+            }
+        }
+    }
+
+    /// Nothing of the batch was applied, for its size.
+    fn again_smaller(&mut self, ctx: &mut Ctx, batch: Batch) {
+        if self.value_bytes > ctx.config.value_bytes {
+            // The limits that were announced are in force: larger values are written
+            // in parts.
+            log::info!("values of {} bytes from now on", ctx.config.value_bytes);
+            self.value_bytes = ctx.config.value_bytes;
+        } else if batch.items.len() > 1 {
+            self.ledger.most = Some(batch.items.len() / 2);
+        } else if let Some(item) = batch.items.first() {
+            // By itself it is refused: the same bytes again would be as well.
+            let own_part = matches!(item, Item::Tasks(_, Span::Chunk(_)));
+            if own_part {
+                self.too_large(ctx, item.clone());
+            } else {
+                log::error!("{item:?}: refused by the state service");
+                self.ledger.put_aside(item.clone(), ctx.now.steady + ASIDE);
+            }
+            return self.write(ctx);
+        }
+        self.give_back(batch);
+        self.write(ctx);
+    }
+
+    /// What a batch that was not applied held is to be written again.
+    fn give_back(&mut self, batch: Batch) {
+        for (key, _) in &batch.placed {
+            if self.jobs.get(&key.0).is_some_and(|j| j.cancelled.is_some()) {
+                self.unplace(key);
+                if self.jobs.get(&key.0).is_some_and(|j| j.stopped) {
+                    self.check_clear(&key.0);
+                }
+            }
+        }
+        for item in batch.items.into_iter().rev() {
+            self.ledger.push_front(item);
+        }
+    }
+
     /// Some job's record has changed: it was cancelled, or its end is stored.
     /// Nothing of the batch was applied, and it never can be.
     pub(super) fn conflict(&mut self, ctx: &mut Ctx, batch: Batch, failed: &[String]) {
@@ -187,14 +321,7 @@
                 self.notes.push(Note::Outdated);
             }
         }
-        for (key, _) in &batch.placed {
-            if self.jobs.get(&key.0).is_some_and(|j| j.cancelled.is_some()) {
-                self.unplace(key);
-            }
-        }
-        for item in batch.items.into_iter().rev() {
-            self.ledger.push_front(item);
-        }
+        self.give_back(batch);
         self.write(ctx);
     }
 
@@ -213,8 +340,8 @@
             return;
         };
         match row.read::<JobMark>() {
-            Some(mark) if mark.s == Mark::Done => self.job_done(&id, mark),
-            Some(mark) if mark.s == Mark::Cancelled => self.stop_job(&id),
+            Some(mark) if mark.s == Mark::Done => self.job_done(ctx, &id, mark),
+            Some(mark) if mark.s == Mark::Cancelled => self.stop_job(ctx, &id),
             other => {
                 log::error!("{id}: unexpected record {other:?}");
                 self.notes.push(Note::Outdated);
@@ -222,30 +349,30 @@
         }
     }
 
-    pub(super) fn job_done(&mut self, id: &Rc<str>, mark: JobMark) {
+    pub(super) fn job_done(&mut self, ctx: &Ctx, id: &Rc<str>, mark: JobMark) {
         log::info!("{id}: done");
-        self.forget_job(id);
+        self.forget_job(ctx, id);
+        self.dependency_done(ctx, id);
         self.notes.push(Note::Ended(id.to_string(), mark));
     }
 
     /// A batch is in the store: do what waited for it.
     pub(super) fn applied(&mut self, ctx: &mut Ctx, batch: Batch, revision: u64) {
+        self.ledger.most = self.ledger.most.map(|most| most * 2);
+        self.ledger.most.take_if(|most| *most >= ctx.config.txn_ops);
         for item in &batch.items {
             match item {
-                Item::Chunk(id, index) => {
-                    if let Some(v) = self
-                        .jobs
-                        .get_mut(id)
-                        .and_then(|j| j.chunk_versions.get_mut(*index as usize))
-                    {
-                        *v = revision;
+                Item::Tasks(id, span) => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.spans.set_version(*span, revision);
                     }
                 }
                 Item::Done(id) => {
                     let n = self.jobs.get(id).map_or(0, |j| j.spec.tasks);
-                    self.job_done(id, JobMark { s: Mark::Done, n });
+                    self.job_done(ctx, id, JobMark { s: Mark::Done, n });
                 }
-                Item::Clear(id) => self.forget_job(id),
+                Item::Cancel(id) => self.cancelled_with(ctx, id),
+                Item::Clear(id) => self.forget_job(ctx, id),
                 Item::Types => self.types_stored = true,
                 Item::Machine(_) | Item::Drop(_) => {}
             }
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -6,6 +6,7 @@
 //! elsewhere wins). Records are made from memory when the batch is sent; what
 //! depends on them is done once the batch is acknowledged.
 
+use crate::store::Span;
 use crate::workers::TaskKey;
 use dillcleat_wire::state::Txn;
 use std::collections::{BTreeSet, VecDeque};
@@ -14,10 +15,12 @@
 /// Something to be written.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Item {
-    /// The tasks of one chunk of a job.
-    Chunk(Rc<str>, u32),
+    /// Some tasks of a job.
+    Tasks(Rc<str>, Span),
     /// Every task of the job is done.
     Done(Rc<str>),
+    /// A job that the job waits for is cancelled, and so is this one.
+    Cancel(Rc<str>),
     /// The job is cancelled and all its tasks are gone.
     Clear(Rc<str>),
     Machine(String),
@@ -37,6 +40,33 @@
     pub uncertain: bool,
 }
 
+impl Batch {
+    /// How much is in it.
+    pub fn mark(&self) -> (usize, usize, usize) {
+        let txn = &self.txn;
+        (txn.then.len(), txn.compare.len(), self.placed.len())
+    }
+
+    /// Takes out again what was added since.
+    pub fn back_to(&mut self, (changes, conditions, placed): (usize, usize, usize)) {
+        self.txn.then.truncate(changes);
+        self.txn.compare.truncate(conditions);
+        self.placed.truncate(placed);
+    }
+
+    /// A key of it that nobody but its leader writes.
+    pub fn own_key(&self) -> Option<String> {
+        let mut keys = self.txn.compare.iter().map(|c| &c.key);
+        keys.find(|k| k.starts_with(crate::store::TASKS)).cloned()
+    }
+
+    /// The version that a key had as the batch was made.
+    pub fn version(&self, key: &str) -> u64 {
+        let of_key = self.txn.compare.iter().find(|c| c.key == key);
+        of_key.map_or(0, |c| c.version)
+    }
+}
+
 impl Item {
     /// Nothing waits for it: a machine's address helps a later leader, and a
     /// key that is not needed may stay a while. A fleet that boots at once
@@ -49,8 +79,16 @@
 #[derive(Debug, Default)]
 pub struct Ledger {
     queue: VecDeque<Item>,
+    /// Cancellations that follow from others: up to half of a batch while there is
+    /// anything else. A thousand jobs that wait for one that is cancelled do not hold
+    /// up placements, and neither are they held up.
+    cancels: VecDeque<Item>,
     /// What can wait, written in the room that the queue leaves in a batch.
     later: VecDeque<Item>,
+    /// What the state service has refused by itself, to be tried again at a time.
+    aside: Vec<(crate::Micros, Item)>,
+    /// The most items in a batch, after a larger one was refused.
+    pub most: Option<usize>,
     queued: BTreeSet<Item>,
     /// What may be written now of what can wait, and since when it has grown.
     spare: (f64, crate::Micros),
@@ -60,32 +98,56 @@
 }
 
 impl Ledger {
+    fn lane(&mut self, item: &Item) -> &mut VecDeque<Item> {
+        match item {
+            Item::Cancel(_) => &mut self.cancels,
+            _ if item.can_wait() => &mut self.later,
+            _ => &mut self.queue,
+        }
+    }
+
     pub fn push(&mut self, item: Item) {
         if self.queued.insert(item.clone()) {
-            if item.can_wait() {
-                self.later.push_back(item);
-            } else {
-                self.queue.push_back(item);
-            }
+            self.lane(&item).push_back(item);
         }
     }
 
     pub fn push_front(&mut self, item: Item) {
         if self.queued.insert(item.clone()) {
-            if item.can_wait() {
-                self.later.push_front(item);
-            } else {
-                self.queue.push_front(item);
-            }
+            self.lane(&item).push_front(item);
         }
     }
 
-    pub fn pop(&mut self) -> Option<Item> {
-        let item = self.queue.pop_front()?;
+    /// What comes next into a batch of so many items, of which `cancels` are
+    /// cancellations that follow from others.
+    pub fn pop(&mut self, items: usize, cancels: usize) -> Option<Item> {
+        let turn = self.queue.is_empty() || cancels * 2 < items;
+        let cancel = turn.then(|| self.cancels.pop_front()).flatten();
+        let item = cancel.or_else(|| self.queue.pop_front())?;
         self.queued.remove(&item);
         Some(item)
     }
 
+    /// Puts an item aside until then. It stays queued: nobody takes it for written.
+    pub fn put_aside(&mut self, item: Item, until: crate::Micros) {
+        self.queued.insert(item.clone());
+        self.aside.push((until, item));
+    }
+
+    /// Takes back what was put aside and is due.
+    pub fn take_back(&mut self, now: crate::Micros) {
+        if self.aside.iter().any(|(at, _)| now >= *at) {
+            let aside = std::mem::take(&mut self.aside);
+            for (at, item) in aside {
+                if now >= at {
+                    self.lane(&item).push_back(item);
+                } else {
+                    self.aside.push((at, item));
+                }
+            }
+        }
+    }
+
     /// What can wait gets a part of the store's writes: a burst of it would
     /// use up the rate that placements and submissions live on.
     pub fn pop_later(&mut self) -> Option<Item> {
@@ -106,12 +168,20 @@
 
     /// Nothing is to be written now.
     pub fn is_idle(&self) -> bool {
-        self.queue.is_empty() && (self.later.is_empty() || self.spare.0 < 1.0)
+        self.queue.is_empty()
+            && self.cancels.is_empty()
+            && (self.later.is_empty() || self.spare.0 < 1.0)
+    }
+
+    /// Whether a cancellation that follows from another is to be written.
+    pub fn cancels(&self, job: &Rc<str>) -> bool {
+        let item = Item::Cancel(job.clone());
+        self.queued.contains(&item) || self.batch.as_ref().is_some_and(|b| b.items.contains(&item))
     }
 
-    /// Whether a chunk's latest change is in the store.
-    pub fn settled(&self, job: &Rc<str>, chunk: u32) -> bool {
-        let item = Item::Chunk(job.clone(), chunk);
+    /// Whether the latest change of these tasks is in the store.
+    pub fn settled(&self, job: &Rc<str>, span: Span) -> bool {
+        let item = Item::Tasks(job.clone(), span);
         !self.queued.contains(&item) && self.batch.as_ref().is_none_or(|b| !b.items.contains(&item))
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod calls;
 pub mod config;
 pub mod desk;
+pub mod graph;
 mod known;
 pub mod leader;
 pub mod leadership;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -118,7 +118,7 @@
     pub fn open_job(&self, spec: JobSpec, at_most: Option<u32>, now: Now) -> OpenJob {
         OpenJob {
             at: now.wall,
-            chunk: self.config.chunk_tasks(),
+            chunk: self.config.chunk_tasks,
             unmarked: true,
             at_most: at_most.filter(|n| *n < spec.tasks),
             spec,
@@ -143,7 +143,7 @@
 
     /// A job was stored as open by whoever serves clients beside this node.
     pub fn admitted(&mut self, job: &OpenJob) {
-        self.admission.admitted(&job.spec.id, job.spec.tasks);
+        self.admission.admitted(job);
     }
 
     pub fn config(&self) -> &Config {
@@ -322,7 +322,7 @@
             match note {
                 Note::Ended(job, mark) => {
                     self.admission.ended(&job, mark);
-                    let state = JobState::Done;
+                    let state = mark.s.ended().unwrap_or(JobState::Done);
                     out.push(Output::Told(Told::Ended { job, state }));
                 }
                 Note::Stopped(job) => {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -11,6 +11,9 @@
 //!   their mark has the version of their description.)
 //!   `q/c/JOB`: it is cancelled and its tasks have yet to be seen gone.
 //! - `t/JOB/CHUNK`: where the tasks of an unfinished job may be.
+//!   `t/JOB/CHUNK/FROM-TO`: the same of some tasks of a chunk that has become too
+//!   large to be written again. It stands above the chunk, and comes after it in the
+//!   order of keys.
 //! - `m/MACHINE`: the address of a machine that has reported.
 //!
 //! A new leader so reads what is unfinished only, however many jobs have ended.
@@ -41,18 +44,41 @@
     format!("{CANCELLED}{id}")
 }
 
-pub fn chunk_key(id: &str, chunk: u32) -> String {
-    format!("{TASKS}{id}/{chunk:05}")
+/// Which tasks of a job one record tells of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Span {
+    /// All of a chunk.
+    Chunk(u32),
+    /// Those of a chunk from one to another, both included.
+    Part { chunk: u32, from: u32, to: u32 },
+}
+
+pub fn tasks_key(id: &str, span: Span) -> String {
+    match span {
+        Span::Chunk(chunk) => format!("{TASKS}{id}/{chunk:05}"),
+        Span::Part { chunk, from, to } => format!("{TASKS}{id}/{chunk:05}/{from:06}-{to:06}"),
+    }
 }
 
 pub fn machine_key(name: &str) -> String {
     format!("{MACHINES}{name}")
 }
 
-/// The job and number of a chunk's key.
-pub fn parse_chunk_key(key: &str) -> Option<(&str, u32)> {
-    let (id, chunk) = key.strip_prefix(TASKS)?.rsplit_once('/')?;
-    Some((id, chunk.parse().ok()?))
+/// The job and the tasks of a key.
+pub fn parse_tasks_key(key: &str) -> Option<(&str, Span)> {
+    let (id, rest) = key.strip_prefix(TASKS)?.split_once('/')?;
+    let span = match rest.split_once('/') {
+        None => Span::Chunk(rest.parse().ok()?),
+        Some((chunk, part)) => {
+            let (from, to) = part.split_once('-')?;
+            Span::Part {
+                chunk: chunk.parse().ok()?,
+                from: from.parse().ok()?,
+                to: to.parse().ok()?,
+            }
+        }
+    };
+    Some((id, span))
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/waiters.rs
+++ b/crates/core/src/waiters.rs
@@ -42,6 +42,12 @@
     Ended {
         id: String,
     },
+    /// A job that a submission waits for: is it open, or has it ended?
+    Name {
+        naming: u64,
+        name: String,
+        mark: bool,
+    },
     Check {
         jobs: Vec<(String, u64)>,
     },
@@ -82,9 +88,19 @@
     LoadTasks,
     Watch,
     Ledger,
-    Reread { key: String },
-    Ended { id: Rc<str> },
-    Push { machine: String },
+    Reread {
+        key: String,
+    },
+    Ended {
+        id: Rc<str>,
+    },
+    /// The mark of a job that others wait for.
+    Dependency {
+        id: Rc<str>,
+    },
+    Push {
+        machine: String,
+    },
     Cloud(Errand),
 }
 
--- /dev/null
+++ b/crates/core/tests/versions.rs
@@ -0,0 +1,157 @@
+//! Two versions share records and frames: what the version in production writes, as
+//! bytes, is read here, and what is written here is read by copies of its types.
+
+use dillcleat_core::store::{
+    CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob, Span, parse_tasks_key, tasks_key,
+};
+use dillcleat_mesh::Message;
+use dillcleat_wire::state::{Value, read, value};
+use dillcleat_wire::user::{JobSpec, Kind};
+use serde::{Deserialize, Serialize};
+
+const OPEN: &str = "84a473706563de0014a3726566a57265712d31a36c6f74a163a46465736ba174a762696e64696e67\
+    a56261746368a7757267656e6379a66e6f726d616ca66c6561766573ccc8a57663707573cb4010000000000000ac\
+    616363656c657261746f7273cb0000000000000000a672616d5f6762cb3ff0000000000000a765646974696f6ea1\
+    69a770756c6c5f6762cb3ff0000000000000a7666f726d61747391a26738a4726f6f6da161aa73616d655f706c61\
+    6365c2a6737072656164c2aa72656d61696e64657273c3a87265636b6f6e5f73cb3ff0000000000000aa626f6f6b\
+    6d61726b5f73cb0000000000000000a87368656c76655f73cb0000000000000000a56475655f73cb404e00000000\
+    0000a26174cf00060a24181e4000a56368756e6bcccca8756e6d61726b6564c3";
+const CHUNK: &str = "83a17091940302ab686f73742d30303032333101a17791920501a16491920002";
+const MARK: &str = "82a173a164a16eccc8";
+const CANCELLED: &str = "81a2617407";
+const MACHINE: &str = "84a461646472ad31302e312e302e313a39303030ac6d616368696e655f74797065a26738a4\
+    7a6f6e65a161a473706f74c3";
+const FRAMES: [&str; 5] = [
+    "00000006040100026e31",
+    "00000011040200000000000000070101000000000c",
+    "000000130403000100057265712d310000000300000004",
+    "0000000b0404000100016100000384",
+    "00000054040500000000000000073ff800000000000000010001634034000000000000000100057265712d31406e\
+     000000000000406900000000000040250000000000000101000240330000000000004035000000000000",
+];
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+    let pair = |p: &[u8]| u8::from_str_radix(std::str::from_utf8(p).expect("hex"), 16);
+    digits.chunks(2).map(|p| pair(p).expect("hex")).collect()
+}
+
+fn stored(hex: &str) -> Value {
+    rmpv::decode::read_value(&mut bytes(hex).as_slice()).expect("a record")
+}
+
+fn described(awaits: Vec<String>) -> OpenJob {
+    OpenJob {
+        spec: JobSpec {
+            deadline_s: Some(60.0),
+            zone: Some("a".into()),
+            types: Some(vec!["g8".into()]),
+            awaits,
+            ..JobSpec::plain("req-1", Kind::Batch, 200, 4.0)
+        },
+        at: 1_700_000_000_000_000,
+        chunk: 204,
+        unmarked: true,
+        at_most: None,
+    }
+}
+
+/// Each is read, and written again as the same bytes: nothing is said where there is
+/// nothing to say.
+#[test]
+fn records_of_production_are_read() {
+    fn same<T>(hex: &str, is: T)
+    where
+        T: for<'a> Deserialize<'a> + Serialize + PartialEq + std::fmt::Debug,
+    {
+        let record = stored(hex);
+        assert_eq!(read::<T>(&record).as_ref(), Some(&is));
+        assert_eq!(value(&is), record);
+    }
+    same(OPEN, described(Vec::new()));
+    let chunk = Chunk {
+        p: vec![(3, 2, "host-000231".into(), 1)],
+        w: vec![(5, 1)],
+        d: vec![(0, 2)],
+    };
+    same(CHUNK, chunk);
+    let mark = JobMark {
+        s: Mark::Done,
+        n: 200,
+    };
+    same(MARK, mark);
+    same(CANCELLED, CancelledJob { at: 7 });
+    let machine = MachineRecord {
+        addr: "10.1.0.1:9000".into(),
+        machine_type: "g8".into(),
+        zone: "a".into(),
+        spot: true,
+    };
+    same(MACHINE, machine);
+}
+
+/// The mesh has not changed: frames of production are read and written to the byte.
+#[test]
+fn frames_of_production_are_read() {
+    for hex in FRAMES {
+        let frame = bytes(hex);
+        let message = Message::decode(&frame[4..]).expect("a frame");
+        assert_eq!(message.encode(), frame, "{message:?}");
+    }
+}
+
+/// What production reads of a description, as it was written there.
+#[derive(Debug, Deserialize)]
+struct OldJob {
+    spec: OldSpec,
+    at: u64,
+    chunk: u32,
+    #[serde(default)]
+    unmarked: bool,
+    #[serde(default)]
+    at_most: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct OldSpec {
+    #[serde(rename = "ref")]
+    id: String,
+    #[serde(rename = "leaves")]
+    tasks: u32,
+    #[serde(rename = "due_s", default)]
+    deadline_s: Option<f64>,
+}
+
+#[test]
+fn production_reads_a_job_that_waits() {
+    let record = value(&described(vec!["req-7".into()]));
+    let old: OldJob = read(&record).expect("unknown fields are passed over");
+    assert_eq!((old.spec.id.as_str(), old.spec.tasks), ("req-1", 200));
+    assert_eq!((old.spec.deadline_s, old.at_most), (Some(60.0), None));
+    assert_eq!((old.chunk, old.unmarked), (204, true));
+    assert!(old.at > 0);
+}
+
+/// A part comes right after its chunk in the order of keys, and before the next.
+/// Production would take neither it for a chunk nor drop it.
+#[test]
+fn parts_come_after_their_chunk() {
+    let part = |chunk, from, to| tasks_key("req-1", Span::Part { chunk, from, to });
+    let chunk = |chunk| tasks_key("req-1", Span::Chunk(chunk));
+    let keys = [
+        chunk(0),
+        part(0, 0, 24),
+        part(0, 25, 101),
+        chunk(1),
+        part(1, 102, 126),
+    ];
+    assert!(keys.is_sorted(), "{keys:?}");
+    for key in keys {
+        let (id, span) = parse_tasks_key(&key).expect("a key");
+        assert_eq!(tasks_key(id, span), key);
+        let old = key
+            .rsplit_once('/')
+            .map(|(_, chunk)| chunk.parse::<u32>().is_ok());
+        assert_eq!(old, Some(matches!(span, Span::Chunk(_))), "{key}");
+    }
+}
--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -137,6 +137,18 @@
     /// When the job should be complete, in seconds from now
     #[arg(long)]
     deadline_s: Option<f64>,
+    /// A job that has to be done before any task of this one starts; may be given
+    /// several times
+    #[arg(long, value_name = "REF", value_parser = parse_ref)]
+    after: Vec<String>,
+}
+
+fn parse_ref(s: &str) -> Result<String, String> {
+    if user::is_job_id(s) {
+        Ok(s.to_string())
+    } else {
+        Err("ids look like req-000412".into())
+    }
 }
 
 fn parse_priority(s: &str) -> Result<Priority, String> {
@@ -303,6 +315,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: self.deadline_s,
+            awaits: self.after,
         };
         let body = dillcleat_wire::encode(&spec);
         show(&ask(&self.server, "POST", user::JOBS_PATH, &body)?)
--- a/crates/kube/src/translate.rs
+++ b/crates/kube/src/translate.rs
@@ -395,6 +395,7 @@
                 .unwrap_or(0.0),
             save_s: self.seconds(notes, "dillcleat/save-seconds").unwrap_or(0.0),
             deadline_s: self.seconds(notes, "dillcleat/deadline-seconds"),
+            awaits: Vec::new(),
         })
     }
 }
--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -29,6 +29,8 @@
     Troubled,
     /// The zone of whoever leads is cut off, with its controllers
     CutOff,
+    /// Nodes are replaced, jobs wait for others, and the limits of the store fall
+    Pipelines,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -53,7 +55,8 @@
     };
     let least = Mutex::new(None);
     let next = AtomicU64::new(args.from);
-    let (bad, created, told, late) = (
+    let (bad, created, told, late, refused) = (
+        AtomicUsize::new(0),
         AtomicUsize::new(0),
         AtomicUsize::new(0),
         AtomicUsize::new(0),
@@ -71,6 +74,7 @@
                     let scenario = match args.troubles {
                         Troubles::Troubled => Scenario::troubled(seed),
                         Troubles::CutOff => Scenario::cut_off(seed),
+                        Troubles::Pipelines => Scenario::pipelines(seed),
                     };
                     let scenario = Scenario { form, ..scenario };
                     let faults = scenario.faults.clone();
@@ -85,6 +89,7 @@
                         }
                     }
                     late.fetch_add(o.late_hits, Ordering::Relaxed);
+                    refused.fetch_add(o.refused, Ordering::Relaxed);
                     let clean = o.breaches.is_empty()
                         && o.malformed.is_empty()
                         && o.unfinished.is_empty()
@@ -106,6 +111,10 @@
             });
         }
     });
+    let refused = refused.into_inner();
+    if refused > 0 {
+        println!("{refused} requests met limits that had fallen");
+    }
     let late = late.into_inner();
     if late > 0 {
         println!("{late} machines went by calls that came late");
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -251,6 +251,8 @@
         state_rps: setting.state_rps,
         state_write_rps: setting.state_write_rps,
         value_bytes: 16 * 1024,
+        value_bytes_before: 16 * 1024,
+        chunk_tasks: dillcleat_core::config::chunk_tasks(16 * 1024),
         txn_ops: 48,
         cloud_rps: 4.0,
         list_lag: 4 * SECOND,
@@ -402,7 +404,7 @@
         let job = OpenJob {
             spec: spec.clone(),
             at: WALL - self.rng.u64(..600 * SECOND),
-            chunk: config(&self.setting).chunk_tasks(),
+            chunk: config(&self.setting).chunk_tasks,
             unmarked: true,
             at_most: None,
         };
@@ -435,7 +437,8 @@
                 chunk.p.push((index, 1, worker.name.clone(), 1));
             }
             // Jobs are no larger than a chunk here.
-            self.state.put(store::chunk_key(&spec.id, 0), &chunk);
+            self.state
+                .put(store::tasks_key(&spec.id, store::Span::Chunk(0)), &chunk);
         }
     }
 
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -139,6 +139,16 @@
     pub nodes: usize,
     /// How many times as large as usual jobs, limits and the cloud are.
     pub scale: u32,
+    /// Pipelines of jobs that wait for others, and since when users have any.
+    pub pipelines: usize,
+    pub pipelines_from: Micros,
+    /// Jobs that wait for one that is cancelled.
+    pub herd: Option<u32>,
+    /// When the first node is replaced by the new version, and the time between two:
+    /// before, all write as the version in production.
+    pub upgrade: Option<(Micros, Micros)>,
+    /// When the state service lowers its limits.
+    pub limits_fall: Option<Micros>,
     /// Users and troubles stop here; the rest is for the work to finish.
     pub busy: Micros,
     pub end: Micros,
@@ -200,10 +210,37 @@
         scenario
     }
 
+    /// A troubled day on which nodes are replaced by a new version one after the other,
+    /// users begin with pipelines, and the state service lowers its limits.
+    pub fn pipelines(seed: u64) -> Scenario {
+        let mut scenario = Scenario::troubled(seed);
+        let mut rng = Rng::with_seed(seed.rotate_left(11) ^ 0xa3a1);
+        let first = rng.u64(10 * SECOND..50 * SECOND);
+        let every = rng.u64(SECOND..15 * SECOND);
+        let replaced = first + 2 * every;
+        let upgraded = rng.u8(..4) > 0;
+        if upgraded {
+            scenario.upgrade = Some((first, every));
+            let fall = rng.u64(replaced + 5 * SECOND..scenario.busy);
+            scenario.limits_fall = (rng.u8(..5) > 0).then_some(fall);
+            // Large enough for chunks that will not fit any more.
+            scenario.large = Some(rng.u32(250..500));
+        }
+        // Teams of small limits take long over what both bring.
+        scenario.end = scenario.busy + 1200 * SECOND;
+        scenario.pipelines = rng.usize(2..8);
+        scenario.pipelines_from = if upgraded {
+            replaced + 4 * SECOND
+        } else {
+            SECOND
+        };
+        scenario
+    }
+
     /// A day of random troubles, several at a time.
     pub fn random(seed: u64) -> Scenario {
         let mut rng = Rng::with_seed(seed);
-        let busy = 200 * SECOND;
+        let busy = Scenario::quiet(seed).busy;
         let faults = (0..rng.usize(4..14))
             .map(|_| {
                 let at = rng.u64(15 * SECOND..busy - 10 * SECOND);
@@ -238,13 +275,28 @@
             })
             .collect();
         Scenario {
-            seed,
-            form: Form::Native,
             faults,
             jobs: rng.usize(8..22),
+            ..Scenario::quiet(seed)
+        }
+    }
+
+    /// A day without troubles, to start from.
+    pub fn quiet(seed: u64) -> Scenario {
+        let busy = 200 * SECOND;
+        Scenario {
+            seed,
+            form: Form::Native,
+            faults: Vec::new(),
+            jobs: 14,
             large: None,
             nodes: 3,
             scale: 1,
+            pipelines: 0,
+            pipelines_from: SECOND,
+            herd: None,
+            upgrade: None,
+            limits_fall: None,
             busy,
             end: busy + 500 * SECOND,
         }
--- a/crates/rehearsal/src/state.rs
+++ b/crates/rehearsal/src/state.rs
@@ -51,6 +51,11 @@
     out_since: Micros,
     value_bytes: usize,
     txn_ops: usize,
+    /// The limits have fallen, which nobody was told: what breaks them is answered 400
+    /// and no fault of who wrote it.
+    lowered: bool,
+    /// Requests that were refused for their size since then.
+    pub refused: usize,
     /// Requests that broke a limit of the protocol: the service's own fault.
     pub malformed: Vec<String>,
 }
@@ -69,10 +74,18 @@
             out_since: 0,
             value_bytes,
             txn_ops,
+            lowered: false,
+            refused: 0,
             malformed: Vec::new(),
         }
     }
 
+    /// Lowers the limits. What is stored stays readable.
+    pub fn limit(&mut self, value_bytes: usize, txn_ops: usize) {
+        (self.value_bytes, self.txn_ops) = (value_bytes, txn_ops);
+        self.lowered = true;
+    }
+
     /// Sets how much a page of a listing holds.
     pub fn paged(mut self, page: PageLimit) -> Self {
         self.page = page;
@@ -261,6 +274,15 @@
         }
     }
 
+    fn too_large(&mut self, what: String) -> StateReply {
+        if self.lowered {
+            self.refused += 1;
+        } else {
+            self.malformed.push(what);
+        }
+        StateReply::Malformed
+    }
+
     fn txn(&mut self, txn: &Txn) -> StateReply {
         let mut bytes = 0;
         for change in &txn.then {
@@ -268,8 +290,8 @@
                 let size = json_size(value);
                 bytes += size + key.len();
                 if size > self.value_bytes {
-                    self.malformed.push(format!("{key}: value of {size} bytes"));
-                    return StateReply::Malformed;
+                    let what = format!("{key}: value of {size} bytes");
+                    return self.too_large(what);
                 }
             }
         }
@@ -277,12 +299,12 @@
             || txn.then.len() > self.txn_ops
             || txn.compare.len() > 4 * self.txn_ops
         {
-            self.malformed.push(format!(
+            let what = format!(
                 "transaction of {} changes, {} conditions, {bytes} bytes",
                 txn.then.len(),
                 txn.compare.len()
-            ));
-            return StateReply::Malformed;
+            );
+            return self.too_large(what);
         }
         // Whatever only a leader writes is fenced by its term. Chunks carry
         // versions besides, so no run would show the lack of it soon.
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -3,10 +3,12 @@
 
 mod clients;
 mod network;
+mod pipelines;
 mod services;
 mod users;
 mod workers;
 
+use self::pipelines::Stands;
 use crate::cloud::Cloud;
 use crate::objects::{self, Plan, Watcher};
 use crate::rules::{Breach, Checker, Place};
@@ -38,6 +40,12 @@
 const USER_TIMEOUT: Micros = 5 * SECOND;
 /// Of so many inputs one is preceded by a look at what the leader derives.
 const AUDIT: u64 = 101;
+/// Bytes of a value and changes of a transaction before the limits of the state service
+/// fall and after, and tasks in a chunk of a job that the version before has admitted.
+/// So small that a few dozen placed tasks are too many for one value.
+const WIDE: (usize, usize) = (2048, 48);
+const LOW: (usize, usize) = (700, 12);
+const OLD_CHUNK: u32 = 80;
 const WALL: Micros = 1_700_000_000 * SECOND;
 
 /// What a run has come to.
@@ -50,6 +58,8 @@
     pub unfinished: Vec<String>,
     /// Requests that broke a limit of the state service.
     pub malformed: Vec<String>,
+    /// Requests that broke a limit which had fallen without notice.
+    pub refused: usize,
     /// Keys of tasks, and of open and cancelled jobs, left behind.
     pub left: Vec<String>,
     /// What a leader had derived that was not as if made anew.
@@ -157,6 +167,12 @@
     Restart {
         node: usize,
     },
+    /// A node ends, and comes back as the new version.
+    Replace {
+        node: usize,
+    },
+    /// The state service has the lower limits from now on.
+    LimitsFall,
     Fault(Box<Fault>),
     Note,
 }
@@ -232,6 +248,26 @@
     again: u32,
     /// The Job that it is handed in as.
     object: Option<Plan>,
+    /// Where its job stands in a pipeline.
+    stands: Stands,
+}
+
+impl User {
+    fn new(spec: JobSpec, cancel_at: Option<Micros>) -> User {
+        User {
+            spec,
+            stage: Stage::Submitting,
+            since: None,
+            cancel_at,
+            accepted: false,
+            ended: None,
+            accepted_at: None,
+            ended_at: None,
+            again: 0,
+            object: None,
+            stands: Stands::default(),
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -243,6 +279,8 @@
     pub workers_cut: Micros,
     pub paused_until: Micros,
     pub mesh_cut: Micros,
+    /// It has yet to be replaced: it writes as the version before does.
+    pub old: bool,
 }
 
 /// A zone that is cut off with all that is in it.
@@ -343,6 +381,9 @@
         state_rps: 200.0,
         state_write_rps: 80.0,
         value_bytes: 2048,
+        value_bytes_before: 2048,
+        // Few, so that most arrays have several.
+        chunk_tasks: 25,
         txn_ops: 12,
         cloud_rps: 2.0,
         list_lag: 4 * SECOND,
@@ -384,9 +425,13 @@
                     workers_cut: 0,
                     paused_until: 0,
                     mesh_cut: 0,
+                    old: scenario.upgrade.is_some(),
                 })
                 .collect(),
-            state: StateService::new(config.value_bytes, config.txn_ops),
+            state: match scenario.upgrade {
+                None => StateService::new(config.value_bytes, config.txn_ops),
+                Some(_) => StateService::new(WIDE.0, WIDE.1),
+            },
             cloud: Cloud::new(types(), 4 * scenario.scale, config.list_lag),
             workers: BTreeMap::new(),
             watches: Watches::default(),
@@ -426,6 +471,15 @@
         for job in 0..w.scenario.jobs {
             w.add_user(job);
         }
+        w.add_pipelines();
+        if let Some((first, every)) = w.scenario.upgrade {
+            for node in 0..w.scenario.nodes {
+                w.at(first + every * node as u64, Ev::Replace { node });
+            }
+        }
+        if let Some(at) = w.scenario.limits_fall {
+            w.at(at, Ev::LimitsFall);
+        }
         w.at(SECOND, Ev::Workers);
         w.at(SECOND, Ev::Note);
         w.at(10 * SECOND, Ev::Stranger);
@@ -468,6 +522,7 @@
                     && u.spec.kind == Kind::Batch
                     && u.cancel_at.is_none()
                     && u.ended != Some(JobState::Done)
+                    && !(u.ended.is_some() && self.checker.doomed(&u.spec.id))
                     // Its end by the service was shown with its cause.
                     && !(u.object.is_some() && u.ended == Some(JobState::Cancelled))
             })
@@ -479,6 +534,7 @@
             accepted: self.users.iter().filter(|u| u.accepted).count(),
             unfinished,
             left: [self.state.keys("t/"), self.state.keys("q/")].concat(),
+            refused: self.state.refused,
             malformed: self.state.malformed,
             breaches: self.checker.breaches,
             stale: self.stale,
@@ -694,13 +750,31 @@
             Ev::Restart { node } => {
                 let host = &mut self.nodes[node];
                 host.epoch += 1;
-                let config = config(node, self.scenario.nodes, self.scenario.scale);
+                let mut config = config(node, self.scenario.nodes, self.scenario.scale);
+                if self.scenario.upgrade.is_some() {
+                    config.value_bytes_before = WIDE.0;
+                    (config.value_bytes, config.txn_ops) = LOW;
+                    config.chunk_tasks = dillcleat_core::config::chunk_tasks(LOW.0);
+                }
+                if host.old {
+                    (config.value_bytes, config.txn_ops) = WIDE;
+                    config.chunk_tasks = OLD_CHUNK;
+                }
                 let rules = self.scenario.form.objects().then(objects::rules);
                 host.node = Some(Controller::new(Node::new(config), rules));
                 let epoch = host.epoch;
                 let at = self.now + self.rng.u64(..50 * MILLISECOND);
                 self.at(at, Ev::Tick { node, epoch });
             }
+            Ev::Replace { node } => {
+                let host = &mut self.nodes[node];
+                host.old = false;
+                host.node = None;
+                host.epoch += 1;
+                let down = self.side.u64(SECOND / 10..2 * SECOND);
+                self.at(self.now + down, Ev::Restart { node });
+            }
+            Ev::LimitsFall => self.state.limit(LOW.0, LOW.1),
             Ev::Fault(fault) => self.fault(*fault),
             Ev::Note => {
                 self.cloud.note(self.now);
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -44,17 +44,27 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: (!service).then_some(60.0),
+            awaits: Vec::new(),
         };
         let mut spec = spec;
         if let (0, Some(tasks)) = (job, self.scenario.large) {
             spec.kind = Kind::Batch;
             spec.tasks = tasks;
+            if self.scenario.upgrade.is_some() {
+                // Dozens of its tasks are placed at once.
+                (spec.cpus, spec.memory_gb) = (0.25, 0.5);
+                (spec.one_zone, spec.zone) = (false, None);
+            }
         }
         if spec.spread && spec.tasks > 1 {
             // In one zone alone a spread has no room for its second half.
             spec.zone = None;
         }
-        let at = rng.u64(SECOND..self.scenario.busy * 2 / 3);
+        let mut at = rng.u64(SECOND..self.scenario.busy * 2 / 3);
+        if let (0, Some((first, _))) = (job, self.scenario.upgrade) {
+            // The version before admits it.
+            at = at.min(first);
+        }
         let cancel = service || rng.u8(..5) == 0;
         let cancel_at = cancel.then(|| at + rng.u64(2 * SECOND..self.scenario.busy - at));
         let object = self.plan(job, &mut spec);
@@ -66,16 +76,8 @@
         };
         self.plays.insert(spec.id.clone(), play);
         self.users.push(User {
-            spec,
-            stage: Stage::Submitting,
-            since: None,
-            cancel_at,
-            accepted: false,
-            ended: None,
-            accepted_at: None,
-            ended_at: None,
-            again: 0,
             object,
+            ..User::new(spec, cancel_at)
         });
         self.at(at, Ev::User { job });
     }
@@ -183,6 +185,9 @@
         if self.users[job].object.is_some() && self.object_user(node, job) {
             return;
         }
+        if self.users[job].stage == Stage::Submitting && !self.may_hand_in(job) {
+            return self.user_again(now + SECOND / 2, job);
+        }
         let u = &mut self.users[job];
         let id = u.spec.id.clone();
         match u.stage {
--- /dev/null
+++ b/crates/rehearsal/tests/awaits.rs
@@ -0,0 +1,111 @@
+//! What a submission that waits for other jobs is answered.
+
+use dillcleat_core::store::{self, JobMark, Mark};
+use dillcleat_core::{Config, Input, RequestId, SECOND};
+use dillcleat_rehearsal::alone::{Alone, Ev};
+use dillcleat_rehearsal::objects::rules_for;
+use dillcleat_rehearsal::state::StateService;
+use dillcleat_rehearsal::world::config;
+use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind, Refusal};
+
+fn alone() -> Alone {
+    let one = Config {
+        siblings: Vec::new(),
+        far_siblings: Vec::new(),
+        ..config(0, 1, 1)
+    };
+    let mut state = StateService::new(one.value_bytes, one.txn_ops);
+    let ended = |s| JobMark { s, n: 1 };
+    state.put(store::job_key("req-71"), &ended(Mark::Done));
+    state.put(store::job_key("req-72"), &ended(Mark::Cancelled));
+    let mut alone = Alone::new(one, rules_for(10, 1), state);
+    alone.until(10 * SECOND);
+    alone
+}
+
+fn spec(id: &str, kind: Kind, awaits: &[&str]) -> JobSpec {
+    JobSpec {
+        team: "free".into(),
+        awaits: awaits.iter().map(|a| a.to_string()).collect(),
+        ..JobSpec::plain(id, kind, 1, 1.0)
+    }
+}
+
+/// Its status, why if it is refused, and what is stored that it waits for.
+fn submit(alone: &mut Alone, spec: &JobSpec) -> (u16, String, Option<Vec<String>>) {
+    let id = RequestId(alone.calls + 1_000_000);
+    let input = Input::Request {
+        id,
+        method: "POST".into(),
+        target: JOBS_PATH.into(),
+        body: dillcleat_wire::encode(spec),
+    };
+    alone.at(alone.now, Ev::Input(input));
+    alone.until(alone.now + SECOND);
+    let found = alone.answers.iter().position(|(of, _)| *of == id);
+    let (_, reply) = alone.answers.swap_remove(found.expect("an answer"));
+    let why = dillcleat_wire::decode::<Refusal>(&reply.body).map_or(String::new(), |r| r.error);
+    if reply.status == 503 {
+        assert_eq!(reply.retry_after, Some(1));
+    }
+    let stored = alone
+        .state
+        .read::<store::OpenJob>(&store::open_key(&spec.id));
+    (reply.status, why, stored.map(|(job, _)| job.spec.awaits))
+}
+
+#[test]
+fn names_must_have_been_accepted() {
+    let mut a = alone();
+    let batch = |id: &str, awaits: &[&str]| spec(id, Kind::Batch, awaits);
+    assert_eq!(submit(&mut a, &batch("req-1", &[])).0, 201);
+    assert_eq!(submit(&mut a, &spec("req-2", Kind::Service, &[])).0, 201);
+    // Known here, or by its records alone: accepted. What is done is not waited for.
+    let (status, _, stored) = submit(&mut a, &batch("req-3", &["req-1", "req-71"]));
+    assert_eq!((status, stored), (201, Some(vec!["req-1".into()])));
+    // Accepted, and cancelled soon after.
+    assert_eq!(
+        submit(&mut a, &batch("req-10", &["req-1", "req-72"])).0,
+        201
+    );
+    let mark = a.state.read::<JobMark>(&store::job_key("req-10"));
+    assert_eq!(mark.map(|(mark, _)| mark.s), Some(Mark::Cancelled));
+    for (bad, why) in [
+        ("req-99", "req-99, which was never accepted"),
+        ("req-4", "req-4, which was never accepted"),
+        ("no ref", "no ref, which was never accepted"),
+        ("req-2", "req-2, a service"),
+    ] {
+        let (status, said, stored) = submit(&mut a, &batch("req-4", &["req-1", bad]));
+        assert_eq!((status, stored), (422, None), "{bad}");
+        assert!(said.contains(why), "{bad}: {said}");
+    }
+    // Known already, whatever else the body holds.
+    assert_eq!(submit(&mut a, &batch("req-3", &["req-99"])).0, 200);
+    // More names than one value holds.
+    let many: Vec<String> = (0..200).map(|i| format!("req-{i}")).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    let (status, why, _) = submit(&mut a, &batch("req-5", &many));
+    assert_eq!(status, 400);
+    assert!(why.contains("at most 2048"), "{why}");
+    // What can't be looked up now.
+    a.state.outage(a.now, a.now + 5 * SECOND);
+    assert_eq!(submit(&mut a, &batch("req-6", &["req-98"])).0, 503);
+}
+
+/// That a job is a service is known also of one that another node took.
+#[test]
+fn a_service_of_another_node_is_never_waited_for() {
+    let mut a = alone();
+    let open = store::OpenJob {
+        spec: spec("req-8", Kind::Service, &[]),
+        at: 1,
+        chunk: 8,
+        unmarked: true,
+        at_most: None,
+    };
+    a.state.put(store::open_key("req-8"), &open);
+    let (status, why, _) = submit(&mut a, &spec("req-9", Kind::Batch, &["req-8"]));
+    assert_eq!(status, 422);
+    assert!(why.contains("req-8, a service"), "{why}");
+}
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -87,6 +87,18 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: u32,
+    /// The limits from some moment on that nobody tells of.
+    #[serde(default)]
+    pub next: NextLimits,
+}
+
+/// Limits that the state service will have. What is missing stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<u32>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -132,11 +144,28 @@
                 )));
             }
         }
-        if c.state.txn_ops < 8 {
-            return Err(PlatformError(format!(
-                "cluster.state.txn_ops: must be at least 8, is {}",
-                c.state.txn_ops
-            )));
+        let next = &c.state.next;
+        for (key, v) in [
+            ("cluster.state.next.rps", next.rps),
+            ("cluster.state.next.write_rps", next.write_rps),
+            ("cluster.state.next.value_kb", next.value_kb),
+        ] {
+            if let Some(v) = v.filter(|v| !(1.0..=1e9).contains(v)) {
+                return Err(PlatformError(format!(
+                    "{key}: must be from 1 to {}, is {v}",
+                    1e9
+                )));
+            }
+        }
+        for (key, ops) in [
+            ("cluster.state.txn_ops", Some(c.state.txn_ops)),
+            ("cluster.state.next.txn_ops", next.txn_ops),
+        ] {
+            if let Some(ops) = ops.filter(|ops| *ops < 8) {
+                return Err(PlatformError(format!(
+                    "{key}: must be at least 8, is {ops}"
+                )));
+            }
         }
         if c.quota.max_connections < 32 {
             return Err(PlatformError(format!(
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -1,7 +1,9 @@
 //! Users and their jobs.
 
 use crate::{BodyError, decode};
+use rmpv::Value;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 pub const JOBS_PATH: &str = "/v2/runs";
 pub const HEALTH_PATH: &str = "/up";
@@ -77,6 +79,9 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
+    /// The jobs that have to be done before any task of this one starts, each once.
+    #[serde(rename = "awaits", default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
 }
 
 impl JobSpec {
@@ -104,6 +109,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            awaits: Vec::new(),
         }
     }
 }
@@ -158,6 +164,7 @@
     bookmark_s: Option<f64>,
     shelve_s: Option<f64>,
     due_s: Option<f64>,
+    awaits: Option<Value>,
 }
 
 /// Whether `id` has the form of a job id: `req-` and digits.
@@ -196,6 +203,27 @@
     Ok(v)
 }
 
+/// The names in a list of jobs, each once, in the order given.
+fn names(list: Option<Value>) -> Result<Vec<String>, SpecError> {
+    let bad = SpecError::Bad("awaits must be a list of refs");
+    let list = match list {
+        None => return Ok(Vec::new()),
+        Some(Value::Array(list)) => list,
+        Some(_) => return Err(bad),
+    };
+    let mut seen = BTreeSet::new();
+    let mut names = Vec::new();
+    for name in list {
+        let Some(name) = name.as_str() else {
+            return Err(bad);
+        };
+        if seen.insert(name.to_string()) {
+            names.push(name.to_string());
+        }
+    }
+    Ok(names)
+}
+
 impl RawSpec {
     fn check(self) -> Result<JobSpec, SpecError> {
         use SpecError::{Bad, Missing};
@@ -262,6 +290,7 @@
             checkpoint_s: amount(self.bookmark_s, "bookmark_s", "bookmark_s is out of range")?,
             save_s: amount(self.shelve_s, "shelve_s", "shelve_s is out of range")?,
             deadline_s,
+            awaits: names(self.awaits)?,
         })
     }
 }
--- a/crates/wire/tests/bad_input.rs
+++ b/crates/wire/tests/bad_input.rs
@@ -180,3 +180,26 @@
     ]);
     assert!(json_size(&v) >= r#"{"a\"b":-12.5,"list":[null,true,7]}"#.len());
 }
+
+#[test]
+fn the_jobs_that_one_waits_for() {
+    let list = |names: &[&str]| Value::Array(names.iter().map(|n| Value::from(*n)).collect());
+    let awaits = |v| with("awaits", v).spec.map(|s| s.awaits);
+    for none in [Value::Nil, list(&[])] {
+        assert_eq!(awaits(none), Ok(Vec::new()));
+    }
+    let twice = awaits(list(&["req-2", "req-1", "req-2"]));
+    assert_eq!(twice, Ok(vec!["req-2".to_string(), "req-1".to_string()]));
+    // Of whatever form: whether it was accepted is another matter.
+    assert!(awaits(list(&["no ref"])).is_ok());
+    let mixed = Value::Array(vec![Value::from("req-1"), Value::from(7)]);
+    for bad in [
+        Value::from("req-1"),
+        Value::from(7),
+        Value::Map(vec![]),
+        mixed,
+    ] {
+        let error = awaits(bad).expect_err("not a list of texts").to_string();
+        assert!(error.contains("awaits"), "{error}");
+    }
+}
