A submission does not wait for a slow answer of the state service

Cause: the state service answers some requests in a few hundred milliseconds, and a submission that waits for others makes up to three in a row. Change: reads of names and the transaction that admits a job are made a second time after 60 ms, within 5% of the requests; the first answer counts, a failed one of two is none.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -268,7 +268,7 @@
             job,
             since,
         };
-        ctx.state(StateCall::Txn(txn), Waiter::Admission(step));
+        ctx.state_soon(StateCall::Txn(txn), Waiter::Admission(step));
     }
 
     pub fn poll(&mut self, ctx: &mut Ctx, request: RequestId, id: String) {
--- a/crates/core/src/admission/names.rs
+++ b/crates/core/src/admission/names.rs
@@ -87,7 +87,7 @@
                 name,
                 mark: false,
             };
-            ctx.state(StateCall::Get { key }, Waiter::Admission(step));
+            ctx.state_soon(StateCall::Get { key }, Waiter::Admission(step));
         }
     }
 
@@ -118,7 +118,7 @@
                 name,
                 mark: true,
             };
-            ctx.state(StateCall::Get { key }, Waiter::Admission(step));
+            ctx.state_soon(StateCall::Get { key }, Waiter::Admission(step));
             return;
         }
         self.under_way -= 1;
--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -167,6 +167,7 @@
             // It exists, perhaps by an earlier try of ours whose answer was lost.
             Ok(StateReply::Conflict { .. }) => {
                 self.under_way -= 1;
+                log::info!("{id} is known already, perhaps by an earlier try");
                 self.ask(ctx, id, Ask::Tell(request));
             }
             // It may yet be carried out. The same transaction again settles
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -6,7 +6,7 @@
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::state::StateCall;
 use dillcleat_wire::worker::Orders;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
@@ -43,23 +43,86 @@
     pub calls: &'a mut Calls,
 }
 
+/// After so long a call that a user waits for is made a second time. The state service
+/// answers most within 10 ms and some in a few hundred: of two answers one is rarely
+/// slow.
+const SLOW: Micros = 60 * MILLISECOND;
+/// The part of the state service's requests that second calls may take: when it is slow
+/// for all, twice as many would make it worse.
+const SECOND_PART: f64 = 0.05;
+
+#[derive(Debug)]
+struct Waiting {
+    waiter: Waiter,
+    since: Micros,
+    /// The same call made a second time, or the first time.
+    twin: Option<CallId>,
+}
+
 #[derive(Debug, Default)]
 pub struct Calls {
     next: u64,
-    waiting: HashMap<CallId, (Waiter, Micros)>,
+    waiting: HashMap<CallId, Waiting>,
+    /// Calls that are made a second time if they are slow, in the order of their times.
+    urgent: VecDeque<(Micros, CallId, StateCall)>,
+    /// Second calls that may be made now, and since when that has grown.
+    allowed: (f64, Micros),
 }
 
 impl Calls {
     fn open(&mut self, waiter: Waiter, now: Now) -> CallId {
         self.next += 1;
         let id = CallId(self.next);
-        self.waiting.insert(id, (waiter, now.steady));
+        let since = now.steady;
+        let waiting = Waiting {
+            waiter,
+            since,
+            twin: None,
+        };
+        self.waiting.insert(id, waiting);
         id
     }
 
-    /// The waiter of an answered call and when the call was made.
-    pub fn close(&mut self, id: CallId) -> Option<(Waiter, Micros)> {
-        self.waiting.remove(&id)
+    /// The waiter of an answered call and when the call was made. Whoever waits for two
+    /// is told of the first answer; that one of them has failed is none.
+    pub fn close(&mut self, id: CallId, failed: bool) -> Option<(Waiter, Micros)> {
+        let found = self.waiting.remove(&id)?;
+        if let Some(twin) = found.twin {
+            if failed && let Some(other) = self.waiting.get_mut(&twin) {
+                other.twin = None;
+                return None;
+            }
+            self.waiting.remove(&twin);
+        }
+        Some((found.waiter, found.since))
+    }
+
+    /// The calls to be made a second time now.
+    fn slow(&mut self, config: &crate::Config, now: Micros) -> Vec<(CallId, StateCall)> {
+        let per_s = config.state_rps * SECOND_PART;
+        let grown = crate::seconds(now.saturating_sub(self.allowed.1)) * per_s;
+        self.allowed = ((self.allowed.0 + grown).min(per_s.max(1.0)), now);
+        let mut again = Vec::new();
+        while self.urgent.front().is_some_and(|(at, ..)| now >= *at) {
+            let Some((_, id, call)) = self.urgent.pop_front() else {
+                break;
+            };
+            let Some(first) = self.waiting.get_mut(&id).filter(|_| self.allowed.0 >= 1.0) else {
+                continue;
+            };
+            self.allowed.0 -= 1.0;
+            self.next += 1;
+            let twin = CallId(self.next);
+            first.twin = Some(twin);
+            let second = Waiting {
+                waiter: first.waiter.clone(),
+                since: first.since,
+                twin: Some(id),
+            };
+            self.waiting.insert(twin, second);
+            again.push((twin, call));
+        }
+        again
     }
 }
 
@@ -71,6 +134,23 @@
         id
     }
 
+    /// A call that a user waits for, and that does no harm when it is made twice: it is,
+    /// if its answer is slow.
+    pub fn state_soon(&mut self, call: StateCall, waiter: Waiter) {
+        let id = self.state(call.clone(), waiter);
+        self.calls
+            .urgent
+            .push_back((self.now.steady + SLOW, id, call));
+    }
+
+    /// Makes calls whose answers are slow a second time.
+    pub fn hasten(&mut self) {
+        for (id, call) in self.calls.slow(self.config, self.now.steady) {
+            let timeout = state_timeout(&call);
+            self.out.push(Output::State { id, call, timeout });
+        }
+    }
+
     /// The one door to the cloud: without leave for it no call goes out.
     pub fn cloud(&mut self, call: CloudCall, leave: &Leave, waiter: Waiter) {
         if !leave.covers(&call) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -186,6 +186,7 @@
             Input::Tick => {
                 self.leadership.tick(&mut ctx);
                 self.admission.tick(&mut ctx);
+                ctx.hasten();
                 if let Some(leader) = &mut self.leader {
                     leader.footing = footing;
                     leader.tick(&mut ctx);
@@ -207,7 +208,11 @@
                 if matches!(&reply, Ok(r) if *r != StateReply::Unavailable) {
                     self.served_at = Some(now.steady);
                 }
-                match ctx.calls.close(id) {
+                let failed = matches!(
+                    reply,
+                    Err(_) | Ok(StateReply::Unavailable | StateReply::TooMany)
+                );
+                match ctx.calls.close(id, failed) {
                     Some((Waiter::Admission(step), _)) => {
                         self.admission.reply(&mut ctx, step, reply);
                     }
@@ -227,7 +232,8 @@
                 }
             }
             Input::Cloud { id, reply } => {
-                if let Some((Waiter::Leader { term, step }, _)) = ctx.calls.close(id)
+                if let Some((Waiter::Leader { term, step }, _)) =
+                    ctx.calls.close(id, reply.is_err())
                     && let Some(leader) = self.leader.as_mut().filter(|l| l.term == term)
                     && let Leading::Cloud(errand) = step
                 {
@@ -236,7 +242,8 @@
                 }
             }
             Input::Orders { id, reply } => {
-                if let Some((Waiter::Leader { term, step }, _)) = ctx.calls.close(id)
+                if let Some((Waiter::Leader { term, step }, _)) =
+                    ctx.calls.close(id, reply.is_err())
                     && let Some(leader) = self.leader.as_mut().filter(|l| l.term == term)
                     && let Leading::Push { machine } = step
                 {
--- /dev/null
+++ b/crates/core/tests/slow.rs
@@ -0,0 +1,133 @@
+//! A slow answer of the state service does not hold a submission up.
+
+mod common;
+
+use dillcleat_core::SECOND;
+use dillcleat_core::store::{self, Types};
+use dillcleat_core::{CallError, CallId, Input, MILLISECOND, Micros, Node, Now, Output, RequestId};
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::encode;
+use dillcleat_wire::platform::Team;
+use dillcleat_wire::state::{Page, Row, StateCall, StateReply, Txn, value};
+use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind};
+
+const START: Micros = 1000 * SECOND;
+
+/// Transactions that a node sends at this time, and the statuses it answers.
+fn step(node: &mut Node, at: Micros, input: Input) -> (Vec<(CallId, Txn)>, Vec<u16>) {
+    let now = Now {
+        steady: at,
+        wall: at,
+    };
+    let (mut sent, mut answered) = (Vec::new(), Vec::new());
+    let mut inputs = vec![input];
+    while let Some(input) = inputs.pop() {
+        for output in node.handle(now, input) {
+            match output {
+                Output::Answer { answer, .. } => answered.push(answer.status),
+                Output::State { id, call, .. } => match call {
+                    StateCall::Txn(txn) => sent.push((id, txn)),
+                    StateCall::List { .. } => inputs.push(Input::State {
+                        id,
+                        reply: Ok(StateReply::Page(Page {
+                            rows: vec![types()],
+                            more: false,
+                            revision: 1,
+                        })),
+                    }),
+                    _ => {}
+                },
+                _ => {}
+            }
+        }
+    }
+    (sent, answered)
+}
+
+fn types() -> Row {
+    let t = MachineType {
+        name: "t".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: None,
+        boot_s: 5.0,
+        zones: vec!["a".into()],
+    };
+    Row {
+        key: store::TYPES.into(),
+        value: value(&Types { types: vec![t] }),
+        version: 1,
+        lease: None,
+    }
+}
+
+fn submitted() -> (Node, CallId) {
+    let mut config = common::node().config().clone();
+    config.teams.push(Team {
+        name: "t".into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    });
+    let mut node = Node::new(config);
+    step(&mut node, START, Input::Tick);
+    let request = Input::Request {
+        id: RequestId(1),
+        method: "POST".into(),
+        target: JOBS_PATH.into(),
+        body: encode(&JobSpec::plain("req-1", Kind::Batch, 2, 1.0)),
+    };
+    let (sent, answered) = step(&mut node, START, request);
+    assert_eq!((sent.len(), answered.len()), (1, 0));
+    (node, sent[0].0)
+}
+
+fn reply(
+    node: &mut Node,
+    at: Micros,
+    id: CallId,
+    reply: Result<StateReply, CallError>,
+) -> Vec<u16> {
+    step(node, at, Input::State { id, reply }).1
+}
+
+#[test]
+fn a_slow_submission_is_sent_a_second_time_and_answered_once() {
+    let (mut node, first) = submitted();
+    let soon = START + 50 * MILLISECOND;
+    assert!(step(&mut node, soon, Input::Tick).0.is_empty());
+    let (sent, _) = step(&mut node, soon + 50 * MILLISECOND, Input::Tick);
+    let [(second, txn)] = &sent[..] else {
+        panic!("{sent:?}");
+    };
+    assert!(txn.then.len() == 1 && *second != first);
+    // Once is enough.
+    let later = soon + 100 * MILLISECOND;
+    assert!(step(&mut node, later, Input::Tick).0.is_empty());
+    let done = Ok(StateReply::Committed { revision: 2 });
+    assert_eq!(reply(&mut node, later, *second, done), [201]);
+    let conflict = Ok(StateReply::Conflict {
+        failed: vec![store::open_key("req-1")],
+        revision: 2,
+    });
+    assert_eq!(reply(&mut node, later, first, conflict), [0; 0]);
+}
+
+/// That one of two has failed is no answer while the other may have one.
+#[test]
+fn a_second_try_that_fails_says_nothing() {
+    let (mut node, first) = submitted();
+    let at = START + 100 * MILLISECOND;
+    let (sent, _) = step(&mut node, at, Input::Tick);
+    assert_eq!(
+        reply(&mut node, at, sent[0].0, Ok(StateReply::TooMany)),
+        [0; 0]
+    );
+    let done = Ok(StateReply::Committed { revision: 2 });
+    assert_eq!(reply(&mut node, at, first, done), [201]);
+}
