The leader's changes are paced; what is turned away is logged at debug

Change: a leader makes up to 0.85 of the changes there are, saving up 0.6 s of them; the larger rate until a 429, the lower announced one after.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -143,6 +143,8 @@
     pub state_write_rps: f64,
     pub value_bytes: usize,
     pub txn_ops: usize,
+    /// Changes a second until the limits fall.
+    pub state_write_rps_before: f64,
     /// What a value may take until the limits fall: chunks of that size are on record.
     pub value_bytes_before: usize,
     /// Tasks of a newly submitted job in one chunk.
@@ -183,6 +185,7 @@
             state_write_rps: next.write_rps.unwrap_or(f64::MAX).min(c.state.write_rps),
             value_bytes,
             txn_ops: next.txn_ops.unwrap_or(u32::MAX).min(c.state.txn_ops) as usize,
+            state_write_rps_before: c.state.write_rps,
             value_bytes_before: bytes(c.state.value_kb),
             chunk_tasks: chunk_tasks(value_bytes),
             cloud_rps: c.cloud.rps,
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -27,7 +27,7 @@
 use crate::desk::{Desk, Errand, Rental};
 use crate::graph::Graph;
 use crate::learned::Inherited;
-use crate::ledger::{Batch, Item, Ledger};
+use crate::ledger::{Batch, Item, Ledger, Pace};
 use crate::sched::plan::{Market, Refusals, plan};
 use crate::sched::yields::{Victim, make_room};
 use crate::sched::{self, Floor, JobView, Line, MachineView, Place, Room, Shape, TeamView};
@@ -294,6 +294,7 @@
     pushes: Pushes,
     gone: HashMap<String, Micros>,
     ledger: Ledger,
+    pace: Pace,
     /// What a value may take, as far as is known: less once the state service has
     /// refused one.
     value_bytes: usize,
@@ -372,6 +373,7 @@
             pushes: Pushes::new(ctx.config.max_orders),
             gone: HashMap::new(),
             ledger: Ledger::default(),
+            pace: Pace::new(ctx.config.state_write_rps_before),
             value_bytes: ctx.config.value_bytes_before,
             desk: Desk::new(ctx.config.cloud_rps, now),
             refusals: Refusals::default(),
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -36,6 +36,7 @@
         if self.ledger.is_idle() {
             return;
         }
+        let room = self.pace.room(ctx.now.steady).min(ctx.config.txn_ops);
         let mut batch = Batch {
             txn: Txn::default().compare(store::TERM, self.term_version),
             items: Vec::new(),
@@ -44,10 +45,7 @@
         };
         let most = self.ledger.most.unwrap_or(usize::MAX);
         let (mut bytes, mut cancels) = (0, 0);
-        while batch.txn.then.len() + 3 <= ctx.config.txn_ops
-            && bytes < BATCH_BYTES
-            && batch.items.len() < most
-        {
+        while batch.txn.then.len() + 3 <= room && bytes < BATCH_BYTES && batch.items.len() < most {
             let next = self.ledger.pop(batch.items.len(), cancels);
             let Some(item) = next.or_else(|| self.ledger.pop_later()) else {
                 break;
@@ -74,6 +72,7 @@
         if batch.items.is_empty() {
             return;
         }
+        self.pace.take(batch.txn.then.len());
         let call = StateCall::Txn(batch.txn.clone());
         self.ledger.batch = Some(batch);
         let waiter = self.waiter(Step::Ledger);
@@ -212,6 +211,10 @@
                 self.notes.push(Note::Outdated);
             }
             other => {
+                if matches!(other, Ok(StateReply::TooMany)) {
+                    // Perhaps by the lower limit, which nobody tells of.
+                    self.pace.limit(ctx.config.state_write_rps);
+                }
                 batch.uncertain |= other.is_err();
                 self.ledger.batch = Some(batch);
                 self.ledger.resend_at = Some(ctx.now.steady + RETRY);
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -76,6 +76,49 @@
     }
 }
 
+/// How many changes a leader makes: as many as the state service takes, less what users'
+/// submissions need. Whoever went by refusals alone took all that there was, and what
+/// was refused were submissions.
+#[derive(Debug)]
+pub struct Pace {
+    per_s: f64,
+    left: f64,
+    at: crate::Micros,
+}
+
+impl Pace {
+    /// A leader's part of the changes that the state service takes.
+    const PART: f64 = 0.85;
+    /// For how much of a second it may save up.
+    const SAVED: f64 = 0.6;
+
+    pub fn new(write_rps: f64) -> Pace {
+        Pace {
+            per_s: write_rps * Pace::PART,
+            left: 0.0,
+            at: 0,
+        }
+    }
+
+    /// From now on so many a second are taken at most.
+    pub fn limit(&mut self, write_rps: f64) {
+        self.per_s = self.per_s.min(write_rps * Pace::PART);
+    }
+
+    /// How many changes may be made now.
+    pub fn room(&mut self, now: crate::Micros) -> usize {
+        let grown = crate::seconds(now.saturating_sub(self.at)) * self.per_s;
+        let most = (self.per_s * Pace::SAVED).max(4.0);
+        self.left = (self.left + grown).min(most);
+        self.at = now;
+        self.left as usize
+    }
+
+    pub fn take(&mut self, changes: usize) {
+        self.left -= changes as f64;
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct Ledger {
     queue: VecDeque<Item>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -182,6 +182,7 @@
 
     /// "Not now": said at once, with the time to come back.
     pub fn later(error: &str) -> Self {
+        log::debug!("turned away: {error}");
         Answer {
             retry_after: Some(1),
             ..Answer::refusal(503, error)
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -252,6 +252,7 @@
         state_write_rps: setting.state_write_rps,
         value_bytes: 16 * 1024,
         value_bytes_before: 16 * 1024,
+        state_write_rps_before: setting.state_write_rps,
         chunk_tasks: dillcleat_core::config::chunk_tasks(16 * 1024),
         txn_ops: 48,
         cloud_rps: 4.0,
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -382,6 +382,7 @@
         state_write_rps: 80.0,
         value_bytes: 2048,
         value_bytes_before: 2048,
+        state_write_rps_before: 80.0,
         // Few, so that most arrays have several.
         chunk_tasks: 25,
         txn_ops: 12,
