A submission that finds its own earlier try is answered without another look

Cause: a second try that finds the first carried out read the description and compared the mark, three calls in a row: past 200 ms where the first was slow. Change: a transaction that fails on the description alone proves that the job is open, with no mark, as of now.

--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -164,6 +164,18 @@
                 };
                 ctx.answer(request, Answer::body(201, &status));
             }
+            // It is described and has no mark, as of now: open, and nobody can have been
+            // told of an end. To read both again took a slow submission past 200 ms.
+            Ok(StateReply::Conflict { failed, .. }) if failed == [store::open_key(&id)] => {
+                self.under_way -= 1;
+                log::info!("{id} is known already, perhaps by an earlier try");
+                let mark = JobMark {
+                    s: Mark::Open,
+                    n: job.spec.tasks,
+                };
+                let status = self.status(&id, mark);
+                ctx.answer(request, Answer::body(200, &status));
+            }
             // It exists, perhaps by an earlier try of ours whose answer was lost.
             Ok(StateReply::Conflict { .. }) => {
                 self.under_way -= 1;
--- a/crates/core/tests/slow.rs
+++ b/crates/core/tests/slow.rs
@@ -118,6 +118,44 @@
     assert_eq!(reply(&mut node, later, first, conflict), [0; 0]);
 }
 
+/// The first try was carried out and its answer is slow: that there is a description and
+/// no mark says that the job is open, without another look.
+#[test]
+fn the_second_try_may_find_the_first_carried_out() {
+    let (mut node, first) = submitted();
+    let at = START + 100 * MILLISECOND;
+    let (sent, _) = step(&mut node, at, Input::Tick);
+    let conflict = |keys: &[String]| {
+        Ok(StateReply::Conflict {
+            failed: keys.to_vec(),
+            revision: 2,
+        })
+    };
+    let open = store::open_key("req-1");
+    assert_eq!(
+        reply(
+            &mut node,
+            at,
+            sent[0].0,
+            conflict(std::slice::from_ref(&open))
+        ),
+        [200]
+    );
+    assert_eq!(
+        reply(
+            &mut node,
+            at,
+            first,
+            Ok(StateReply::Committed { revision: 2 })
+        ),
+        [0; 0]
+    );
+    // With a mark it may have ended: that is read.
+    let (mut node, first) = submitted();
+    let ended = [store::job_key("req-1"), open];
+    assert_eq!(reply(&mut node, at, first, conflict(&ended)), [0; 0]);
+}
+
 /// That one of two has failed is no answer while the other may have one.
 #[test]
 fn a_second_try_that_fails_says_nothing() {
