--- a/crates/rehearsal/tests/awaits.rs
+++ b/crates/rehearsal/tests/awaits.rs
@@ -6,7 +6,7 @@
 use dillcleat_rehearsal::objects::rules_for;
 use dillcleat_rehearsal::state::StateService;
 use dillcleat_rehearsal::world::config;
-use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind, Refusal};
+use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind, Refusal, cancel_path};
 
 fn alone() -> Alone {
     let one = Config {
@@ -109,3 +109,28 @@
     assert_eq!(status, 422);
     assert!(why.contains("req-8, a service"), "{why}");
 }
+
+/// One comes to wait for a job whose cancellation, which follows from another, is just
+/// being written: it was once called open for ever.
+#[test]
+fn who_comes_while_a_cancellation_goes_down_the_line() {
+    let mut a = alone();
+    assert_eq!(submit(&mut a, &spec("req-1", Kind::Batch, &[])).0, 201);
+    assert_eq!(submit(&mut a, &spec("req-2", Kind::Batch, &["req-1"])).0, 201);
+    let cancel = Input::Request {
+        id: RequestId(7),
+        method: "POST".into(),
+        target: cancel_path("req-1"),
+        body: Vec::new(),
+    };
+    a.at(a.now, Ev::Input(cancel));
+    assert_eq!(submit(&mut a, &spec("req-3", Kind::Batch, &["req-2"])).0, 201);
+    // And one after all is over.
+    assert_eq!(submit(&mut a, &spec("req-4", Kind::Batch, &["req-3"])).0, 201);
+    a.until(a.now + 5 * SECOND);
+    for id in ["req-1", "req-2", "req-3", "req-4"] {
+        let mark = a.state.read::<JobMark>(&store::job_key(id));
+        assert_eq!(mark.map(|(mark, _)| mark.s), Some(Mark::Cancelled), "{id}");
+    }
+    assert_eq!(a.state.keys(store::QUEUE), [""; 0]);
+}
