--- /dev/null
+++ b/crates/core/tests/limits_fall.rs
@@ -0,0 +1,233 @@
+//! The state service lowers its limits while a leader writes a job that the version
+//! before has admitted.
+
+mod common;
+
+use dillcleat_core::store::{self, OpenJob, Span, Types, parse_tasks_key};
+use dillcleat_core::{CallError, Input, MILLISECOND, Micros, Node, Now, Output, SECOND};
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::decode;
+use dillcleat_wire::platform::Team;
+use dillcleat_wire::state::{Change, Page, Row, StateCall, StateReply, Txn, json_size, value};
+use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::worker::{Command, ReportAnswer};
+use std::collections::BTreeSet;
+
+const TASKS: u32 = 150;
+const LOW: usize = 2048;
+
+fn row<T: serde::Serialize>(key: String, record: &T) -> Row {
+    Row {
+        key,
+        value: value(record),
+        version: 1,
+        lease: None,
+    }
+}
+
+/// A node that leads, with a job whose tasks fit the one machine that there is.
+struct Led {
+    node: Node,
+    at: Micros,
+    /// What the state service answers to the leader's batches, one after the other,
+    /// then that they are committed; and to a look at a chunk.
+    answers: Vec<Result<StateReply, CallError>>,
+    chunk: StateReply,
+    batches: Vec<Txn>,
+    looks: usize,
+    launched: BTreeSet<String>,
+}
+
+impl Led {
+    fn new(answers: Vec<Result<StateReply, CallError>>, chunk: StateReply) -> Led {
+        let mut config = common::node().config().clone();
+        config.teams.push(Team {
+            name: "t".into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus: 0.0,
+            gpus_max: 0.0,
+        });
+        (config.value_bytes, config.txn_ops) = (LOW, 16);
+        let mut led = Led {
+            node: Node::new(config),
+            at: 1000 * SECOND,
+            answers,
+            chunk,
+            batches: Vec::new(),
+            looks: 0,
+            launched: BTreeSet::new(),
+        };
+        // Reports come every two seconds, ticks twenty times in one.
+        for n in 0..100 {
+            if n % 40 == 0 {
+                led.take(common::report("m", "a", n + 1));
+            }
+            led.take(Input::Tick);
+            led.at += 50 * MILLISECOND;
+        }
+        led
+    }
+
+    fn launches(&mut self, commands: &[Command]) {
+        for command in commands {
+            if let Command::Start { task, .. } = command {
+                self.launched.insert(task.to_string());
+            }
+        }
+    }
+
+    fn rows(prefix: &str) -> Vec<Row> {
+        let machine_type = MachineType {
+            name: "t".into(),
+            cpus: 64.0,
+            gpus: 0.0,
+            memory_gb: 512.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: None,
+            boot_s: 5.0,
+            zones: vec!["a".into()],
+        };
+        let job = OpenJob {
+            spec: JobSpec {
+                spot: false,
+                ..JobSpec::plain("req-1", Kind::Batch, TASKS, 0.25)
+            },
+            at: 1,
+            chunk: 204,
+            unmarked: true,
+            at_most: None,
+        };
+        match prefix {
+            store::SHARED => vec![row(
+                store::TYPES.into(),
+                &Types {
+                    types: vec![machine_type],
+                },
+            )],
+            store::MACHINES => vec![common::recorded("m", "a")],
+            store::QUEUE => vec![row(store::open_key("req-1"), &job)],
+            _ => Vec::new(),
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = Now {
+            steady: self.at,
+            wall: self.at,
+        };
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in self.node.handle(now, input) {
+                let (id, call) = match output {
+                    Output::State { id, call, .. } => (id, call),
+                    Output::Orders { orders, .. } => {
+                        self.launches(&orders.commands);
+                        continue;
+                    }
+                    Output::Answer { answer, .. } => {
+                        if let Ok(answer) = decode::<ReportAnswer>(&answer.body) {
+                            self.launches(&answer.commands);
+                        }
+                        continue;
+                    }
+                    _ => continue,
+                };
+                let reply = match call {
+                    StateCall::Watch { .. } => continue,
+                    StateCall::List { prefix, .. } => Ok(StateReply::Page(Page {
+                        rows: Led::rows(&prefix),
+                        more: false,
+                        revision: 1,
+                    })),
+                    StateCall::NewLease { .. } => Ok(StateReply::Lease { lease: 1 }),
+                    StateCall::Get { .. } => {
+                        self.looks += 1;
+                        Ok(self.chunk.clone())
+                    }
+                    StateCall::Txn(txn) if txn.then.iter().any(is_tasks) => {
+                        self.batches.push(txn);
+                        match self.answers.is_empty() {
+                            true => Ok(StateReply::Committed { revision: 9 }),
+                            false => self.answers.remove(0),
+                        }
+                    }
+                    StateCall::Txn(_) => Ok(StateReply::Committed { revision: 2 }),
+                    _ => Ok(StateReply::Extended),
+                };
+                inputs.push(Input::State { id, reply });
+            }
+        }
+    }
+}
+
+fn is_tasks(change: &Change) -> bool {
+    matches!(change, Change::Put { key, .. } if key.starts_with(store::TASKS))
+}
+
+fn refused() -> Result<StateReply, CallError> {
+    Ok(StateReply::Malformed)
+}
+
+/// Every task is launched, from records that fit, in the term in which it began.
+fn goes_on(led: &Led) {
+    assert_eq!(led.node.leading(), Some(1));
+    assert_eq!(led.launched.len(), TASKS as usize);
+    let mut covered = 0;
+    for change in led.batches.iter().skip(1).flat_map(|txn| &txn.then) {
+        if let Change::Put { key, value, .. } = change
+            && let Some((_, Span::Part { from, to, .. })) = parse_tasks_key(key)
+        {
+            assert!(json_size(value) <= LOW, "{key}");
+            covered += to - from + 1;
+        }
+    }
+    assert!(covered >= TASKS, "{covered}");
+}
+
+#[test]
+fn a_chunk_that_does_not_fit_any_more_is_written_in_parts() {
+    let led = Led::new(vec![refused()], StateReply::Absent { revision: 3 });
+    assert_eq!(led.looks, 0);
+    goes_on(&led);
+}
+
+/// An earlier try had no answer and was not carried out.
+#[test]
+fn a_try_without_an_answer_is_looked_for() {
+    let lost = Err(CallError::NoAnswer);
+    let led = Led::new(vec![lost, refused()], StateReply::Absent { revision: 3 });
+    assert_eq!(led.looks, 1);
+    goes_on(&led);
+}
+
+/// An earlier try had no answer and was carried out: nothing is written again, and the
+/// version that it left is known.
+#[test]
+fn a_try_that_was_carried_out_counts() {
+    let stored = row(
+        store::tasks_key("req-1", Span::Chunk(0)),
+        &store::Chunk::default(),
+    );
+    let found = StateReply::Found(Row {
+        version: 7,
+        ..stored
+    });
+    let led = Led::new(vec![Err(CallError::NoAnswer), refused()], found);
+    assert_eq!((led.looks, led.batches.len()), (1, 2));
+    assert_eq!(
+        (led.node.leading(), led.launched.len()),
+        (Some(1), TASKS as usize)
+    );
+}
+
+/// What is refused whatever its size is given up for a while, not sent again and again.
+#[test]
+fn the_same_bytes_are_not_sent_for_ever() {
+    let refusals = (0..1000).map(|_| refused()).collect();
+    let led = Led::new(refusals, StateReply::Absent { revision: 3 });
+    assert_eq!(led.node.leading(), Some(1));
+    assert!(led.batches.len() < 40, "{} batches", led.batches.len());
+}
--- a/crates/rehearsal/tests/awaits.rs
+++ b/crates/rehearsal/tests/awaits.rs
@@ -116,7 +116,10 @@
 fn who_comes_while_a_cancellation_goes_down_the_line() {
     let mut a = alone();
     assert_eq!(submit(&mut a, &spec("req-1", Kind::Batch, &[])).0, 201);
-    assert_eq!(submit(&mut a, &spec("req-2", Kind::Batch, &["req-1"])).0, 201);
+    assert_eq!(
+        submit(&mut a, &spec("req-2", Kind::Batch, &["req-1"])).0,
+        201
+    );
     let cancel = Input::Request {
         id: RequestId(7),
         method: "POST".into(),
@@ -124,9 +127,15 @@
         body: Vec::new(),
     };
     a.at(a.now, Ev::Input(cancel));
-    assert_eq!(submit(&mut a, &spec("req-3", Kind::Batch, &["req-2"])).0, 201);
+    assert_eq!(
+        submit(&mut a, &spec("req-3", Kind::Batch, &["req-2"])).0,
+        201
+    );
     // And one after all is over.
-    assert_eq!(submit(&mut a, &spec("req-4", Kind::Batch, &["req-3"])).0, 201);
+    assert_eq!(
+        submit(&mut a, &spec("req-4", Kind::Batch, &["req-3"])).0,
+        201
+    );
     a.until(a.now + 5 * SECOND);
     for id in ["req-1", "req-2", "req-3", "req-4"] {
         let mark = a.state.read::<JobMark>(&store::job_key(id));
