--- a/crates/core/src/leader/spans.rs
+++ b/crates/core/src/leader/spans.rs
@@ -149,6 +149,10 @@
                     spans.set_version(Span::Part { chunk, from, to }, 1);
                 }
             }
+            // What has a part is written in parts by whoever loads it.
+            let stored = !spans.stored().is_empty();
+            assert_eq!(spans.is_split(chunk), stored);
+            assert!(!stored || spans.of(all.start) != Span::Chunk(chunk));
             let parts = spans.split(chunk);
             let covered: Vec<u32> = parts.iter().flat_map(|p| spans.range(*p)).collect();
             assert_eq!(covered, all.clone().collect::<Vec<u32>>());
