--- a/crates/rehearsal/examples/grown.rs
+++ b/crates/rehearsal/examples/grown.rs
@@ -68,6 +68,9 @@
         /// The part of a processor that the controller has
         #[arg(long, default_value_t = 0.27)]
         share: f64,
+        /// Jobs that wait for another job
+        #[arg(long, default_value_t = 0)]
+        held: u32,
         #[command(flatten)]
         common: Common,
     },
@@ -297,9 +300,11 @@
             rps,
             write_rps,
             share,
+            held,
             common,
         } => {
             let setting = Setting {
+                held,
                 state_rps: rps,
                 state_write_rps: write_rps,
                 cpu_share: Some(share),
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -53,6 +53,8 @@
     pub slots: u32,
     /// Tasks that wait for room, about.
     pub waiting: u32,
+    /// Jobs that wait for another, which runs on.
+    pub held: u32,
     /// Mean run time of an array's task.
     pub run: Micros,
     /// Time before anything is measured, and while it is.
@@ -77,6 +79,7 @@
             machines,
             slots: 10,
             waiting: machines * 10,
+            held: 0,
             run: 100 * SECOND,
             warm_up: 10 * SECOND,
             measured: 20 * SECOND,
@@ -357,6 +360,15 @@
             waiting += spec.tasks;
             self.record(&spec);
         }
+        // The first that was seated is a service's: it does not end.
+        let root = format!("req-{:06}", 1);
+        for _ in 0..self.setting.held {
+            let spec = JobSpec {
+                awaits: vec![root.clone()],
+                ..self.spec(Kind::Batch)
+            };
+            self.record(&spec);
+        }
         for i in 0..self.setting.machines {
             let first = self.now + self.rng.u64(..REPORT);
             self.workers[i as usize].report_at = first;
--- a/crates/rehearsal/tests/awaits.rs
+++ b/crates/rehearsal/tests/awaits.rs
@@ -143,3 +143,34 @@
     }
     assert_eq!(a.state.keys(store::QUEUE), [""; 0]);
 }
+
+/// A dependency that is neither open nor marked, as a leader sees one whose description
+/// it has yet to be told of: that proves nothing, and its mark is looked for again.
+#[test]
+fn what_is_not_there_is_not_over() {
+    let one = Config {
+        siblings: Vec::new(),
+        far_siblings: Vec::new(),
+        ..config(0, 1, 1)
+    };
+    let mut state = StateService::new(one.value_bytes, one.txn_ops);
+    let open = store::OpenJob {
+        spec: spec("req-8", Kind::Batch, &["req-77"]),
+        at: 1,
+        chunk: 8,
+        unmarked: true,
+        at_most: None,
+    };
+    state.put(store::open_key("req-8"), &open);
+    let mut a = Alone::new(one, rules_for(10, 1), state);
+    a.until(10 * SECOND);
+    assert!(a.state.read::<JobMark>(&store::job_key("req-8")).is_none());
+    let mark = JobMark {
+        s: Mark::Cancelled,
+        n: 1,
+    };
+    a.state.put(store::job_key("req-77"), &mark);
+    a.until(15 * SECOND);
+    let mark = a.state.read::<JobMark>(&store::job_key("req-8"));
+    assert_eq!(mark.map(|(mark, _)| mark.s), Some(Mark::Cancelled));
+}
