--- a/crates/core/src/admission/names.rs
+++ b/crates/core/src/admission/names.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// Reads a name's mark, or its description.
+fn read(ctx: &mut Ctx, naming: u64, name: String, mark: bool) {
+    let key = match mark {
+        true => store::job_key(&name),
+        false => store::open_key(&name),
+    };
+    let step = Step::Name { naming, name, mark };
+    ctx.state_soon(StateCall::Get { key }, Waiter::Admission(step));
+}
+
 const NEVER: &str = "which was never accepted";
 
 impl Admission {
@@ -81,13 +91,7 @@
         let naming_no = self.last_naming;
         self.namings.insert(naming_no, naming);
         for name in unseen {
-            let key = store::open_key(&name);
-            let step = Step::Name {
-                naming: naming_no,
-                name,
-                mark: false,
-            };
-            ctx.state_soon(StateCall::Get { key }, Waiter::Admission(step));
+            read(ctx, naming_no, name, false);
         }
     }
 
@@ -112,14 +116,7 @@
         if matches!(reply, Ok(StateReply::Absent { .. })) && !mark {
             // It has ended, or never was.
             self.calls.charge(1.0, ctx.now.steady);
-            let key = store::job_key(&name);
-            let step = Step::Name {
-                naming: naming_no,
-                name,
-                mark: true,
-            };
-            ctx.state_soon(StateCall::Get { key }, Waiter::Admission(step));
-            return;
+            return read(ctx, naming_no, name, true);
         }
         self.under_way -= 1;
         let Some(mut naming) = self.namings.remove(&naming_no) else {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -3,13 +3,13 @@
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
-use dillcleat_core::store::{self, MachineRecord};
+use dillcleat_core::store::{self, MachineRecord, Types};
 use dillcleat_core::{
     CallError, CallId, Config, Input, Micros, Node, Now, Output, RequestId, Tuning,
 };
-use dillcleat_wire::cloud::{CloudCall, CloudReply, MachineList};
+use dillcleat_wire::cloud::{CloudCall, CloudReply, MachineList, MachineType};
 use dillcleat_wire::encode;
-use dillcleat_wire::platform::Platform;
+use dillcleat_wire::platform::{Platform, Team};
 use dillcleat_wire::state::{Page, Row, StateCall, StateReply, value};
 use dillcleat_wire::worker::{REPORT_PATH, Report};
 
@@ -52,6 +52,41 @@
     Node::new(Config::new(&platform, Tuning::default()))
 }
 
+/// The settings of `node` with a team `t` without a limit.
+pub fn config_with_team() -> Config {
+    let mut config = node().config().clone();
+    config.teams.push(Team {
+        name: "t".into(),
+        cpus: 0.0,
+        cpus_max: 0.0,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    });
+    config
+}
+
+/// The record of a machine type `t` in zone a with so many CPUs.
+pub fn types(cpus: f64) -> Row {
+    let t = MachineType {
+        name: "t".into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: cpus * 8.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: None,
+        boot_s: 5.0,
+        zones: vec!["a".into()],
+    };
+    Row {
+        key: store::TYPES.into(),
+        value: value(&Types { types: vec![t] }),
+        version: 1,
+        lease: None,
+    }
+}
+
 /// The same with a sibling in zone b and one in zone c.
 pub fn node_of_three_zones() -> Node {
     let text = include_str!("../../../../deploy/example-node.toml");
--- a/crates/core/tests/limits_fall.rs
+++ b/crates/core/tests/limits_fall.rs
@@ -3,11 +3,9 @@
 
 mod common;
 
-use dillcleat_core::store::{self, OpenJob, Span, Types, parse_tasks_key};
+use dillcleat_core::store::{self, OpenJob, Span, parse_tasks_key};
 use dillcleat_core::{CallError, Input, MILLISECOND, Micros, Node, Now, Output, SECOND};
-use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::decode;
-use dillcleat_wire::platform::Team;
 use dillcleat_wire::state::{Change, Page, Row, StateCall, StateReply, Txn, json_size, value};
 use dillcleat_wire::user::{JobSpec, Kind};
 use dillcleat_wire::worker::{Command, ReportAnswer};
@@ -40,14 +38,7 @@
 
 impl Led {
     fn new(answers: Vec<Result<StateReply, CallError>>, chunk: StateReply) -> Led {
-        let mut config = common::node().config().clone();
-        config.teams.push(Team {
-            name: "t".into(),
-            cpus: 0.0,
-            cpus_max: 0.0,
-            gpus: 0.0,
-            gpus_max: 0.0,
-        });
+        let mut config = common::config_with_team();
         (config.value_bytes, config.txn_ops) = (LOW, 16);
         let mut led = Led {
             node: Node::new(config),
@@ -78,18 +69,6 @@
     }
 
     fn rows(prefix: &str) -> Vec<Row> {
-        let machine_type = MachineType {
-            name: "t".into(),
-            cpus: 64.0,
-            gpus: 0.0,
-            memory_gb: 512.0,
-            cache_gb: 50.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: None,
-            boot_s: 5.0,
-            zones: vec!["a".into()],
-        };
         let job = OpenJob {
             spec: JobSpec {
                 spot: false,
@@ -101,12 +80,7 @@
             at_most: None,
         };
         match prefix {
-            store::SHARED => vec![row(
-                store::TYPES.into(),
-                &Types {
-                    types: vec![machine_type],
-                },
-            )],
+            store::SHARED => vec![common::types(64.0)],
             store::MACHINES => vec![common::recorded("m", "a")],
             store::QUEUE => vec![row(store::open_key("req-1"), &job)],
             _ => Vec::new(),
--- a/crates/core/tests/slow.rs
+++ b/crates/core/tests/slow.rs
@@ -3,12 +3,10 @@
 mod common;
 
 use dillcleat_core::SECOND;
-use dillcleat_core::store::{self, Types};
+use dillcleat_core::store;
 use dillcleat_core::{CallError, CallId, Input, MILLISECOND, Micros, Node, Now, Output, RequestId};
-use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::encode;
-use dillcleat_wire::platform::Team;
-use dillcleat_wire::state::{Page, Row, StateCall, StateReply, Txn, value};
+use dillcleat_wire::state::{Page, StateCall, StateReply, Txn};
 use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind};
 
 const START: Micros = 1000 * SECOND;
@@ -30,7 +28,7 @@
                     StateCall::List { .. } => inputs.push(Input::State {
                         id,
                         reply: Ok(StateReply::Page(Page {
-                            rows: vec![types()],
+                            rows: vec![common::types(8.0)],
                             more: false,
                             revision: 1,
                         })),
@@ -44,37 +42,8 @@
     (sent, answered)
 }
 
-fn types() -> Row {
-    let t = MachineType {
-        name: "t".into(),
-        cpus: 8.0,
-        gpus: 0.0,
-        memory_gb: 32.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 1.0,
-        price: 1.0,
-        spot_price: None,
-        boot_s: 5.0,
-        zones: vec!["a".into()],
-    };
-    Row {
-        key: store::TYPES.into(),
-        value: value(&Types { types: vec![t] }),
-        version: 1,
-        lease: None,
-    }
-}
-
 fn submitted() -> (Node, CallId) {
-    let mut config = common::node().config().clone();
-    config.teams.push(Team {
-        name: "t".into(),
-        cpus: 0.0,
-        cpus_max: 0.0,
-        gpus: 0.0,
-        gpus_max: 0.0,
-    });
-    let mut node = Node::new(config);
+    let mut node = Node::new(common::config_with_team());
     step(&mut node, START, Input::Tick);
     let request = Input::Request {
         id: RequestId(1),
