What grows at a rate is counted in one place; what jobs inherit is worked out once at a load

Need: five counters of what may be taken of a rate were written out one by one, and a new leader that reads a thousand jobs that wait for one went over those that it had read at each of them.

Change: `bucket.rs` serves users' budget, second calls, proofs, pace and what can wait. What a job has of those that wait for it is worked out when all are read. The check whether a deadline is worth money stands once.

--- a/crates/core/src/admission/names.rs
+++ b/crates/core/src/admission/names.rs
@@ -105,11 +105,10 @@
         reply: Result<StateReply, CallError>,
     ) {
         let known = match &reply {
-            Ok(StateReply::Found(row)) if mark => row.read::<JobMark>().map(|mark| Known {
-                mark,
-                version: row.version,
-                service: false,
-            }),
+            Ok(StateReply::Found(row)) if mark => {
+                let mark = row.read::<JobMark>();
+                mark.map(|mark| Known::marked(mark, row.version))
+            }
             Ok(StateReply::Found(row)) => row.read::<OpenJob>().map(|job| Known::open(&job, row)),
             _ => None,
         };
--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -108,11 +108,7 @@
         match reply {
             Ok(StateReply::Found(row)) => match row.read::<JobMark>() {
                 Some(mark) => {
-                    let known = Known {
-                        mark,
-                        version: row.version,
-                        service: false,
-                    };
+                    let known = Known::marked(mark, row.version);
                     self.cache.put(id, known);
                     self.settle(ctx, id, Some(known), ask);
                 }
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,5 +1,6 @@
 //! What users' requests may take of the state service.
 
+use crate::bucket::Bucket;
 use crate::waiters::Ask;
 use crate::{Config, Micros};
 
@@ -10,8 +11,7 @@
     /// What the users' requests of all nodes together may take.
     all_per_s: f64,
     per_s: f64,
-    left: f64,
-    at: Micros,
+    saved: Bucket,
 }
 
 /// Whom a call is for: what is turned away first.
@@ -47,8 +47,7 @@
         Budget {
             all_per_s,
             per_s,
-            left: per_s,
-            at: 0,
+            saved: Bucket::of(per_s),
         }
     }
 
@@ -58,22 +57,20 @@
     }
 
     fn refill(&mut self, now: Micros) {
-        let grown = crate::seconds(now.saturating_sub(self.at)) * self.per_s;
-        self.left = (self.left + grown).min(self.per_s.max(2.0));
-        self.at = now;
+        self.saved.grow(now, self.per_s, self.per_s.max(2.0));
     }
 
     /// Takes `n`, be it from what comes next: for what has begun.
     pub fn charge(&mut self, n: f64, now: Micros) {
         self.refill(now);
-        self.left -= n;
+        self.saved.left -= n;
     }
 
     /// Takes `n` if there is as much.
     pub fn take(&mut self, n: f64, need: Need, now: Micros) -> bool {
         let has = self.has(n, need, now);
         if has {
-            self.left -= n;
+            self.saved.left -= n;
         }
         has
     }
@@ -86,6 +83,6 @@
             Need::Poll => self.per_s / 2.0,
             Need::End => -self.per_s / 4.0,
         };
-        self.left >= n + kept.min(self.per_s - n)
+        self.saved.left >= n + kept.min(self.per_s - n)
     }
 }
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -1,5 +1,6 @@
 //! Requests of this node that wait for their answers, and who waits.
 
+use crate::bucket::Bucket;
 use crate::waiters::Waiter;
 use crate::warrant::Leave;
 use crate::{MILLISECOND, Micros, Now, Output, SECOND};
@@ -61,8 +62,8 @@
     waiting: HashMap<CallId, Waiting>,
     /// Calls that are made a second time if they are slow, in the order of their times.
     urgent: VecDeque<(Micros, CallId, StateCall)>,
-    /// Second calls that may be made now, and since when that has grown.
-    allowed: (f64, Micros),
+    /// Second calls that may be made now.
+    allowed: Bucket,
 }
 
 impl Calls {
@@ -96,17 +97,20 @@
     /// The calls to be made a second time now.
     fn slow(&mut self, config: &crate::Config, now: Micros) -> Vec<(CallId, StateCall)> {
         let per_s = config.state_rps * SECOND_PART;
-        let grown = crate::seconds(now.saturating_sub(self.allowed.1)) * per_s;
-        self.allowed = ((self.allowed.0 + grown).min(per_s.max(1.0)), now);
+        self.allowed.grow(now, per_s, per_s.max(1.0));
         let mut again = Vec::new();
         while self.urgent.front().is_some_and(|(at, ..)| now >= *at) {
             let Some((_, id, call)) = self.urgent.pop_front() else {
                 break;
             };
-            let Some(first) = self.waiting.get_mut(&id).filter(|_| self.allowed.0 >= 1.0) else {
+            let Some(first) = self
+                .waiting
+                .get_mut(&id)
+                .filter(|_| self.allowed.left >= 1.0)
+            else {
                 continue;
             };
-            self.allowed.0 -= 1.0;
+            self.allowed.left -= 1.0;
             self.next += 1;
             let twin = CallId(self.next);
             first.twin = Some(twin);
--- a/crates/core/src/known.rs
+++ b/crates/core/src/known.rs
@@ -28,14 +28,19 @@
         }
     }
 
-    /// Its end is in the store.
-    pub fn ended(mark: JobMark) -> Known {
+    /// As its mark tells of it, of this version.
+    pub fn marked(mark: JobMark, version: u64) -> Known {
         Known {
             mark,
-            version: 0,
+            version,
             service: false,
         }
     }
+
+    /// Its end is in the store.
+    pub fn ended(mark: JobMark) -> Known {
+        Known::marked(mark, 0)
+    }
 }
 
 /// Jobs whose record this node has seen. Bounded; the oldest are forgotten
--- a/crates/core/src/leader/late.rs
+++ b/crates/core/src/leader/late.rs
@@ -2,6 +2,7 @@
 
 use super::index::Sums;
 use super::*;
+use crate::config::DeadlineAim;
 
 /// What is known of the work that is served before a job, as a plan goes over
 /// the jobs in the order in which they will be served.
@@ -49,6 +50,15 @@
     }
 }
 
+/// A job's deadline and what users expect of its class, where money is spent on it.
+pub(super) fn strict_deadline<'a>(config: &'a Config, job: &Job) -> Option<(f64, &'a DeadlineAim)> {
+    let due = job.spec.deadline_s?;
+    let aim = config.aim(&job.spec.class)?;
+    // Where users put up with a few misses, the money is worth more to them:
+    // paying for each cost rosterwise-nz a fifth more (0.803 to 0.765).
+    (aim.share >= config.tuning.late_share).then_some((due, aim))
+}
+
 impl Leader {
     /// The time within which the job's tasks must start, in seconds; None if
     /// no money is spent on it, be it that it has no deadline, that its class
@@ -56,29 +66,25 @@
     /// late. A job that cannot meet its deadline any more is counted against
     /// the last time at which its end is of use.
     fn slack(&self, ctx: &Ctx, job: &Job, run: f64) -> Option<f64> {
-        if let Some(due) = &job.due {
-            // What waits for it sets when it has to end.
-            let left = seconds(due.at.saturating_sub(ctx.now.wall));
-            let takes = run + ctx.config.tuning.fetch_s;
-            let in_time = left >= self.soonest_boot() + takes;
-            return in_time.then_some(left - takes * ctx.config.tuning.late_factor);
-        }
-        let due = job.spec.deadline_s?;
-        let aim = ctx.config.aim(&job.spec.class)?;
-        // Where users put up with a few misses, the money is worth more to them:
-        // paying for each cost rosterwise-nz a fifth more (0.803 to 0.765).
-        if aim.share < ctx.config.tuning.late_share {
-            return None;
-        }
-        let age = seconds(ctx.now.wall.saturating_sub(job.submitted));
         let takes = run + ctx.config.tuning.fetch_s;
-        let left = [due, due * aim.times]
-            .into_iter()
-            .map(|end| end - age)
-            .find(|left| *left >= self.soonest_boot() + takes)?;
+        let ends = match job.due {
+            // What waits for it sets when it has to end.
+            Some(at) => [seconds(at.saturating_sub(ctx.now.wall)); 2],
+            None => self.own_ends(ctx, job)?,
+        };
+        let boot = self.soonest_boot();
+        let left = ends.into_iter().find(|left| *left >= boot + takes)?;
         Some(left - takes * ctx.config.tuning.late_factor)
     }
 
+    /// How long it is until the job's deadline, and until the last time at which its end
+    /// is of use; None if no money is spent on it.
+    fn own_ends(&self, ctx: &Ctx, job: &Job) -> Option<[f64; 2]> {
+        let (due, aim) = strict_deadline(ctx.config, job)?;
+        let age = seconds(ctx.now.wall.saturating_sub(job.submitted));
+        Some([due - age, due * aim.times - age])
+    }
+
     /// What a task of the job takes; before its class has run at all, its
     /// owner's estimate is worth more than the first guess.
     pub(super) fn expected_run(&self, config: &Config, job: &Job) -> f64 {
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -115,6 +115,7 @@
         };
         let cancelled = ids(|j| j.cancelled.is_some());
         let done = ids(|j| j.done as usize == j.tasks.len());
+        self.lift_all(ctx);
         for id in cancelled {
             self.stop_job(ctx, &id);
         }
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -21,7 +21,7 @@
 use self::index::Index;
 use self::pushes::Pushes;
 use self::spans::Spans;
-use self::waits::{Due, Proofs};
+use self::waits::Proofs;
 use crate::blame::Record;
 use crate::calls::{CallError, Ctx};
 use crate::desk::{Desk, Errand, Rental};
@@ -120,8 +120,8 @@
     held: bool,
     /// The highest priority of its own and of the jobs that wait for it.
     priority: Priority,
-    /// By when it has to end for the jobs that wait for it.
-    due: Option<Due>,
+    /// By when it has to end for the jobs that wait for it, as the time of day has it.
+    due: Option<Micros>,
     /// The most tasks that may be placed at once.
     at_most: Option<u32>,
     spans: Spans,
--- a/crates/core/src/leader/waits.rs
+++ b/crates/core/src/leader/waits.rs
@@ -1,7 +1,9 @@
 //! Jobs that wait for others: who is ready, whose cancellation follows from another,
 //! and what a job inherits of those that wait for it.
 
+use super::late::strict_deadline;
 use super::*;
+use crate::bucket::Bucket;
 
 /// Marks of dependencies that may be read at once, and the part of the state service's
 /// requests that this may take: a new leader with many waiting jobs reads them beside
@@ -12,21 +14,14 @@
 /// about to be seen open, or its team has gone from the settings.
 const AGAIN: Micros = SECOND;
 
-/// By when a job has to end for those that wait for it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Due {
-    /// As the time of day has it.
-    pub at: Micros,
-}
-
 /// Dependencies whose ends are to be proved by their marks.
 #[derive(Debug, Default)]
 pub(super) struct Proofs {
     /// To be read, each from some time on.
     wanted: BTreeMap<Rc<str>, Micros>,
     under_way: usize,
-    /// Reads that may be made now, and since when that has grown.
-    allowed: (f64, Micros),
+    /// Reads that may be made now.
+    allowed: Bucket,
 }
 
 impl Proofs {
@@ -34,15 +29,13 @@
         if self.wanted.is_empty() || self.under_way >= PROOFS_AT_ONCE {
             return None;
         }
-        let grown = seconds(now.saturating_sub(self.allowed.1)) * per_s;
-        self.allowed = ((self.allowed.0 + grown).min(per_s.max(2.0)), now);
-        if self.allowed.0 < 1.0 {
+        if self.allowed.grow(now, per_s, per_s.max(2.0)) < 1.0 {
             return None;
         }
         let due = self.wanted.iter().find(|(_, at)| now >= **at);
         let id = due.map(|(id, _)| id.clone())?;
         self.wanted.remove(&id);
-        self.allowed.0 -= 1.0;
+        self.allowed.left -= 1.0;
         self.under_way += 1;
         Some(id)
     }
@@ -80,8 +73,22 @@
         if cancelled {
             self.ledger.push(Item::Cancel(id.clone()));
         }
-        self.set_lift(ctx, id);
-        self.raise(ctx, id);
+        // All at once when all are read: one by one, each of a thousand that wait for
+        // one job goes over the others again.
+        if self.stage == Stage::Ready {
+            self.set_lift(ctx, id);
+            self.raise(ctx, id);
+        }
+    }
+
+    /// Gives all jobs that were read what they have of those that wait for them.
+    pub(super) fn lift_all(&mut self, ctx: &Ctx) {
+        let awaited: Vec<Rc<str>> = self.graph.awaited().cloned().collect();
+        for id in awaited {
+            if self.set_lift(ctx, &id) {
+                self.raise(ctx, &id);
+            }
+        }
     }
 
     /// Reads marks of dependencies that are not open here.
@@ -181,7 +188,7 @@
     }
 
     /// What a job has of itself and of those that wait for it.
-    fn lift(&self, ctx: &Ctx, id: &Rc<str>, job: &Job) -> (Priority, Option<Due>) {
+    fn lift(&self, ctx: &Ctx, id: &Rc<str>, job: &Job) -> (Priority, Option<Micros>) {
         let mut lift = (job.spec.priority, None);
         for dependent in self.graph.dependents(id) {
             if let Some(dependent) = self.jobs.get(dependent) {
@@ -195,18 +202,16 @@
     fn lifted_by(
         &self,
         ctx: &Ctx,
-        (priority, due): (Priority, Option<Due>),
+        (priority, due): (Priority, Option<Micros>),
         dependent: &Job,
-    ) -> (Priority, Option<Due>) {
+    ) -> (Priority, Option<Micros>) {
         if dependent.cancelled.is_some() {
             return (priority, due);
         }
         // Its work has to be done after this one, and so on down the longest way.
         let takes = self.expected_run(ctx.config, dependent) + ctx.config.tuning.fetch_s;
         let end = dependent.due.or_else(|| self.own_due(ctx, dependent));
-        let end = end.map(|due| Due {
-            at: due.at.saturating_sub(micros(takes)),
-        });
+        let end = end.map(|due| due.saturating_sub(micros(takes)));
         let due = match (due, end) {
             (Some(a), Some(b)) => Some(a.min(b)),
             (a, b) => a.or(b),
@@ -215,13 +220,9 @@
     }
 
     /// By when a job has to end by its own deadline, where that is worth money.
-    fn own_due(&self, ctx: &Ctx, job: &Job) -> Option<Due> {
-        let due = job.spec.deadline_s?;
-        let aim = ctx.config.aim(&job.spec.class)?;
-        let strict = aim.share >= ctx.config.tuning.late_share;
-        strict.then(|| Due {
-            at: job.submitted.saturating_add(micros(due)),
-        })
+    fn own_due(&self, ctx: &Ctx, job: &Job) -> Option<Micros> {
+        let (due, _) = strict_deadline(ctx.config, job)?;
+        Some(job.submitted.saturating_add(micros(due)))
     }
 
     /// Works a job's lift out anew; true if it has changed.
@@ -285,6 +286,7 @@
                 .max();
             job.stopped || most.is_none_or(|most| job.priority >= most)
         });
+        let lifted = lifted || self.stage == Stage::Loading;
         edges && known && lifted && self.graph.is_sound()
     }
 }
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -6,6 +6,7 @@
 //! elsewhere wins). Records are made from memory when the batch is sent; what
 //! depends on them is done once the batch is acknowledged.
 
+use crate::bucket::Bucket;
 use crate::store::Span;
 use crate::workers::TaskKey;
 use dillcleat_wire::state::Txn;
@@ -82,8 +83,7 @@
 #[derive(Debug)]
 pub struct Pace {
     per_s: f64,
-    left: f64,
-    at: crate::Micros,
+    saved: Bucket,
 }
 
 impl Pace {
@@ -95,8 +95,7 @@
     pub fn new(write_rps: f64) -> Pace {
         Pace {
             per_s: write_rps * Pace::PART,
-            left: 0.0,
-            at: 0,
+            saved: Bucket::default(),
         }
     }
 
@@ -107,15 +106,12 @@
 
     /// How many changes may be made now.
     pub fn room(&mut self, now: crate::Micros) -> usize {
-        let grown = crate::seconds(now.saturating_sub(self.at)) * self.per_s;
         let most = (self.per_s * Pace::SAVED).max(4.0);
-        self.left = (self.left + grown).min(most);
-        self.at = now;
-        self.left as usize
+        self.saved.grow(now, self.per_s, most) as usize
     }
 
     pub fn take(&mut self, changes: usize) {
-        self.left -= changes as f64;
+        self.saved.left -= changes as f64;
     }
 }
 
@@ -133,8 +129,8 @@
     /// The most items in a batch, after a larger one was refused.
     pub most: Option<usize>,
     queued: BTreeSet<Item>,
-    /// What may be written now of what can wait, and since when it has grown.
-    spare: (f64, crate::Micros),
+    /// What may be written now of what can wait.
+    spare: Bucket,
     pub batch: Option<Batch>,
     /// The batch waits to be sent again until then.
     pub resend_at: Option<crate::Micros>,
@@ -194,26 +190,25 @@
     /// What can wait gets a part of the store's writes: a burst of it would
     /// use up the rate that placements and submissions live on.
     pub fn pop_later(&mut self) -> Option<Item> {
-        if self.spare.0 < 1.0 {
+        if self.spare.left < 1.0 {
             return None;
         }
         let item = self.later.pop_front()?;
-        self.spare.0 -= 1.0;
+        self.spare.left -= 1.0;
         self.queued.remove(&item);
         Some(item)
     }
 
     /// Lets what can wait have its part, `per_s` writes a second.
     pub fn refill(&mut self, now: crate::Micros, per_s: f64) {
-        let grown = crate::seconds(now.saturating_sub(self.spare.1)) * per_s;
-        self.spare = ((self.spare.0 + grown).min(per_s.max(1.0)), now);
+        self.spare.grow(now, per_s, per_s.max(1.0));
     }
 
     /// Nothing is to be written now.
     pub fn is_idle(&self) -> bool {
         self.queue.is_empty()
             && self.cancels.is_empty()
-            && (self.later.is_empty() || self.spare.0 < 1.0)
+            && (self.later.is_empty() || self.spare.left < 1.0)
     }
 
     /// Whether a cancellation that follows from another is to be written.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod blame;
+mod bucket;
 pub mod budget;
 pub mod calls;
 pub mod config;
