Who hears no worker lets a sibling that does go first

Change: a node that no worker reaches, and that hears of a sibling which they reach and which did not lead, leaves it the first 0.6 s of an election.

--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -19,6 +19,10 @@
 /// five seconds, and the load balancer left all users to one or two busy nodes
 /// (operations, rosterwise-nz-ops).
 const WATCH_MS: u64 = 1_000;
+/// How long a node that no worker reaches leaves an election to a sibling that they
+/// reach. With two of three nodes cut off from the workers these two once led in turn,
+/// each for as long as it took to notice, until all leases had run out.
+const MAKE_WAY: Micros = 600 * MILLISECOND;
 
 /// A change in who leads, for the node to act upon.
 #[derive(Debug, Clone, PartialEq)]
@@ -54,6 +58,10 @@
     extend_at: Micros,
     /// Not to be elected before: this node could not reach the workers.
     abstain_until: Micros,
+    /// A sibling hears the workers, and this node does not.
+    pub makes_way: bool,
+    /// Since when nobody leads, as far as is known.
+    vacant_since: Option<Micros>,
     /// The lease with which this node is trying to be elected.
     taking: Option<u64>,
     /// When the call was sent by whose answer this node was last proved to lead:
@@ -73,6 +81,8 @@
             types: None,
             extend_at: 0,
             abstain_until: 0,
+            makes_way: false,
+            vacant_since: None,
             taking: None,
             proved: 0,
         }
@@ -128,7 +138,13 @@
 
     /// Tries to be elected if nobody leads.
     fn consider(&mut self, ctx: &mut Ctx) {
-        if self.lead.is_some() || ctx.now.steady < self.abstain_until {
+        let now = ctx.now.steady;
+        if self.lead.is_some() {
+            self.vacant_since = None;
+            return;
+        }
+        let since = *self.vacant_since.get_or_insert(now);
+        if now < self.abstain_until || (self.makes_way && now < since + MAKE_WAY) {
             return;
         }
         self.phase = Phase::Busy;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -37,6 +37,7 @@
 #[derive(Debug)]
 struct Sibling {
     heard: Micros,
+    leads: bool,
     served: bool,
     hears: bool,
     asked: u32,
@@ -172,7 +173,10 @@
         let mut out = Vec::new();
         self.awake(now, &mut out);
         let footing = match input {
-            Input::Tick => self.footing(now),
+            Input::Tick => {
+                self.leadership.makes_way = self.makes_way(now);
+                self.footing(now)
+            }
             _ => Footing::default(),
         };
         let mut ctx = Ctx {
@@ -414,6 +418,18 @@
         now.steady < served + 3 * SECOND || !alone
     }
 
+    /// Whether workers report to this node.
+    fn hears(&self, now: Now) -> bool {
+        now.steady < self.worker_at + 3 * SECOND
+    }
+
+    /// Whether a sibling would make the better leader: workers reach it, and not this
+    /// node. Whoever led until now may be gone, whatever its last word was.
+    fn makes_way(&self, now: Now) -> bool {
+        let better = |s: &Sibling| now.steady < s.heard + FRESH && s.hears && s.served && !s.leads;
+        !self.hears(now) && self.siblings.values().any(better)
+    }
+
     /// A leader that no worker reaches makes way for a sibling that they
     /// reach: their leases run on, and with them everything on the machines.
     fn deaf(&mut self, now: Now, out: &mut Vec<Output>) -> Option<Change> {
@@ -542,7 +558,7 @@
                 term: self.leadership.term(),
                 leads: self.leader.is_some(),
                 served: self.served(now),
-                hears: now.steady < self.worker_at + 3 * SECOND,
+                hears: self.hears(now),
                 asked,
             },
         });
@@ -577,13 +593,14 @@
             Message::Hello { .. } => {}
             Message::Beat {
                 term,
+                leads,
                 served,
                 hears,
                 asked,
-                ..
             } => {
                 let sibling = Sibling {
                     heard: now.steady,
+                    leads,
                     served,
                     hears,
                     asked,
--- a/crates/core/tests/deaf.rs
+++ b/crates/core/tests/deaf.rs
@@ -7,6 +7,20 @@
 use dillcleat_mesh::Message;
 use dillcleat_wire::state::Row;
 
+/// The word of a sibling that the state service answers.
+fn beat(leads: bool, hears: bool) -> Input {
+    Input::Mesh {
+        from: "n1".into(),
+        message: Message::Beat {
+            term: 1,
+            leads,
+            served: true,
+            hears,
+            asked: 0,
+        },
+    }
+}
+
 /// How long a leader with machines on record leads without hearing a worker,
 /// having `heard` one report or none, while a sibling says whether it hears any.
 /// `pause` is a gap in its ticks after two seconds.
@@ -25,17 +39,7 @@
         if (2 * SECOND..2 * SECOND + pause).contains(&at) {
             continue;
         }
-        let beat = Input::Mesh {
-            from: "n1".into(),
-            message: Message::Beat {
-                term: 1,
-                leads: false,
-                served: true,
-                hears,
-                asked: 0,
-            },
-        };
-        step(&mut node, start + at, beat, &machines);
+        step(&mut node, start + at, beat(false, hears), &machines);
         step(&mut node, start + at, Input::Tick, &machines);
         if node.leading() != Some(1) {
             break;
@@ -78,3 +82,27 @@
     let shorter = micros(Tuning::default().lead_ttl_s) - 200 * MILLISECOND;
     assert!(leads_for(false, true, shorter) > 7 * SECOND);
 }
+
+/// How long a node that no worker reaches takes to be elected beside such a sibling.
+fn elected_after(leads: bool, hears: bool) -> Micros {
+    let mut node = common::node();
+    let start = 1000 * SECOND;
+    let mut times = (0..10 * SECOND).step_by(100 * MILLISECOND as usize);
+    let elected = times.find(|at| {
+        step(&mut node, start + at, beat(leads, hears), &[]);
+        step(&mut node, start + at, Input::Tick, &[]);
+        node.leading().is_some()
+    });
+    elected.expect("nobody else is elected")
+}
+
+/// With two of three nodes cut off from the workers these two once led in turn until
+/// every lease had run out (seed 1172 of the days of pipelines).
+#[test]
+fn who_hears_no_worker_lets_a_sibling_that_does_go_first() {
+    let waited = elected_after(false, true);
+    assert!((SECOND / 2..SECOND).contains(&waited), "{waited}");
+    assert_eq!(elected_after(false, false), 0);
+    // The last word of a leader that is gone.
+    assert_eq!(elected_after(true, true), 0);
+}
