Shares by class and team count the stages of pipelines

Need: the line of a submission that waits for others was not read, so stages and last jobs of pipelines were missing from the tables, and so were arrays without a deadline.

Change: what has no deadline is due with the job that waits for it; what is cancelled with another counts for nothing.

--- a/crates/rehearsal/examples/shares.rs
+++ b/crates/rehearsal/examples/shares.rs
@@ -40,31 +40,59 @@
     tasks: f64,
     class: &'a str,
     team: &'a str,
-    due: Micros,
+    /// By its own deadline or, without one, by that of the jobs that wait for it.
+    due: Option<Micros>,
+    after: Vec<&'a str>,
 }
 
 fn seconds(text: &str) -> Option<Micros> {
     text.parse().ok().map(micros)
 }
 
-/// `accepted JOB: N tasks of CLASS for TEAM, due in S s`, without its first word.
+/// `accepted JOB: N tasks of CLASS for TEAM, due in S s, after OTHER OTHER`, without its
+/// first word; with `no deadline` instead, and the last part only where there is one.
 fn array(at: Micros, text: &str) -> Option<(&str, Array<'_>)> {
-    let (job, rest) = text.split_once(": ")?;
+    let (job, rest) = text.trim().split_once(": ")?;
     let (tasks, rest) = rest.split_once(" tasks of ")?;
     let (class, rest) = rest.split_once(" for ")?;
-    let (team, due) = rest.split_once(", due in ")?;
-    let due = seconds(due.trim().strip_suffix(" s")?)?;
+    let (team, rest) = rest.split_once(", ")?;
+    let (due, after) = rest.split_once(", after ").unwrap_or((rest, ""));
+    let due = match due.strip_prefix("due in ") {
+        Some(due) => Some(at + seconds(due.strip_suffix(" s")?)?),
+        None => None,
+    };
     let array = Array {
         tasks: tasks.parse().ok()?,
         class,
         team,
-        due: at + due,
+        due,
+        after: after.split_whitespace().collect(),
     };
     Some((job, array))
 }
 
+/// Gives the stages of a pipeline, which have no deadline, that of its last job.
+fn hand_down(arrays: &mut BTreeMap<&str, Array>) {
+    let ends: Vec<(&str, Micros)> = arrays
+        .iter()
+        .filter_map(|(job, a)| Some((*job, a.due?)))
+        .collect();
+    for (job, due) in ends {
+        let mut next = vec![job];
+        while let Some(job) = next.pop() {
+            let Some(array) = arrays.get_mut(job) else {
+                continue;
+            };
+            if array.due.is_none_or(|own| due <= own) {
+                array.due = Some(due);
+                next.extend(&array.after);
+            }
+        }
+    }
+}
+
 fn shares(report: &DayReport, log: &str) -> Shares {
-    let mut arrays = BTreeMap::new();
+    let mut arrays: BTreeMap<&str, Array> = BTreeMap::new();
     let mut done: BTreeMap<&str, Micros> = BTreeMap::new();
     let mut cancelled = BTreeSet::new();
     for line in log.lines() {
@@ -81,21 +109,24 @@
             done.entry(job).or_insert(at);
         } else if let Some(job) = text.strip_prefix("cancelled ") {
             cancelled.insert(job.trim_end());
+        } else if let Some((job, _)) = text.split_once(": cancelled") {
+            cancelled.insert(job);
         }
     }
+    hand_down(&mut arrays);
     let end = micros(report.duration_s);
     let mut shares = Shares::default();
     for (job, a) in arrays {
-        if a.due >= end || cancelled.contains(job) {
+        let Some(due) = a.due.filter(|due| *due < end && !cancelled.contains(job)) else {
             continue;
-        }
+        };
         // What is done after the day, when nothing else is asked for, does not count.
         let ended = done.get(job).filter(|at| **at <= end);
         let was = f64::from(u8::from(ended.is_some()));
-        let in_time = f64::from(u8::from(ended.is_some_and(|at| *at <= a.due)));
+        let in_time = f64::from(u8::from(ended.is_some_and(|at| *at <= due)));
         shares.count(a.class, a.team, |s| {
-            s.work.add(a.due, a.tasks, a.tasks * was);
-            s.in_time.add(a.due, 1.0, in_time);
+            s.work.add(due, a.tasks, a.tasks * was);
+            s.in_time.add(due, 1.0, in_time);
         });
     }
     for (class, of) in &report.classes {
