Who is stopped for replicas goes by the priority that a job was given by those after it

Need: a job is treated as of the highest priority among its dependents, and work is not stopped for work of the same priority; only the job's own was looked at.

--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -64,7 +64,7 @@
                     victims.push(Victim {
                         machine: machines.len(),
                         room: slot.room,
-                        priority: job.spec.priority,
+                        priority: job.priority,
                         ran: slot.running_since.map_or(0, |at| now.saturating_sub(at)),
                     });
                 }
