--- a/crates/core/tests/deaf.rs
+++ b/crates/core/tests/deaf.rs
@@ -83,11 +83,11 @@
     };
     let sent_to = |node: &mut Node| {
         let out = node.handle(now, report("m0", "a", 1));
-        let answers = out.into_iter().filter_map(|o| match o {
+        let mut answers = out.into_iter().filter_map(|o| match o {
             Output::Answer { answer, .. } => Some(answer),
             _ => None,
         });
-        let answer = answers.last().expect("each report is answered");
+        let answer = answers.next_back().expect("each report is answered");
         assert_eq!(answer.status, 421);
         let body = dillcleat_wire::decode::<Elsewhere>(&answer.body);
         body.expect("a good body").report_to
