--- a/crates/dillcleat/tests/loopback.rs
+++ b/crates/dillcleat/tests/loopback.rs
@@ -49,6 +49,23 @@
     String::from_utf8_lossy(&o.stdout).trim().to_string()
 }
 
+/// Submits a job as a user would, with more arguments.
+fn submit(server: &str, id: &str, more: &[&str]) -> Output {
+    let job = [
+        "submit", "--server", server, id, "--class", "c", "--team", "t", "--image", "img",
+    ];
+    run(&[&job, more].concat())
+}
+
+fn said(o: &Output) -> String {
+    let said = if o.status.success() {
+        &o.stdout
+    } else {
+        &o.stderr
+    };
+    String::from_utf8_lossy(said).trim().to_string()
+}
+
 fn play(id: &str, kind: Kind) -> Play {
     Play {
         spec: JobSpec {
@@ -70,6 +87,11 @@
     let world = Loopback::start(vec![processes::machine(8.0)], names).expect("stand-ins");
     world.knows(play("req-1", Kind::Batch));
     world.knows(play("req-2", Kind::Service));
+    world.knows(Play {
+        run: 8 * SECOND,
+        ..play("req-3", Kind::Batch)
+    });
+    world.knows(play("req-4", Kind::Batch));
     let files: Vec<PathBuf> = (0..3)
         .map(|i| {
             file(
@@ -82,29 +104,12 @@
     let mut nodes: Vec<Option<Process>> = files.iter().map(|f| Some(serve(f))).collect();
     let server = clients.map_to_string();
     until("a job is accepted", || {
-        run(&[
-            "submit", "--server", &server[0], "req-1", "--class", "c", "--team", "t", "--tasks",
-            "2", "--image", "img",
-        ])
-        .status
-        .success()
+        submit(&server[0], "req-1", &["--tasks", "2"])
+            .status
+            .success()
     });
-    let service = [
-        "submit",
-        "--server",
-        &server[1],
-        "req-2",
-        "--class",
-        "c",
-        "--team",
-        "t",
-        "--tasks",
-        "2",
-        "--image",
-        "img",
-        "--service",
-    ];
-    assert_eq!(stdout(&service), "req-2 pending");
+    let service = submit(&server[1], "req-2", &["--tasks", "2", "--service"]);
+    assert_eq!(said(&service), "req-2 pending");
     until("the job is done", || {
         stdout(&["status", "--server", &server[2], "req-1"])
             == "req-1 done, 2 tasks done, 0 running"
@@ -121,6 +126,21 @@
         String::from_utf8_lossy(&again.stdout).trim(),
         "req-1 done, 2 tasks done, 0 running"
     );
+    // A line of three jobs, of which the second waits while leaders end.
+    let long = ["--tasks", "2", "--after", "req-1"];
+    assert_eq!(said(&submit(&server[0], "req-3", &long)), "req-3 pending");
+    let next = submit(
+        &server[1],
+        "req-4",
+        &["--after", "req-3", "--after", "req-1"],
+    );
+    assert_eq!(said(&next), "req-4 pending");
+    let never = submit(&server[2], "req-5", &["--after", "req-88"]);
+    assert_eq!(never.status.code(), Some(1));
+    assert_eq!(
+        said(&never).lines().last(),
+        Some("dillcleat: awaits req-88, which was never accepted")
+    );
     // Every node in turn, so the leader for sure.
     for i in 0..3 {
         nodes[i] = None;
@@ -131,6 +151,11 @@
             exchange(clients[i], b"GET /up HTTP/1.1\r\n\r\n").is_some_and(|(s, _)| s == 200)
         });
     }
+    until("the line of jobs is done", || {
+        stdout(&["status", "--server", &server[1], "req-4"])
+            == "req-4 done, 1 tasks done, 0 running"
+    });
+    assert!(stdout(&["status", "--server", &server[1], "req-3"]).starts_with("req-3 done"));
     assert!(stdout(&["abort", "--server", &server[0], "req-2"]).starts_with("req-2 aborted"));
     for s in &server {
         assert!(stdout(&["status", "--server", s, "req-2"]).starts_with("req-2 aborted"));
--- a/crates/rehearsal/examples/quickstart.rs
+++ b/crates/rehearsal/examples/quickstart.rs
@@ -54,6 +54,15 @@
         "\nThe other two: http://{} http://{}",
         trio.doors[1], trio.doors[2]
     );
+    println!("\nBy the users' own protocol, one job after another:\n");
+    for (job, after) in [("req-000001", ""), ("req-000002", " --after req-000001")] {
+        println!(
+            "  {} submit --server {} {job} --class scan --team books --image img{after}",
+            args.program.display(),
+            trio.clients[0]
+        );
+    }
+    println!();
     println!("Ctrl-C ends all of it.");
     std::thread::sleep(Duration::from_secs(args.seconds));
     Ok(())
