--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -239,20 +239,38 @@
         self.deadlines.iter().find(|a| a.class == class)
     }
 
-    /// How long after its last sure sight of the cancellations a leader may
-    /// still answer reports. Whoever cancels elsewhere promises the task's end
-    /// within `cancel`; a worker that hears nothing more ends it after `lease`.
+    /// How long after the sending of its last read of the cancellations a leader may
+    /// still answer reports, and after a cancellation the reports of machines that hold
+    /// what it cancels. Whoever confirms a cancellation promises the tasks' end within
+    /// `cancel`; a worker that hears nothing more ends them after `lease`.
     pub fn blind_limit(&self) -> Micros {
+        self.blind_room().max(SHORTEST_BLIND_LIMIT)
+    }
+
+    /// What `cancel` leaves for answering reports without a read, after the lease and a
+    /// margin for clocks and for what is under way.
+    fn blind_room(&self) -> Micros {
         let margin = (self.cancel / 10).max(SECOND);
         self.cancel.saturating_sub(self.lease + margin)
     }
 
+    /// By how much the end of a cancelled task may come late while the state service is
+    /// out of reach: `cancel` is too short beside the lease. None if it can't.
+    pub fn cancel_shortfall(&self) -> Option<Micros> {
+        let short = SHORTEST_BLIND_LIMIT.saturating_sub(self.blind_room());
+        (short > 0).then_some(short)
+    }
+
     /// Tasks in a part of a chunk that is too large to be written again.
     pub fn part_tasks(&self) -> u32 {
         (chunk_tasks(self.value_bytes) / 2).max(1)
     }
 }
 
+/// Below this no leader could answer reports at all times even with a state service
+/// that answers: a read is as old as the watch was held, and as its answer took.
+const SHORTEST_BLIND_LIMIT: Micros = 4 * SECOND;
+
 /// What a placed task takes of a chunk's record in JSON, with names of machines of up
 /// to two dozen letters. A chunk of longer ones is written in parts.
 const TASK_BYTES: usize = 40;
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -21,7 +21,7 @@
         };
         if matches!(from, LoadFrom::Queue(None)) {
             // Cancellations up to here are in what is read now.
-            self.watch_sent = ctx.now.steady;
+            self.load_sent = ctx.now.steady;
         }
         let call = StateCall::List {
             prefix: prefix.into(),
@@ -41,7 +41,7 @@
                 if more {
                     LoadFrom::Machines(last)
                 } else {
-                    LoadFrom::Queue(None)
+                    LoadFrom::Tasks(None)
                 }
             }
             Step::LoadQueue => {
@@ -59,13 +59,23 @@
                         self.cancelled_rows.push(row);
                     }
                 }
+                let opens = |key: &String| key.starts_with(store::OPEN);
+                if self.last_read.is_none() && (!more || last.as_ref().is_some_and(opens)) {
+                    // Every cancellation is known that was confirmed before the first
+                    // page was asked for. Which machines hold its tasks is not: until
+                    // that is read, all answers end as early as those to the machine
+                    // that holds the oldest.
+                    let rows = self.cancelled_rows.iter();
+                    let oldest = rows.map(|row| confirmed(ctx, &row.value)).min();
+                    self.last_read = Some(oldest.unwrap_or(Micros::MAX).min(self.load_sent));
+                }
                 if more {
                     LoadFrom::Queue(last)
                 } else {
                     for row in std::mem::take(&mut self.cancelled_rows) {
                         self.queue_row(ctx, &row.key, &row.value, row.version);
                     }
-                    LoadFrom::Tasks(None)
+                    LoadFrom::Machines(None)
                 }
             }
             _ => {
@@ -105,7 +115,7 @@
         let now = ctx.now.steady;
         self.stage = Stage::Ready;
         self.ready_since = now;
-        self.sighted = self.watch_sent;
+        self.last_read = Some(self.load_sent);
         self.watch_at = Some(now);
         let ids = |of: fn(&Job) -> bool| -> Vec<Rc<str>> {
             let jobs = self.jobs.iter();
@@ -181,17 +191,16 @@
             self.pass_at = ctx.now.steady;
             self.joins(ctx, &id);
         } else if let Some(id) = key.strip_prefix(store::CANCELLED) {
-            let at = state::read::<CancelledJob>(value).map_or(0, |c| c.at);
-            // Other clocks may be off, so the older of the two readings counts.
-            let ago = ctx.now.wall.saturating_sub(at) + 2 * ctx.config.clock_error;
             let Some(id) = self.jobs.name(id).cloned() else {
                 return;
             };
-            if let Some(job) = self.jobs.get_mut(&id)
-                && job.cancelled.is_none()
-            {
-                job.cancelled = Some(ctx.now.steady.saturating_sub(ago.min(ctx.config.cancel)));
-                if self.stage == Stage::Ready {
+            let at = confirmed(ctx, value);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                // Its mark may have shown it before, and not since when.
+                let known = job
+                    .cancelled
+                    .replace(job.cancelled.map_or(at, |c| c.min(at)));
+                if known.is_none() && self.stage == Stage::Ready {
                     self.stop_job(ctx, &id);
                 }
             }
@@ -293,3 +302,11 @@
         }
     }
 }
+
+/// When a cancellation was confirmed at the earliest, by the record of it.
+fn confirmed(ctx: &Ctx, value: &Value) -> Micros {
+    let at = state::read::<CancelledJob>(value).map_or(0, |c| c.at);
+    // Other clocks may be off, so the older of the two readings counts.
+    let ago = ctx.now.wall.saturating_sub(at) + 2 * ctx.config.clock_error;
+    ctx.now.steady.saturating_sub(ago.min(ctx.config.cancel))
+}
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -273,9 +273,12 @@
     queue_revision: Option<u64>,
     /// Cancellations that were read before the jobs that they are of.
     cancelled_rows: Vec<Row>,
-    watch_sent: Micros,
-    /// When the last answered look at the cancellations was sent.
-    sighted: Micros,
+    /// When the first page of the queue was asked for.
+    load_sent: Micros,
+    /// When the last answered read of the cancellations was sent; None before a new
+    /// leader has read any. Nothing else moves it: a lease renewed, a beat or a write
+    /// says nothing of what others have confirmed.
+    last_read: Option<Micros>,
     /// Since when reports are not answered, for want of a sure look.
     blind_since: Option<Micros>,
     /// Its right to act, as its node saw it last.
@@ -359,8 +362,8 @@
             reload_at: None,
             queue_revision: None,
             cancelled_rows: Vec::new(),
-            watch_sent: now,
-            sighted: now,
+            load_sent: now,
+            last_read: None,
             blind_since: None,
             footing: Footing::default(),
             watch_at: None,
@@ -398,7 +401,7 @@
             notes: Vec::new(),
             counts: Counts::default(),
         };
-        leader.load(ctx, LoadFrom::Machines(None));
+        leader.load(ctx, LoadFrom::Queue(None));
         leader
     }
 
@@ -441,7 +444,7 @@
     fn watched(&mut self, ctx: &mut Ctx, sent: Micros, reply: Result<StateReply, CallError>) {
         match reply {
             Ok(StateReply::Changes(changes)) => {
-                self.sighted = self.sighted.max(sent);
+                self.last_read = self.last_read.max(Some(sent));
                 self.queue_revision = Some(changes.revision);
                 for event in changes.events {
                     if let Event::Put {
--- a/crates/core/src/leader/pushes.rs
+++ b/crates/core/src/leader/pushes.rs
@@ -85,7 +85,6 @@
         if !self.entitled(ctx) {
             return;
         }
-        let fresh = self.fresh(ctx);
         while let Some(name) = self.pushes.next(now) {
             let Some(m) = self.machines.get(&name) else {
                 continue;
@@ -98,7 +97,7 @@
                 self.pushes.later(m.push_after, name, true);
                 continue;
             }
-            let commands = if m.ready && fresh {
+            let commands = if m.ready {
                 self.commands(ctx, m)
             } else {
                 Vec::new()
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -32,10 +32,23 @@
 }
 
 impl Leader {
-    /// Whether reports may still be answered: a cancellation accepted by
-    /// another node must reach the workers in time, be it through their leases.
+    /// Whether reports may still be answered. An answer keeps a worker's tasks for a
+    /// lease from the sending of its report. A cancellation that this leader has not read
+    /// of was confirmed after its last read; for want of answers in time the leases then
+    /// end what it cancels, whatever else is out of reach.
     pub(super) fn entitled(&self, ctx: &Ctx) -> bool {
-        ctx.now.steady.saturating_sub(self.sighted) < ctx.config.blind_limit()
+        let limit = ctx.config.blind_limit();
+        self.last_read.is_some_and(|at| ctx.now.steady < at + limit)
+    }
+
+    /// Whether a cancelled task may have been on the machine for so long that its lease
+    /// is to run out. Its stop may not arrive, its launch may be held up on the way, its
+    /// deletion may have no proof of the lead or find the cloud out: time alone ends it.
+    fn expires(&self, ctx: &Ctx, m: &Machine) -> bool {
+        let held = m.slots.iter().filter(|(_, s)| s.cancelled && s.stored);
+        let jobs = held.filter_map(|((id, _), _)| self.jobs.get(id));
+        let since = jobs.filter_map(|job| job.cancelled).min();
+        since.is_some_and(|at| ctx.now.steady >= at + ctx.config.blind_limit())
     }
 
     pub fn checkin(&mut self, ctx: &mut Ctx, report: &Report) -> Answer {
@@ -53,9 +66,10 @@
         // A report of a machine that is gone was held up on its way.
         if self.stage == Stage::Ready && !self.gone.contains_key(&report.machine) {
             self.take_report(ctx, report, Source::Checkin);
-            if self.fresh(ctx)
-                && let Some(m) = self.machines.get(report.machine.as_str())
-            {
+            if let Some(m) = self.machines.get(report.machine.as_str()) {
+                if self.expires(ctx, m) {
+                    return Answer::later("a cancelled task is not seen gone");
+                }
                 let current = (m.session, m.seq) == (report.session, report.seq);
                 if m.ready && current {
                     answer.commands = self.commands(ctx, m);
@@ -74,7 +88,7 @@
 
     /// Sure sight of the state, so that starting tasks is right.
     pub(super) fn fresh(&self, ctx: &Ctx) -> bool {
-        ctx.now.steady.saturating_sub(self.sighted) < SIGHT
+        self.last_read.is_some_and(|at| ctx.now.steady < at + SIGHT)
     }
 
     pub(super) fn take_report(&mut self, ctx: &Ctx, r: &Report, source: Source) {
@@ -166,8 +180,13 @@
     }
 
     /// What the machine is told. Work that is to run elsewhere is stopped only by who
-    /// can prove that it leads.
+    /// can prove that it leads, and without a read of a moment ago nothing is launched or
+    /// reaped. The stop of what is cancelled needs neither: no cancellation is taken back,
+    /// and this answer renews the lease of what it doesn't stop.
     pub(super) fn commands(&self, ctx: &Ctx, m: &Machine) -> Vec<dillcleat_wire::worker::Command> {
+        if !self.fresh(ctx) {
+            return m.cancelled().collect();
+        }
         let lasting = self.footing.proved(ctx.config, ctx.now.steady);
         m.commands(lasting, |task, attempt| self.settled(task, attempt))
     }
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -314,7 +314,10 @@
                 if let Some(job) = self.jobs.get_mut(&id) {
                     log::info!("{id}: its record has changed, reading it");
                     // No placement of it is written from now on.
-                    job.cancelled.get_or_insert(ctx.now.steady);
+                    // When it was confirmed is not known: after the last read, or it
+                    // would be known.
+                    let since = self.last_read.unwrap_or(ctx.now.steady);
+                    job.cancelled.get_or_insert(since);
                     job.ending = false;
                 }
                 let waiter = self.waiter(Step::Ended { id });
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -7,7 +7,7 @@
 use crate::leader::{Leader, Note};
 use crate::leadership::{Better, Change, Leadership};
 use crate::learned::Heard;
-use crate::siblings::{FRESH, Sibling, Siblings};
+use crate::siblings::{Sibling, Siblings};
 use crate::store::OpenJob;
 use crate::waiters::{Leading, Waiter};
 use crate::warrant::Footing;
@@ -52,8 +52,6 @@
     beat_at: Micros,
     /// When a worker last reported to this node.
     worker_at: Micros,
-    /// Since when it looks as if the state service answered nobody.
-    out_since: Option<Micros>,
     /// When this node last did anything.
     awake_at: Micros,
 }
@@ -72,7 +70,6 @@
             served_at: None,
             beat_at: 0,
             worker_at: 0,
-            out_since: None,
             awake_at: 0,
             config,
         }
@@ -496,22 +493,12 @@
     }
 
     /// What this node knows of its right to act as leader.
-    fn footing(&mut self, now: Now) -> Footing {
+    fn footing(&self, now: Now) -> Footing {
         let heard = |name: &String| self.siblings.is_heard(name, now.steady);
         let far = &self.config.far_siblings;
         let apart = !far.is_empty() && !far.iter().any(heard);
-        let known = self.siblings.fresh(now.steady).count() + 1;
-        let most = known * 2 > self.config.siblings.len() + 1;
-        let none_served =
-            !self.served(now) && !self.siblings.fresh(now.steady).any(|(_, s)| s.served);
-        let out = most && none_served && !apart;
-        let since = self.out_since.filter(|_| out).unwrap_or(now.steady);
-        self.out_since = out.then_some(since);
         Footing {
             proved: self.leadership.proved(),
-            // Words that were held up come all at once, as old as they are, and no
-            // more of them follow (seed 5479 of the days of cuts).
-            outage: out && now.steady >= since + FRESH + SECOND,
             apart,
         }
     }
--- a/crates/core/src/siblings.rs
+++ b/crates/core/src/siblings.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 
 /// A sibling whose word is older is not heard.
-pub const FRESH: Micros = 2 * SECOND;
+const FRESH: Micros = 2 * SECOND;
 /// How long a sibling may hear workers, and send them on to a leader, before that
 /// leader has heard one of them if they reach it at all. A sibling that says that it
 /// hears them may have heard its last one 3 s ago, before it knew whom to name; a worker
--- a/crates/core/src/warrant.rs
+++ b/crates/core/src/warrant.rs
@@ -28,9 +28,6 @@
 pub struct Footing {
     /// When the call was sent by whose answer this node was last proved to lead.
     pub proved: Micros,
-    /// The state service answers nobody: so say most of the controllers, this one
-    /// among them, and none says otherwise. Then no other can have been elected.
-    pub outage: bool,
     /// There are controllers in other zones, and none of them is heard.
     pub apart: bool,
 }
@@ -72,14 +69,15 @@
 
     /// Leave to do it, if there is any.
     ///
-    /// While the state service is out for everybody there is no proof, and nothing
-    /// is rented, returned or given up for silence. Only what the rules need goes on:
-    /// whoever was told that a job is cancelled is owed the end of its tasks.
+    /// Without proof there is none, for no ground. That most controllers are refused by
+    /// the state service and none says otherwise is no proof that it is out: the one that
+    /// was elected meanwhile may not be heard (seed 11387 of the pipelines' days). What
+    /// whoever was told of a cancellation is owed is left to time: who holds it is not
+    /// answered any more, and its lease ends it (`Leader::checkin`).
     pub fn leave(&self, config: &Config, now: Micros, deed: Deed) -> Option<Leave> {
         let until = match deed {
             Deed::Look => Micros::MAX,
             _ if self.proved(config, now) => self.proved + proof_time(config),
-            Deed::Delete(Ground::Cancelled) if self.outage => now + proof_time(config),
             Deed::Rent | Deed::Delete(_) => return None,
         };
         let lasting = deed != Deed::Look;
@@ -89,77 +87,13 @@
 
 impl Leave {
     /// Whether it is leave for a call such as this.
-    pub(crate) fn covers(&self, call: &CloudCall) -> bool {
+    pub fn covers(&self, call: &CloudCall) -> bool {
         let lasting = matches!(call, CloudCall::Rent(_) | CloudCall::Delete(_));
         self.lasting || !lasting
     }
 
-    /// For how long from now on the call may be put on its way.
-    pub(crate) fn within(&self, now: Micros) -> Micros {
+    /// For how long from now on the call may be put on its way, in microseconds.
+    pub fn within(&self, now: Micros) -> Micros {
         self.until.saturating_sub(now)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::Tuning;
-    use dillcleat_wire::platform::Platform;
-
-    fn config(ttl: f64) -> Config {
-        let text = include_str!("../../../deploy/example-node.toml");
-        let platform = Platform::parse(text).expect("good settings");
-        let lead_ttl_s = ttl;
-        Config::new(
-            &platform,
-            Tuning {
-                lead_ttl_s,
-                ..Tuning::default()
-            },
-        )
-    }
-
-    /// Leave ends before the loan does, whatever the loan's time.
-    #[test]
-    fn nothing_that_lasts_is_sent_once_another_may_lead() {
-        for ttl in [0.5, 2.5, 60.0] {
-            let config = config(ttl);
-            let sent = 100 * SECOND;
-            let footing = Footing {
-                proved: sent,
-                ..Footing::default()
-            };
-            let silent = Deed::Delete(Ground::Silent);
-            for deed in [Deed::Rent, silent, Deed::Delete(Ground::Cancelled)] {
-                let leave = footing.leave(&config, sent + 100_000, deed);
-                let leave = leave.expect("proved a moment ago");
-                let last = sent + 100_000 + leave.within(sent + 100_000);
-                // By a clock that runs 0.05% slow.
-                assert!(
-                    (last - sent) * 10_005 / 10_000 < micros(ttl),
-                    "{ttl} {deed:?}"
-                );
-                assert!(
-                    footing.leave(&config, last, deed).is_none(),
-                    "{ttl} {deed:?}"
-                );
-            }
-            let look = footing.leave(&config, sent + 100 * SECOND, Deed::Look);
-            assert!(look.is_some_and(|l| !l.covers(&CloudCall::Delete(Vec::new()))));
-        }
-    }
-
-    #[test]
-    fn an_outage_leaves_only_what_cancellations_need() {
-        let config = config(2.5);
-        let footing = Footing {
-            outage: true,
-            ..Footing::default()
-        };
-        let given = |deed| footing.leave(&config, 100 * SECOND, deed).is_some();
-        assert!(given(Deed::Delete(Ground::Cancelled)));
-        assert!(!given(Deed::Delete(Ground::Silent)));
-        assert!(!given(Deed::Delete(Ground::Returned)));
-        assert!(!given(Deed::Rent));
-    }
-}
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -377,17 +377,17 @@
                 grace_s: 0,
             });
         }
+        commands.extend(self.cancelled());
         for (key, slot) in &self.slots {
             if slot.session != self.session || !slot.stored {
                 continue;
             }
-            if slot.cancelled || slot.yielding {
-                if slot.seen.is_some() && (slot.cancelled || lasting) {
-                    commands.push(Command::Stop {
-                        task: name(key),
-                        attempt: slot.attempt,
-                        grace_s: 0,
-                    });
+            if slot.cancelled {
+                continue;
+            }
+            if slot.yielding {
+                if slot.seen.is_some() && lasting {
+                    commands.push(stop(key, slot));
                 }
             } else if slot.seen.is_none() && !self.in_push(&(name(key), slot.attempt)) {
                 commands.push(Command::Start {
@@ -399,6 +399,14 @@
         commands
     }
 
+    /// The stops of cancelled tasks that were seen here.
+    pub fn cancelled(&self) -> impl Iterator<Item = Command> {
+        let here = |s: &Slot| s.session == self.session && s.stored && s.seen.is_some();
+        let slots = self.slots.iter();
+        let cancelled = slots.filter(move |(_, s)| s.cancelled && here(s));
+        cancelled.map(|(key, slot)| stop(key, slot))
+    }
+
     /// Notes which launches went out in the answer to the latest report.
     pub fn answered_with(&mut self, commands: &[Command]) {
         let at = (self.session, self.seq);
@@ -436,6 +444,14 @@
     }
 }
 
+fn stop(key: &TaskKey, slot: &Slot) -> Command {
+    Command::Stop {
+        task: name(key),
+        attempt: slot.attempt,
+        grace_s: 0,
+    }
+}
+
 pub fn name(key: &TaskKey) -> TaskName {
     TaskName {
         job: key.0.to_string(),
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -123,6 +123,13 @@
     pub types: Vec<MachineType>,
     /// Rows of the queue.
     pub queue: Vec<Row>,
+    /// Rows of tasks.
+    pub tasks: Vec<Row>,
+    /// A listing of this prefix waits for an answer.
+    pub held: Option<&'static str>,
+    pub listings: Vec<CallId>,
+    /// Bodies of the answers that were given.
+    pub bodies: Vec<Vec<u8>>,
     /// Watches that wait for an answer.
     pub watches: Vec<CallId>,
 }
@@ -134,6 +141,10 @@
             cloud: true,
             types: Vec::new(),
             queue: Vec::new(),
+            tasks: Vec::new(),
+            held: None,
+            listings: Vec::new(),
+            bodies: Vec::new(),
             watches: Vec::new(),
         }
     }
@@ -157,12 +168,20 @@
     while let Some(input) = inputs.pop() {
         for output in node.handle(now, input) {
             match output {
-                Output::Answer { answer, .. } => statuses.push(answer.status),
+                Output::Answer { answer, .. } => {
+                    statuses.push(answer.status);
+                    around.bodies.push(answer.body);
+                }
                 Output::State {
                     id,
                     call: StateCall::Watch { .. },
                     ..
                 } => around.watches.push(id),
+                Output::State {
+                    id,
+                    call: StateCall::List { prefix, .. },
+                    ..
+                } if around.held.is_some_and(|held| held == prefix) => around.listings.push(id),
                 Output::State { id, .. } if !around.state => inputs.push(Input::State {
                     id,
                     reply: Err(CallError::NoAnswer),
@@ -173,6 +192,7 @@
                             rows: match prefix.as_str() {
                                 store::MACHINES => machines.to_vec(),
                                 store::QUEUE => around.queue.clone(),
+                                store::TASKS => around.tasks.clone(),
                                 _ => vec![],
                             },
                             more: false,
--- /dev/null
+++ b/crates/core/tests/gap.rs
@@ -0,0 +1,373 @@
+//! The gap: cancellations that are confirmed elsewhere while this leader is out of reach
+//! of the state service. What holds then holds by time alone (docs/meetings.md).
+
+mod common;
+
+use common::{Around, config_with_team, recorded, step_with, types};
+use dillcleat_core::store::{self, CancelledJob, Chunk, OpenJob};
+use dillcleat_core::{CallError, Config, Input, MILLISECOND, Micros, Node, RequestId, SECOND};
+use dillcleat_mesh::Message;
+use dillcleat_wire::encode;
+use dillcleat_wire::state::{Changes, Event, Page, Row, StateReply, value};
+use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::worker::{Command, REPORT_PATH, Report, ReportAnswer, TaskReport, TaskState};
+
+const START: Micros = 1000 * SECOND;
+const JOB: &str = "req-000001";
+
+/// By a clock that runs 0.05% fast so long looks like this.
+fn at_most(time: Micros) -> Micros {
+    time * 10_005 / 10_000
+}
+
+fn row<T: serde::Serialize>(key: String, record: &T) -> Row {
+    Row {
+        key,
+        value: value(record),
+        version: 1,
+        lease: None,
+    }
+}
+
+/// When its user was told that the job is cancelled.
+fn cancelled(at: Micros) -> Row {
+    row(store::cancelled_key(JOB), &CancelledJob { at })
+}
+
+struct Gap {
+    node: Node,
+    config: Config,
+    around: Around,
+    rows: Vec<Row>,
+    seq: u64,
+    /// The machine still has the task.
+    has_task: bool,
+}
+
+impl Gap {
+    /// A node that is about to lead, with a task of a job on one machine.
+    fn new() -> Gap {
+        let config = config_with_team();
+        let spec = JobSpec {
+            team: "t".into(),
+            ..JobSpec::plain(JOB, Kind::Batch, 1, 1.0)
+        };
+        let open = OpenJob {
+            spec,
+            at: START,
+            chunk: 25,
+            unmarked: true,
+            at_most: None,
+        };
+        let chunk = Chunk {
+            p: vec![(0, 1, "m".into(), 1)],
+            ..Chunk::default()
+        };
+        let tasks = store::tasks_key(JOB, store::Span::Chunk(0));
+        Gap {
+            node: Node::new(config.clone()),
+            config,
+            around: Around {
+                queue: vec![row(store::open_key(JOB), &open)],
+                tasks: vec![row(tasks, &chunk)],
+                ..Around::default()
+            },
+            rows: vec![recorded("m", "a"), types(8.0)],
+            seq: 0,
+            has_task: true,
+        }
+    }
+
+    fn leading() -> Gap {
+        let mut gap = Gap::new();
+        gap.step(0, Input::Tick);
+        assert_eq!(gap.node.leading(), Some(1));
+        gap
+    }
+
+    fn step(&mut self, at: Micros, input: Input) -> Vec<u16> {
+        let now = START + at;
+        step_with(&mut self.node, now, input, &self.rows, &mut self.around).0
+    }
+
+    /// The machine reports; the commands of the answer, if it renews the lease.
+    fn reports(&mut self, at: Micros) -> Option<Vec<Command>> {
+        self.seq += 1;
+        let task = TaskReport {
+            task: format!("{JOB}/0").parse().expect("a task's name"),
+            attempt: 1,
+            state: TaskState::Running,
+            why: None,
+            saved: None,
+        };
+        let report = Report {
+            machine: "m".into(),
+            addr: "127.0.0.1:7".into(),
+            machine_type: "t".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            token: 1,
+            notice_s: None,
+            tasks: self.has_task.then_some(task).into_iter().collect(),
+        };
+        let input = Input::Request {
+            id: RequestId(self.seq),
+            method: "POST".into(),
+            target: REPORT_PATH.into(),
+            body: encode(&report),
+        };
+        self.around.bodies.clear();
+        match self.step(at, input)[..] {
+            [200] => {
+                let body = self.around.bodies.pop().expect("an answer");
+                let answer: ReportAnswer = dillcleat_wire::decode(&body).expect("an answer");
+                Some(answer.commands)
+            }
+            [503 | 421] => None,
+            ref other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    /// Watches that are open are answered.
+    fn watched(&mut self, at: Micros, events: Vec<Event>) {
+        for id in std::mem::take(&mut self.around.watches) {
+            let changes = Changes {
+                revision: 3,
+                events: events.clone(),
+            };
+            let reply = Ok(StateReply::Changes(changes));
+            self.step(at, Input::State { id, reply });
+        }
+    }
+
+    /// Until when reports are answered, at one each second from `from` on.
+    fn answered_until(&mut self, from: Micros) -> Micros {
+        let mut last = 0;
+        for s in 0..90 {
+            let at = from + s * SECOND;
+            self.step(at, Input::Tick);
+            // The lease is renewed, siblings are heard, users are answered.
+            let message = Message::Beat {
+                term: 1,
+                leads: false,
+                served: true,
+                hears: false,
+                asked: 9,
+            };
+            let from = "n1".to_string();
+            self.step(at, Input::Mesh { from, message });
+            if self.reports(at).is_some() {
+                last = at;
+            }
+        }
+        last
+    }
+
+    fn event(row: Row) -> Event {
+        Event::Put {
+            key: row.key,
+            value: row.value,
+            version: 3,
+        }
+    }
+}
+
+/// Whoever was told at once after the last read is owed the end of the tasks, and the
+/// lease of a report that was answered last runs from its sending.
+fn holds(gap: &Gap, read: Micros, last_answer: Micros) {
+    let (lease, cancel) = (gap.config.lease, gap.config.cancel);
+    assert!(
+        at_most(last_answer + lease - read) < cancel,
+        "read at {read}, answered until {last_answer}"
+    );
+    assert!(last_answer > read + 10 * SECOND, "for no reason so short");
+}
+
+#[test]
+fn a_read_counts_from_when_it_was_sent_however_late_its_answer_is() {
+    let mut gap = Gap::leading();
+    // The watch was open before the refusal; it is answered after 9 s, with nothing.
+    gap.watched(9 * SECOND, Vec::new());
+    // It is resumed, and not answered any more.
+    let last = gap.answered_until(9 * SECOND);
+    holds(&gap, 9 * SECOND, last);
+    let mut gap = Gap::leading();
+    for s in 1..9 {
+        gap.step(s * SECOND, Input::Tick);
+    }
+    gap.around.state = false;
+    gap.watched(9 * SECOND, Vec::new());
+    gap.around.state = true;
+    let open = std::mem::take(&mut gap.around.watches);
+    let last = gap.answered_until(10 * SECOND);
+    holds(&gap, 9 * SECOND, last);
+    // Held for half a minute, then answered: it was asked for at 9 s.
+    gap.around.watches = open;
+    gap.watched(100 * SECOND, Vec::new());
+    let fresh = std::mem::take(&mut gap.around.watches);
+    assert!(gap.reports(100 * SECOND).is_none(), "as old as its sending");
+    gap.around.watches = fresh;
+    gap.watched(101 * SECOND, Vec::new());
+    assert!(gap.reports(101 * SECOND).is_some(), "asked for at 100 s");
+}
+
+/// It knows of nothing that was confirmed before it was elected: a leader that was refused
+/// may have kept the leases up until then. It once answered from its election on.
+#[test]
+fn a_new_leader_answers_nobody_before_it_has_read_the_cancellations() {
+    let mut gap = Gap::new();
+    gap.around.held = Some(store::QUEUE);
+    gap.step(0, Input::Tick);
+    assert_eq!(gap.node.leading(), Some(1));
+    assert!(gap.reports(SECOND).is_none(), "nothing is read");
+    let listing = gap.around.listings.pop().expect("the queue is read first");
+    let reply = Err(CallError::NoAnswer);
+    gap.step(2 * SECOND, Input::State { id: listing, reply });
+    assert!(gap.reports(2 * SECOND).is_none());
+    gap.step(3 * SECOND, Input::Tick);
+    let listing = gap.around.listings.pop().expect("once more");
+    gap.around.held = Some(store::TASKS);
+    let page = |rows: &[Row]| {
+        Ok(StateReply::Page(Page {
+            rows: rows.to_vec(),
+            more: false,
+            revision: 1,
+        }))
+    };
+    let reply = page(&gap.around.queue);
+    gap.step(4 * SECOND, Input::State { id: listing, reply });
+    assert!(gap.reports(4 * SECOND).is_some(), "no cancellation there");
+    // What is read counts from its sending, here too.
+    let last = gap.answered_until(5 * SECOND);
+    holds(&gap, 3 * SECOND, last);
+}
+
+/// While the placements are yet to be read any machine may hold what is cancelled.
+#[test]
+fn a_leader_that_reads_yet_answers_no_longer_than_the_oldest_cancellation_lets_it() {
+    let limit = config_with_team().blind_limit();
+    for (ago, answers) in [(SECOND, true), (limit + SECOND, false)] {
+        let mut gap = Gap::new();
+        let mut queue = vec![cancelled(START - ago)];
+        queue.append(&mut gap.around.queue);
+        gap.around.queue = queue;
+        gap.around.held = Some(store::TASKS);
+        gap.step(0, Input::Tick);
+        assert_eq!(gap.reports(SECOND).is_some(), answers, "{ago}");
+        let last = gap.answered_until(2 * SECOND);
+        let lease_ends = at_most(last + gap.config.lease + ago);
+        assert!(lease_ends < gap.config.cancel, "{last}");
+    }
+}
+
+/// A leader that is elected again begins anew.
+#[test]
+fn what_was_read_in_a_term_before_does_not_count() {
+    let mut gap = Gap::leading();
+    assert!(gap.reports(SECOND).is_some());
+    gap.around.held = Some(store::QUEUE);
+    let message = Message::Beat {
+        term: 7,
+        leads: false,
+        served: true,
+        hears: false,
+        asked: 0,
+    };
+    let from = "n1".to_string();
+    gap.step(2 * SECOND, Input::Mesh { from, message });
+    assert_eq!(gap.node.leading(), None);
+    assert!(gap.reports(2 * SECOND).is_none());
+    for t in 20..80 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    assert!(gap.node.leading().is_some());
+    assert!(gap.reports(8 * SECOND).is_none());
+}
+
+/// The machine couldn't be reached when its job was cancelled. When it can, the leader
+/// has had no read for a while. It once answered without the stop, and so kept the task
+/// for as long as it answered at all.
+#[test]
+fn a_known_cancellation_is_obeyed_without_a_read() {
+    let mut gap = Gap::leading();
+    assert!(gap.reports(SECOND / 2).is_some());
+    gap.watched(SECOND, vec![Gap::event(cancelled(START + SECOND))]);
+    // Without a read a launch would be too late by now.
+    for s in 2..12 {
+        gap.step(s * SECOND, Input::Tick);
+    }
+    let commands = gap.reports(12 * SECOND).expect("an answer");
+    assert!(
+        matches!(&commands[..], [Command::Stop { .. }]),
+        "{commands:?}"
+    );
+}
+
+/// The task stays, whatever the cause, the cloud deletes nothing, and the leader reads
+/// all there is: the machine is left to its lease in time, and answered again once the
+/// task is seen gone.
+#[test]
+fn a_machine_that_may_hold_what_is_cancelled_is_left_to_its_lease() {
+    let mut gap = Gap::leading();
+    gap.around.cloud = false;
+    let told = SECOND;
+    gap.watched(told, vec![Gap::event(cancelled(START + told))]);
+    let mut last = 0;
+    for s in 2..60 {
+        let at = s * SECOND;
+        gap.step(at, Input::Tick);
+        gap.watched(at, Vec::new());
+        if gap.reports(at).is_some() {
+            last = at;
+        }
+    }
+    holds(&gap, told, last);
+    gap.has_task = false;
+    assert!(gap.reports(60 * SECOND).is_some(), "nothing is left there");
+}
+
+/// Most controllers are refused and say so, and none says otherwise: that looks like an
+/// outage, and one that isn't heard may have been elected meanwhile (seed 11387).
+#[test]
+fn who_cannot_prove_the_lead_deletes_nothing_for_a_cancellation() {
+    let mut gap = Gap::leading();
+    gap.watched(SECOND, vec![Gap::event(cancelled(START + SECOND))]);
+    gap.around.state = false;
+    let mut deleted = false;
+    for t in 12..400 {
+        let at = t * 100 * MILLISECOND;
+        let message = Message::Beat {
+            term: 1,
+            leads: false,
+            served: false,
+            hears: false,
+            asked: 0,
+        };
+        let from = "n1".to_string();
+        gap.step(at, Input::Mesh { from, message });
+        let now = START + at;
+        let (_, calls) = step_with(&mut gap.node, now, Input::Tick, &gap.rows, &mut gap.around);
+        deleted |= calls
+            .iter()
+            .any(|c| matches!(c, dillcleat_wire::cloud::CloudCall::Delete(_)));
+    }
+    assert!(!deleted);
+}
+
+/// A lease that takes up the whole of `cancel_s` leaves no time: then reports are
+/// answered all the same, and what may come late by how much is said.
+#[test]
+fn settings_that_leave_no_time_are_said_and_served() {
+    let mut config = config_with_team();
+    assert_eq!(config.cancel_shortfall(), None);
+    config.lease = config.cancel - SECOND;
+    let short = config.cancel_shortfall().expect("no time is left");
+    assert_eq!(config.blind_limit(), short);
+    // With the margin, no end comes later than this.
+    let latest = config.blind_limit() + config.lease;
+    assert!(latest <= config.cancel + short);
+    config.lease = config.cancel / 2;
+    assert_eq!(config.cancel_shortfall(), None);
+}
--- a/crates/dillcleat/src/cli.rs
+++ b/crates/dillcleat/src/cli.rs
@@ -234,7 +234,9 @@
             }
             (None, Some(Command::Check { file })) => {
                 let Start {
-                    platform, rules, ..
+                    platform,
+                    config,
+                    rules,
                 } = settings(&file, tuning)?;
                 println!(
                     "{}: settings of {} are good",
@@ -244,6 +246,9 @@
                 for objective in unused(&platform) {
                     println!("no decision follows from the objective {objective}");
                 }
+                if let Some(warning) = serve::short_of_time(&config) {
+                    println!("{warning}");
+                }
                 if let Some(rules) = rules {
                     println!(
                         "Kubernetes-shaped clients are served on {}",
--- a/crates/dillcleat/src/serve.rs
+++ b/crates/dillcleat/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::http::{Bad, Connection, Limits, Pool, Watchdog};
 use crate::mesh;
 use dillcleat_core::{
-    Answer, CallError, CallId, Config, Input, Micros, Node, Now, Output, RequestId,
+    Answer, CallError, CallId, Config, Input, Micros, Node, Now, Output, RequestId, seconds,
 };
 use dillcleat_kube::{Controller, Out, Rules};
 use dillcleat_mesh::Message;
@@ -61,6 +61,16 @@
     smol::block_on(ex.clone().run(serve(ex, platform, config, rules)))
 }
 
+/// What doesn't hold with settings under which `cancel_s` leaves no time beside the
+/// lease; None with all others.
+pub fn short_of_time(config: &Config) -> Option<String> {
+    let short = seconds(config.cancel_shortfall()?);
+    Some(format!(
+        "cluster.workers.cancel_s leaves no time beside lease_s: while the state service is out \
+         of reach, cancelled tasks may run up to {short} s longer than cancel_s"
+    ))
+}
+
 pub(crate) async fn bind(addr: &str) -> Result<TcpListener, CliError> {
     TcpListener::bind(addr)
         .await
@@ -118,6 +128,9 @@
     }
     ex.spawn(tick(shared.clone())).detach();
     log::info!("{} serves on {}", config.member, platform.client_listen);
+    if let Some(warning) = short_of_time(&config) {
+        log::error!("{warning}");
+    }
     let controller = Controller::new(Node::new(config), rules);
     let inputs = [core_inputs, core_reports];
     core(ex, shared, controller, inputs, core_asks, speakers).await;
--- a/crates/dillcleat/tests/loopback.rs
+++ b/crates/dillcleat/tests/loopback.rs
@@ -214,6 +214,13 @@
         o.status.success() && said.contains("finished of probes"),
         "{said}"
     );
+    let short = good.replacen("lease_s = 14.0", "lease_s = 43.0", 1);
+    let o = run(&["check", file("short.toml", &short).to_str().expect("text")]);
+    let said = String::from_utf8_lossy(&o.stdout).to_string();
+    assert!(
+        o.status.success() && said.contains("cancel_s leaves no time"),
+        "{said}"
+    );
     for (from, to, key) in [
         ("lease_s = 14.0", "lease_s = -1.0", "lease_s"),
         ("lease_s = 14.0", "lease_s = 60.0", "cancel_s"),
--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -31,6 +31,12 @@
     CutOff,
     /// Nodes are replaced, jobs wait for others, and the limits of the store fall
     Pipelines,
+    /// Two or three troubles meet, several times a day
+    Meetings,
+    /// Whoever leads is refused alone, then everybody for longer than a cancellation lasts
+    Gap,
+    /// A process ends at a call to the state service: three seeds for each call
+    Calls,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -75,6 +81,9 @@
                         Troubles::Troubled => Scenario::troubled(seed),
                         Troubles::CutOff => Scenario::cut_off(seed),
                         Troubles::Pipelines => Scenario::pipelines(seed),
+                        Troubles::Meetings => Scenario::meetings(seed),
+                        Troubles::Gap => Scenario::gap(seed),
+                        Troubles::Calls => Scenario::ends_at_call(seed),
                     };
                     let scenario = Scenario { form, ..scenario };
                     let faults = scenario.faults.clone();
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -21,6 +21,6 @@
 
 pub use fleet::{Fleet, Measured, Setting};
 pub use rules::{Breach, Checker, Rule};
-pub use scenario::{Cut, Fault, Form, Scenario};
+pub use scenario::{Cut, Fault, Form, LEADER, Moment, Scenario};
 pub use served::Shares;
 pub use world::{Outcome, World};
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -24,6 +24,8 @@
     /// A machine is rented or deleted by who led no more when it said so, or many are
     /// deleted by one call that comes late.
     Deposed,
+    /// One of the largest jobs of a class has not begun in four minutes.
+    LateBegin,
     /// What Kubernetes-shaped clients are told.
     Object,
 }
@@ -44,7 +46,7 @@
     pub spot: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Job {
     spec: JobSpec,
     /// Since when its user knows that it is accepted.
@@ -54,6 +56,7 @@
     cancel_told: Option<Micros>,
     done_told: bool,
     done: BTreeSet<u32>,
+    began: Option<Micros>,
     /// Since when every poll for it has failed, and what the polls of all jobs had
     /// come to by then.
     failing_since: Option<(Micros, Polls)>,
@@ -67,7 +70,7 @@
 }
 
 /// Watches a whole run. Every method is called as things happen.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Checker {
     cancel: Micros,
     /// CPU limit per team.
@@ -76,6 +79,8 @@
     on: BTreeMap<TaskName, Place>,
     starts: u64,
     polls: Polls,
+    /// From this time on there are no troubles: whoever asks is to be answered.
+    pub troubles_end: Micros,
     pub breaches: Vec<Breach>,
 }
 
@@ -88,6 +93,7 @@
             on: BTreeMap::new(),
             starts: 0,
             polls: Polls::default(),
+            troubles_end: Micros::MAX,
             breaches: Vec::new(),
         }
     }
@@ -109,6 +115,7 @@
             cancel_told: None,
             done_told: false,
             done: BTreeSet::new(),
+            began: None,
             failing_since: None,
         });
     }
@@ -169,8 +176,11 @@
                 let (since, then) = *job.failing_since.get_or_insert((now, self.polls));
                 let answered = self.polls.answered - then.answered;
                 let most = answered > self.polls.failed - then.failed;
-                if job.accepted.is_some() && now > since + 90 * SECOND && most {
-                    self.breach(Rule::Forgotten, now, format!("{id}: no answer for 90 s"));
+                let accepted = job.accepted.is_some();
+                // Once all troubles are over it doesn't matter how others fare.
+                let well = now > since.max(self.troubles_end) + 75 * SECOND;
+                if accepted && ((now > since + 90 * SECOND && most) || well) {
+                    self.breach(Rule::Forgotten, now, format!("{id}: no answer for long"));
                 }
             }
         }
@@ -297,6 +307,9 @@
         if late {
             self.breach(Rule::RanCancelled, now, format!("{task} starts"));
         }
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.began.get_or_insert(now);
+        }
         self.on.insert(task.clone(), place.clone());
         if let Some(limit) = self.limits.get(&team) {
             let used: f64 = self
@@ -341,7 +354,33 @@
         }
     }
 
+    /// The largest jobs of each class that waited for over four minutes until their first
+    /// task began, from their acceptance. Those that a team's limit holds back, that wait
+    /// for others or that were cancelled tell nothing.
+    fn late_begins(&self, now: Micros) -> Vec<String> {
+        let mut largest: BTreeMap<&str, u32> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let most = largest.entry(&job.spec.class).or_default();
+            *most = job.spec.tasks.max(*most);
+        }
+        let counts = |job: &&Job| {
+            job.spec.tasks == largest[&*job.spec.class]
+                && !self.limits.contains_key(&job.spec.team)
+                && job.spec.awaits.is_empty()
+                && !job.cancel_asked
+        };
+        let late = |job: &&Job| {
+            let waited = |at| job.began.unwrap_or(now).saturating_sub(at);
+            job.accepted.is_some_and(|at| waited(at) > 240 * SECOND)
+        };
+        let late = self.jobs.values().filter(counts).filter(late);
+        late.map(|job| job.spec.id.clone()).collect()
+    }
+
     pub fn finish(&mut self, now: Micros) {
+        for id in self.late_begins(now) {
+            self.breach(Rule::LateBegin, now, format!("{id}: one of the largest"));
+        }
         if self.starts == 0 {
             self.breach(Rule::NothingRan, now, "no task was started".into());
         }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -89,6 +89,76 @@
     TooMany {
         time: Micros,
     },
+    /// The state service carries requests out up to three seconds after they came, and
+    /// answers then.
+    SlowState {
+        time: Micros,
+    },
+    /// A third of the transactions gets no answer and is carried out 2 to 12 s later,
+    /// after newer ones of the same node.
+    LateWrites {
+        time: Micros,
+    },
+    /// Of half of the workers' reports a copy arrives again, from 2 s to well over a
+    /// lease later, at any node.
+    LateReports {
+        time: Micros,
+    },
+    /// What these machines report arrives; answers and orders to them are lost.
+    Deaf {
+        machines: usize,
+        time: Micros,
+    },
+    /// All nodes end. One is back soon, the others after a while.
+    AllEnd {
+        back: usize,
+        soon: Micros,
+        others: Micros,
+    },
+}
+
+/// In the place of a node's number: whoever leads when the trouble begins.
+pub const LEADER: usize = usize::MAX;
+
+impl Fault {
+    /// How long it lasts from its beginning; what passes at once lasts for none.
+    pub fn lasts(&self) -> Micros {
+        match self {
+            Fault::Crash { down, .. } => *down,
+            Fault::AllEnd { others, .. } => *others,
+            Fault::Pause { time, .. }
+            | Fault::CutMesh { time, .. }
+            | Fault::StateOutage { time }
+            | Fault::Refused { time, .. }
+            | Fault::CutState { time, .. }
+            | Fault::CutWorkers { time, .. }
+            | Fault::CutZone { time, .. }
+            | Fault::CutSite { time, .. }
+            | Fault::Hang { time, .. }
+            | Fault::CloudOutage { time }
+            | Fault::Flaky { time }
+            | Fault::Boots { time, .. }
+            | Fault::Storm { time }
+            | Fault::TooMany { time }
+            | Fault::SlowState { time }
+            | Fault::LateWrites { time }
+            | Fault::LateReports { time }
+            | Fault::Deaf { time, .. } => *time,
+            Fault::Die { .. } | Fault::Faulty => 0,
+            Fault::SpotTaken { notice } => notice.unwrap_or(0),
+        }
+    }
+}
+
+/// When a process ends around one of its calls to the state service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Moment {
+    /// The call is not carried out.
+    Before,
+    /// It is carried out, and its answer finds nobody.
+    CarriedOut,
+    /// Its answer has just been taken in.
+    Answered,
 }
 
 /// What becomes of messages across a cut.
@@ -142,6 +212,11 @@
     /// Pipelines of jobs that wait for others, and since when users have any.
     pub pipelines: usize,
     pub pipelines_from: Micros,
+    /// Whoever makes this call to the state service ends, by its number, and is back in a
+    /// fifth of a second.
+    pub ends_at_call: Option<(u64, Moment)>,
+    /// Half of the jobs have two or three tasks, and half of the users cancel.
+    pub small: bool,
     /// Jobs that wait for one that is cancelled.
     pub herd: Option<u32>,
     /// When the first node is replaced by the new version, and the time between two:
@@ -237,6 +312,132 @@
         scenario
     }
 
+    /// A day on which two or three troubles meet, several times: they begin within
+    /// seconds of each other or as long after as a lease or a cancellation lasts, and
+    /// most are aimed at whoever leads.
+    pub fn meetings(seed: u64) -> Scenario {
+        let mut rng = Rng::with_seed(seed.rotate_left(23) ^ 0x3ee7);
+        let mut scenario = Scenario::quiet(seed);
+        let mut at = rng.u64(20 * SECOND..40 * SECOND);
+        while at < scenario.busy {
+            let mut first = at;
+            for _ in 0..rng.usize(2..4) {
+                // Near a node's lease, a worker's, the blind limit, and a cancellation's.
+                let near = [2, 10, 14, 26, 30, 44, 60];
+                let time = near[rng.usize(..near.len())] * SECOND + rng.u64(..3 * SECOND);
+                let node = match rng.u8(..4) {
+                    0 => rng.usize(..3),
+                    _ => LEADER,
+                };
+                scenario.faults.extend(met(&mut rng, first, time, node));
+                let after = [0, 1, 1, 2, 5, 12];
+                first += after[rng.usize(..after.len())] * SECOND + rng.u64(..2 * SECOND);
+            }
+            at = first + rng.u64(20 * SECOND..70 * SECOND);
+        }
+        // A third of the days while versions change, or with pipelines alone.
+        let first = rng.u64(10 * SECOND..50 * SECOND);
+        match rng.u8(..6) {
+            0 => scenario.upgrade = Some((first, rng.u64(SECOND..15 * SECOND))),
+            1 => scenario.pipelines = rng.usize(2..6),
+            _ => {}
+        }
+        scenario.small = true;
+        scenario.jobs = rng.usize(14..26);
+        scenario.end = scenario.busy + 1000 * SECOND;
+        scenario
+    }
+
+    /// A small day on which a process ends at one call to the state service: of three
+    /// seeds in a row each has another moment of the same call.
+    pub fn ends_at_call(seed: u64) -> Scenario {
+        let moments = [Moment::Before, Moment::CarriedOut, Moment::Answered];
+        let busy = 40 * SECOND;
+        Scenario {
+            ends_at_call: Some((seed / 3, moments[(seed % 3) as usize])),
+            jobs: 5,
+            pipelines: 1,
+            small: true,
+            busy,
+            end: busy + 300 * SECOND,
+            ..Scenario::quiet(4)
+        }
+    }
+
+    /// The gap: whoever leads is refused alone, others confirm cancellations, and then
+    /// the state service is out for all for longer than a cancellation may take. A second
+    /// one right after.
+    pub fn gap(seed: u64) -> Scenario {
+        let mut rng = Rng::with_seed(seed.rotate_left(7) ^ 0x6a9);
+        let mut scenario = Scenario::quiet(seed);
+        let mut at = rng.u64(25 * SECOND..60 * SECOND);
+        for _ in 0..2 {
+            // Sometimes over when the outage begins, sometimes only after it.
+            let time = rng.u64(SECOND..20 * SECOND);
+            let alone = match rng.bool() {
+                true => Fault::Refused { node: LEADER, time },
+                false => Fault::CutState { node: LEADER, time },
+            };
+            let out = at + rng.u64(SECOND / 2..8 * SECOND);
+            let outage = rng.u64(20 * SECOND..70 * SECOND);
+            scenario.faults.push((at, alone));
+            // Some of the others never tell the leader that there is another.
+            if rng.bool() {
+                let node = LEADER;
+                scenario.faults.push((
+                    at,
+                    Fault::CutMesh {
+                        node,
+                        time: time + outage,
+                    },
+                ));
+            }
+            scenario
+                .faults
+                .push((out, Fault::StateOutage { time: outage }));
+            if rng.u8(..3) == 0 {
+                let time = rng.u64(5 * SECOND..30 * SECOND);
+                let machines = rng.usize(1..6);
+                let fault = match rng.bool() {
+                    true => Fault::Hang { machines, time },
+                    false => Fault::Deaf { machines, time },
+                };
+                let at = rng.u64(at.saturating_sub(10 * SECOND)..out + 10 * SECOND);
+                scenario.faults.push((at, fault));
+            }
+            if rng.u8(..3) == 0 {
+                let time = rng.u64(10 * SECOND..60 * SECOND);
+                scenario.faults.push((out, Fault::CloudOutage { time }));
+            }
+            // In each order the state service comes back to them.
+            if rng.u8(..3) == 0 {
+                let time = rng.u64(..10 * SECOND);
+                let node = rng.usize(..3);
+                scenario
+                    .faults
+                    .push((out + outage - SECOND, Fault::Refused { node, time }));
+            }
+            if rng.u8(..4) == 0 {
+                let node = [LEADER, 0, 1, 2][rng.usize(..4)];
+                let down = SECOND / 5;
+                let at = rng.u64(at..out + outage);
+                scenario.faults.push((
+                    at,
+                    Fault::Crash {
+                        nodes: vec![node],
+                        down,
+                    },
+                ));
+            }
+            at = out + outage + rng.u64(SECOND..15 * SECOND);
+        }
+        scenario.small = true;
+        scenario.jobs = rng.usize(16..28);
+        scenario.busy = at.max(scenario.busy);
+        scenario.end = scenario.busy + 600 * SECOND;
+        scenario
+    }
+
     /// A day of random troubles, several at a time.
     pub fn random(seed: u64) -> Scenario {
         let mut rng = Rng::with_seed(seed);
@@ -294,6 +495,8 @@
             scale: 1,
             pipelines: 0,
             pipelines_from: SECOND,
+            ends_at_call: None,
+            small: false,
             herd: None,
             upgrade: None,
             limits_fall: None,
@@ -302,3 +505,51 @@
         }
     }
 }
+
+/// One of the troubles that meet, or what always comes with it.
+fn met(rng: &mut Rng, at: Micros, time: Micros, node: usize) -> Vec<(Micros, Fault)> {
+    let machines = rng.usize(1..7);
+    let back = rng.usize(..3);
+    let fault = match rng.u8(..18) {
+        0 => Fault::StateOutage { time },
+        1 => Fault::Refused { node, time },
+        // Cut off from the store and the other nodes, not from workers or users.
+        2 | 3 => {
+            let cut = Fault::CutState { node, time };
+            return vec![(at, cut), (at, Fault::CutMesh { node, time })];
+        }
+        4 => {
+            let alone = Fault::Refused { node, time };
+            let then = rng.u64(SECOND / 2..4 * SECOND);
+            return vec![(at, alone), (at + then, Fault::StateOutage { time })];
+        }
+        5 | 6 => Fault::LateWrites { time },
+        7 => Fault::LateReports { time },
+        8 | 9 => Fault::Deaf { machines, time },
+        10 => Fault::Hang { machines, time },
+        11 => Fault::SlowState { time },
+        12 => Fault::AllEnd {
+            back,
+            soon: rng.u64(SECOND / 10..SECOND),
+            others: rng.u64(SECOND..20 * SECOND),
+        },
+        13 => {
+            let down = rng.u64(SECOND / 10..8 * SECOND);
+            let nodes = vec![node];
+            return vec![(at, Fault::Crash { nodes, down })];
+        }
+        // Over to another and back.
+        14 => {
+            let end = |nodes| Fault::Crash {
+                nodes,
+                down: SECOND / 5,
+            };
+            let ends = (0..4).map(|n| (at + n * 3 * SECOND / 2, end(vec![LEADER])));
+            return ends.collect();
+        }
+        15 => Fault::CutWorkers { node, time },
+        16 => Fault::Pause { node, time },
+        _ => Fault::CutZone { zone: back, time },
+    };
+    vec![(at, fault)]
+}
--- a/crates/rehearsal/src/troubles.rs
+++ b/crates/rehearsal/src/troubles.rs
@@ -1,7 +1,8 @@
 //! The troubles of a day, as they begin.
 
-use crate::scenario::Fault;
+use crate::scenario::{Fault, LEADER};
 use crate::world::{Boots, Ev, Host, SiteCut, World};
+use dillcleat_core::Micros;
 use std::collections::BTreeSet;
 
 impl World {
@@ -12,29 +13,43 @@
         names
     }
 
+    /// A node ends, and is back at the given time.
+    fn ends(&mut self, node: usize, back: Micros) {
+        self.nodes[node].node = None;
+        self.nodes[node].epoch += 1;
+        self.at(back, Ev::Restart { node });
+    }
+
     pub(crate) fn fault(&mut self, fault: Fault) {
         let now = self.now;
         let count = self.nodes.len();
+        let leads = |n: &Host| n.node.as_ref().and_then(|c| c.node.leading());
+        let leader = (0..count).max_by_key(|n| leads(&self.nodes[*n]));
+        let numbered = |node: usize| match node {
+            LEADER => leader.unwrap_or(0),
+            node => node % count,
+        };
         match fault {
             Fault::Crash { nodes, down } => {
-                let nodes: BTreeSet<usize> =
-                    nodes.into_iter().map(|n| n % self.nodes.len()).collect();
+                let nodes: BTreeSet<usize> = nodes.into_iter().map(numbered).collect();
                 for node in nodes {
-                    self.nodes[node].node = None;
-                    self.nodes[node].epoch += 1;
-                    self.at(now + down, Ev::Restart { node });
+                    self.ends(node, now + down);
                 }
             }
-            Fault::Pause { node, time } => self.nodes[node % count].paused_until = now + time,
-            Fault::CutMesh { node, time } => self.nodes[node % count].mesh_cut = now + time,
+            Fault::AllEnd { back, soon, others } => {
+                for node in 0..count {
+                    let down = if node == back % count { soon } else { others };
+                    self.ends(node, now + down);
+                }
+            }
+            Fault::Pause { node, time } => self.nodes[numbered(node)].paused_until = now + time,
+            Fault::CutMesh { node, time } => self.nodes[numbered(node)].mesh_cut = now + time,
             Fault::StateOutage { time } => self.state.outage(now, now + time),
-            Fault::Refused { node, time } => self.nodes[node % count].refused_until = now + time,
-            Fault::CutState { node, time } => self.nodes[node % count].state_cut = now + time,
-            Fault::CutWorkers { node, time } => self.nodes[node % count].workers_cut = now + time,
+            Fault::Refused { node, time } => self.nodes[numbered(node)].refused_until = now + time,
+            Fault::CutState { node, time } => self.nodes[numbered(node)].state_cut = now + time,
+            Fault::CutWorkers { node, time } => self.nodes[numbered(node)].workers_cut = now + time,
             Fault::CutZone { zone, time } => self.zone_cut[zone % 3] = now + time,
             Fault::CutSite { zone, time, cut } => {
-                let leads = |n: &Host| n.node.as_ref().and_then(|c| c.node.leading());
-                let leader = (0..count).max_by_key(|n| leads(&self.nodes[*n]));
                 let zone = zone.or(leader).unwrap_or(0) % 3;
                 self.site_cut[zone] = SiteCut {
                     until: now + time,
@@ -48,6 +63,13 @@
                     }
                 }
             }
+            Fault::Deaf { machines, time } => {
+                for name in self.some_machines(machines) {
+                    if let Some(w) = self.workers.get_mut(&name) {
+                        w.deaf_until = now + time;
+                    }
+                }
+            }
             Fault::Die { machines } => {
                 for machine in self.some_machines(machines) {
                     self.cloud.remove(&machine);
@@ -85,6 +107,9 @@
             }
             Fault::Storm { time } => self.storm_until = now + time,
             Fault::TooMany { time } => self.too_many_until = now + time,
+            Fault::SlowState { time } => self.slow_state_until = now + time,
+            Fault::LateWrites { time } => self.late_writes_until = now + time,
+            Fault::LateReports { time } => self.late_reports_until = now + time,
             Fault::Faulty => {
                 for name in self.some_machines(1) {
                     if let Some(w) = self.workers.get_mut(&name) {
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -51,6 +51,8 @@
     /// The report under way: its number and when it was sent.
     pub under_way: Option<(u64, u64, Micros)>,
     pub hung_until: Micros,
+    /// Until then answers and orders to it are lost.
+    pub deaf_until: Micros,
     pub recall_at: Option<Micros>,
     pub faulty: bool,
 }
@@ -70,6 +72,7 @@
             node,
             under_way: None,
             hung_until: 0,
+            deaf_until: 0,
             recall_at: None,
             faulty: false,
         }
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -81,6 +81,8 @@
     pub served: Shares,
     /// Leaders that were elected.
     pub terms: u64,
+    /// Calls to the state service, watches aside.
+    pub state_calls: u64,
     /// How many inputs of each kind the nodes took, and how long that took.
     pub costs: Costs,
 }
@@ -198,6 +200,8 @@
     /// Its luck is drawn apart, so that what else happens is what it would be
     /// without it.
     aside: bool,
+    /// It has waited at the state service already.
+    waited: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -321,11 +325,16 @@
     pub(crate) flaky_until: Micros,
     pub(crate) storm_until: Micros,
     pub(crate) too_many_until: Micros,
+    pub(crate) slow_state_until: Micros,
+    pub(crate) late_writes_until: Micros,
+    pub(crate) late_reports_until: Micros,
     pub(crate) boots: Boots,
     checker: Checker,
     scenario: Scenario,
     /// Inputs that nodes took.
     inputs: u64,
+    /// Calls to the state service, watches aside.
+    state_calls: u64,
     stale: Vec<&'static str>,
     digest: Sha256,
     placements: Sha256,
@@ -448,10 +457,14 @@
             flaky_until: 0,
             storm_until: 0,
             too_many_until: 0,
+            slow_state_until: 0,
+            late_writes_until: 0,
+            late_reports_until: 0,
             boots: Boots::default(),
             checker: Checker::new(config.cancel, limits),
             config,
             inputs: 0,
+            state_calls: 0,
             stale: Vec::new(),
             digest: Sha256::new(),
             placements: Sha256::new(),
@@ -466,6 +479,8 @@
         for node in 0..w.scenario.nodes {
             w.at(0, Ev::Restart { node });
         }
+        let ends = w.scenario.faults.iter().map(|(at, f)| at + f.lasts());
+        w.checker.troubles_end = ends.max().unwrap_or(0).max(w.scenario.busy);
         for (at, fault) in w.scenario.faults.clone() {
             w.at(at, Ev::Fault(Box::new(fault)));
         }
@@ -547,6 +562,7 @@
             machines: self.most_machines,
             served: self.served,
             terms,
+            state_calls: self.state_calls,
             costs: self.costs,
         }
     }
--- a/crates/rehearsal/src/world/network.rs
+++ b/crates/rehearsal/src/world/network.rs
@@ -133,6 +133,7 @@
             heard,
             led: None,
             aside,
+            waited: false,
         };
         (at, caller)
     }
--- a/crates/rehearsal/src/world/services.rs
+++ b/crates/rehearsal/src/world/services.rs
@@ -2,10 +2,39 @@
 
 use super::*;
 use crate::rules::Rule;
+use crate::scenario::Moment;
 use dillcleat_wire::state::Changes;
 
 impl World {
+    /// Ends the caller if this is its call to end at; whether the call is carried out.
+    fn ends_at_call(&mut self, caller: Caller, call: &StateCall) -> bool {
+        if matches!(call, StateCall::Watch { .. }) {
+            return true;
+        }
+        self.state_calls += 1;
+        let Some((_, moment)) = self
+            .scenario
+            .ends_at_call
+            .filter(|(number, _)| *number == self.state_calls)
+        else {
+            return true;
+        };
+        let nodes = vec![caller.node];
+        let down = SECOND / 5;
+        let end = Fault::Crash { nodes, down };
+        // An answer is on its way for some milliseconds.
+        let at = match moment {
+            Moment::Before | Moment::CarriedOut => self.now,
+            Moment::Answered => self.now + 10 * MILLISECOND,
+        };
+        self.at(at, Ev::Fault(Box::new(end)));
+        moment != Moment::Before
+    }
+
     pub(super) fn state_call(&mut self, caller: Caller, call: &StateCall) {
+        if !self.ends_at_call(caller, call) {
+            return;
+        }
         let id = caller.id;
         let refused = self.now < self.nodes[caller.node].refused_until;
         if refused && !matches!(call, StateCall::Watch { .. }) {
@@ -17,6 +46,23 @@
             };
             return self.reply(caller, Input::State { id, reply });
         }
+        let late = self.now < self.late_writes_until
+            && matches!(call, StateCall::Txn(_))
+            && self.side.u8(..3) == 0;
+        let slow = self.now < self.slow_state_until;
+        if (late || slow) && !caller.waited {
+            let wait = match late {
+                true => self.side.u64(2 * SECOND..12 * SECOND),
+                false => self.side.u64(300 * MILLISECOND..3 * SECOND),
+            };
+            let caller = Caller {
+                heard: caller.heard && !late,
+                waited: true,
+                ..caller
+            };
+            let call = Box::new(call.clone());
+            return self.at(self.now + wait, Ev::State { caller, call });
+        }
         let busy = self.now < self.too_many_until;
         let rng = self.luck(caller.aside);
         let too_many = rng.u16(..500) == 0 || (busy && rng.u8(..5) == 0);
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -67,6 +67,7 @@
         }
         let cancel = service || rng.u8(..5) == 0;
         let cancel_at = cancel.then(|| at + rng.u64(2 * SECOND..self.scenario.busy - at));
+        let cancel_at = self.smaller(&mut spec, at, cancel_at);
         let object = self.plan(job, &mut spec);
         let rng = &mut self.rng;
         let play = Play {
@@ -82,6 +83,27 @@
         self.at(at, Ev::User { job });
     }
 
+    /// On days of small jobs: two or three tasks for half of them, and more users that
+    /// cancel.
+    fn smaller(
+        &mut self,
+        spec: &mut JobSpec,
+        at: Micros,
+        cancel_at: Option<Micros>,
+    ) -> Option<Micros> {
+        if !self.scenario.small {
+            return cancel_at;
+        }
+        if self.side.bool() {
+            spec.tasks = self.side.u32(2..4);
+        }
+        let busy = self.scenario.busy;
+        cancel_at.or_else(|| {
+            let cancels = self.side.u8(..3) == 0;
+            cancels.then(|| self.side.u64(at + 2 * SECOND..busy))
+        })
+    }
+
     pub(super) fn ask(
         &mut self,
         node: usize,
--- a/crates/rehearsal/src/world/workers.rs
+++ b/crates/rehearsal/src/world/workers.rs
@@ -36,6 +36,17 @@
                     let machine = name.clone();
                     // A report without an answer on its way still arrives.
                     let _ = whole;
+                    if self.now < self.late_reports_until && self.side.bool() {
+                        let again = self.side.u64(2 * SECOND..2 * lease);
+                        let node = self.side.usize(..self.nodes.len());
+                        let (machine, report) = (machine.clone(), report.clone());
+                        let copy = Ev::Checkin {
+                            machine,
+                            node,
+                            report,
+                        };
+                        self.at(at + again, copy);
+                    }
                     self.at(
                         at,
                         Ev::Checkin {
@@ -56,6 +67,9 @@
         let Some(worker) = self.workers.get_mut(&machine) else {
             return;
         };
+        if self.now < worker.deaf_until {
+            return;
+        }
         if self.now < worker.hung_until {
             // Carried out when it goes on, though the sender is gone.
             let at = worker.hung_until + MILLISECOND;
@@ -132,7 +146,7 @@
         let Some(w) = self.workers.get_mut(machine) else {
             return;
         };
-        if self.now < w.hung_until {
+        if self.now < w.hung_until || self.now < w.deaf_until {
             return;
         }
         match w.under_way {
--- /dev/null
+++ b/crates/rehearsal/tests/meetings.rs
@@ -0,0 +1,67 @@
+//! Days on which troubles meet (docs/meetings.md). More of them by the README's command.
+
+use dillcleat_rehearsal::{Moment, Scenario, World};
+
+/// The rules hold, all work ends, and nothing stays behind.
+fn clean(scenario: Scenario) -> u64 {
+    let (seed, faults) = (scenario.seed, scenario.faults.clone());
+    let call = scenario.ends_at_call;
+    let o = World::new(scenario).run();
+    assert_eq!(o.breaches, [], "seed {seed}, {call:?}: {faults:?}");
+    assert_eq!(o.malformed, [""; 0], "seed {seed}, {call:?}");
+    assert_eq!(o.stale, [""; 0], "seed {seed}, {call:?}");
+    assert_eq!(o.unfinished, [""; 0], "seed {seed}, {call:?}: {faults:?}");
+    assert_eq!(o.left, [""; 0], "seed {seed}, {call:?}: {faults:?}");
+    assert!(o.starts > 0);
+    o.state_calls
+}
+
+fn meetings(seeds: std::ops::Range<u64>) {
+    for seed in seeds {
+        clean(Scenario::meetings(seed));
+    }
+}
+
+#[test]
+fn two_or_three_troubles_meet() {
+    meetings(0..8);
+}
+
+#[test]
+fn troubles_meet_on_more_days() {
+    meetings(8..16);
+}
+
+#[test]
+fn troubles_meet_on_other_days() {
+    meetings(16..24);
+}
+
+#[test]
+fn the_gap_and_a_second_one_right_after() {
+    for seed in 0..10 {
+        clean(Scenario::gap(seed));
+    }
+}
+
+/// Two nodes' word was once taken for an outage while the third, which neither heard, was
+/// elected: a leader of before had machines deleted.
+#[test]
+fn a_leader_of_before_takes_no_silence_for_an_outage() {
+    clean(Scenario::pipelines(11387));
+}
+
+/// Around every twentieth call; the README's command goes over all.
+#[test]
+fn a_process_ends_at_a_call_to_the_state_service() {
+    let calls = clean(Scenario {
+        ends_at_call: None,
+        ..Scenario::ends_at_call(0)
+    });
+    assert!(calls > 200, "{calls} calls");
+    for seed in (1..3 * calls).step_by(61) {
+        clean(Scenario::ends_at_call(seed));
+    }
+    let last = Scenario::ends_at_call(3 * calls);
+    assert_eq!(last.ends_at_call, Some((calls, Moment::Before)));
+}
--- a/crates/rehearsal/tests/rules_are_checked.rs
+++ b/crates/rehearsal/tests/rules_are_checked.rs
@@ -58,7 +58,7 @@
 
 #[test]
 fn each_rule_has_a_breach_that_is_caught() {
-    let planted: [(Rule, u32, Plant); 13] = [
+    let planted: [(Rule, u32, Plant); 15] = [
         (Rule::RanTwice, 2, |c| {
             c.starts(&task(0), &place("x", "a", false), 1);
             c.starts(&task(0), &place("y", "b", false), 2);
@@ -117,6 +117,36 @@
             c.answered_poll("req-1", 200, Some(JobState::Done), 5);
             c.answered_poll("req-1", 200, Some(JobState::Running), 6);
         }),
+        (Rule::Forgotten, 1, |c| {
+            // Nobody else is answered either.
+            c.troubles_end = 50 * SECOND;
+            for at in [10, 60, 125] {
+                c.answered_poll("req-1", 0, None, at * SECOND);
+            }
+            assert_eq!(c.breaches, []);
+            c.answered_poll("req-1", 503, None, 126 * SECOND);
+        }),
+        (Rule::LateBegin, 1, |c| {
+            let job = |id: &str, tasks, team: &str| JobSpec {
+                team: team.into(),
+                ..JobSpec::plain(id, Kind::Batch, tasks, 1.0)
+            };
+            // The small one and the one that a limit holds back tell nothing.
+            for spec in [
+                job("req-3", 4, "u"),
+                job("req-4", 3, "u"),
+                job("req-5", 4, "t"),
+            ] {
+                c.submits(&spec);
+                c.answered_submission(&spec.id, 201, Some(JobState::Queued), SECOND);
+            }
+            c.starts(&task(0), &place("x", "a", false), 2 * SECOND);
+            c.leaves(&task(0), "x", true);
+            let mut on_time = c.clone();
+            on_time.finish(241 * SECOND);
+            assert_eq!(on_time.breaches, []);
+            c.finish(242 * SECOND);
+        }),
         (Rule::NothingRan, 1, |c| c.finish(9)),
     ];
     for (rule, tasks, plant) in planted {
