--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -1,8 +1,8 @@
 //! Requests of this node that wait for their answers, and who waits.
 
 use crate::bucket::Bucket;
+use crate::permit::Permit;
 use crate::waiters::Waiter;
-use crate::warrant::Leave;
 use crate::{MILLISECOND, Micros, Now, Output, SECOND};
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::state::StateCall;
@@ -155,10 +155,10 @@
         }
     }
 
-    /// The one door to the cloud: without leave for it no call goes out.
-    pub fn cloud(&mut self, call: CloudCall, leave: &Leave, waiter: Waiter) {
-        if !leave.covers(&call) {
-            log::error!("no leave for {call:?}");
+    /// The one door to the cloud: without a permit no call goes out.
+    pub fn cloud(&mut self, call: CloudCall, permit: &Permit, waiter: Waiter) {
+        if !permit.covers(&call) {
+            log::error!("no permit for {call:?}");
             return;
         }
         let id = self.calls.open(waiter, self.now);
@@ -166,7 +166,7 @@
             id,
             call,
             timeout: CLOUD_TIMEOUT,
-            within: leave.within(self.now.steady),
+            within: permit.within(self.now.steady),
         });
     }
 
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -1,6 +1,6 @@
 //! The desk that calls the cloud.
 
-use crate::warrant::{Deed, Ground, Leave};
+use crate::permit::{Action, Ground, Permit};
 use crate::{Micros, SECOND};
 use dillcleat_wire::cloud::{CloudCall, MAX_DELETE, Rent};
 use std::collections::{BTreeMap, VecDeque};
@@ -156,14 +156,14 @@
         names
     }
 
-    /// The next call, with leave for it. `most` machines may one call delete; `leave`
+    /// The next call, with a permit for it. `most` machines may one call delete; `permit`
     /// tells what may be done now.
     pub fn next(
         &mut self,
         now: Micros,
         most: usize,
-        leave: impl Fn(Deed) -> Option<Leave>,
-    ) -> Option<(Errand, CloudCall, Leave)> {
+        permit: impl Fn(Action) -> Option<Permit>,
+    ) -> Option<(Errand, CloudCall, Permit)> {
         self.tokens = (self.tokens
             + crate::seconds(now.saturating_sub(self.refilled)) * self.rate * 0.9)
             .min(self.rate.max(1.0));
@@ -171,16 +171,16 @@
         if self.busy || now < self.pause_until || self.tokens < 1.0 {
             return None;
         }
-        let rent = leave(Deed::Rent);
+        let rent = permit(Action::Rent);
         if rent.is_none() {
-            // By the time that there is leave again another plan fits better.
+            // By the time that there is a permit again another plan fits better.
             self.rentals
                 .retain(|r| r.uncertain || now < r.since + STALE);
         }
         let rent = rent.filter(|_| !self.rentals.is_empty());
         let mut delete = Vec::new();
         if !self.deletes.is_empty() && (rent.is_none() || !self.deleted_last) {
-            let given = |ground| leave(Deed::Delete(ground)).is_some();
+            let given = |ground| permit(Action::Delete(ground)).is_some();
             delete = self.some(most.clamp(FEW, MAX_DELETE), given);
         }
         let grounds = delete.iter().filter_map(|n| self.deletes.get(n));
@@ -189,14 +189,18 @@
             let names = delete.iter().map(|n| n.to_string()).collect();
             self.deleting = delete;
             let call = CloudCall::Delete(names);
-            (Errand::Delete, call, leave(Deed::Delete(ground))?)
+            (Errand::Delete, call, permit(Action::Delete(ground))?)
         } else if now >= self.types_at {
-            (Errand::Types, CloudCall::Types, leave(Deed::Look)?)
-        } else if let Some((r, leave)) = self.rentals.front().zip(rent) {
-            (Errand::Rent, CloudCall::Rent(r.rent.clone()), leave)
+            (Errand::Types, CloudCall::Types, permit(Action::Look)?)
+        } else if let Some((r, permit)) = self.rentals.front().zip(rent) {
+            (Errand::Rent, CloudCall::Rent(r.rent.clone()), permit)
         } else if now >= self.list_at {
             let after = self.list_after.clone();
-            (Errand::List, CloudCall::List { after }, leave(Deed::Look)?)
+            (
+                Errand::List,
+                CloudCall::List { after },
+                permit(Action::Look)?,
+            )
         } else {
             return None;
         };
--- a/crates/core/src/leader/cut.rs
+++ b/crates/core/src/leader/cut.rs
@@ -107,7 +107,7 @@
     /// Such a leader may reach the state service all the same, and so prove that it
     /// leads. To believe what it does not hear would be the end of every other zone.
     pub(super) fn doubts(&self, config: &Config) -> bool {
-        if !self.footing.apart {
+        if !self.proof.apart {
             return false;
         }
         let far = |zone: &str| *zone != *config.zone;
--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -1,7 +1,7 @@
 //! What is derived from jobs and machines, brought up to date by what changed.
 //!
 //! Every sum, set and order that a pass, a rental plan or a tick asks for is
-//! kept here. A job or machine that was touched is marked by its shelf; what
+//! kept here. A job or machine that was touched is marked by its slab; what
 //! changes by time alone (a pause that ends, a report that is missed, a use of a
 //! job's end that passes) is marked when it is due. [`Leader::refresh`] looks at
 //! the marked ones and at nothing else: before, every pass walked all jobs and
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -60,14 +60,17 @@
                     }
                 }
                 let opens = |key: &String| key.starts_with(store::OPEN);
-                if self.last_read.is_none() && (!more || last.as_ref().is_some_and(opens)) {
+                if self.last_consistent_read.is_none()
+                    && (!more || last.as_ref().is_some_and(opens))
+                {
                     // Every cancellation is known that was confirmed before the first
                     // page was asked for. Which machines hold its tasks is not: until
                     // that is read, all answers end as early as those to the machine
                     // that holds the oldest.
                     let rows = self.cancelled_rows.iter();
                     let oldest = rows.map(|row| confirmed(ctx, &row.value)).min();
-                    self.last_read = Some(oldest.unwrap_or(Micros::MAX).min(self.load_sent));
+                    self.last_consistent_read =
+                        Some(oldest.unwrap_or(Micros::MAX).min(self.load_sent));
                 }
                 if more {
                     LoadFrom::Queue(last)
@@ -115,7 +118,7 @@
         let now = ctx.now.steady;
         self.stage = Stage::Ready;
         self.ready_since = now;
-        self.last_read = Some(self.load_sent);
+        self.last_consistent_read = Some(self.load_sent);
         self.watch_at = Some(now);
         let ids = |of: fn(&Job) -> bool| -> Vec<Rc<str>> {
             let jobs = self.jobs.iter();
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -28,13 +28,13 @@
 use crate::graph::Graph;
 use crate::learned::Inherited;
 use crate::ledger::{Batch, Item, Ledger, Pace};
+use crate::permit::{Action, Ground, LeadershipProof};
 use crate::sched::plan::{Market, Refusals, plan};
 use crate::sched::yields::{Victim, make_room};
 use crate::sched::{self, Floor, JobView, Line, MachineView, Place, Room, Shape, TeamView};
-use crate::shelf::Shelf;
+use crate::slab::Slab;
 use crate::store::{self, CancelledJob, Chunk, JobMark, MachineRecord, Mark, OpenJob, Span};
 use crate::waiters::{Leading as Step, Waiter};
-use crate::warrant::{Deed, Footing, Ground};
 use crate::workers::{Machine, SlotEvent, Source, TaskKey};
 use crate::{Answer, CallId, Config, Counts, MILLISECOND, Micros, SECOND, micros, seconds};
 use dillcleat_mesh::Progress;
@@ -278,18 +278,18 @@
     /// When the last answered read of the cancellations was sent; None before a new
     /// leader has read any. Nothing else moves it: a lease renewed, a beat or a write
     /// says nothing of what others have confirmed.
-    last_read: Option<Micros>,
+    last_consistent_read: Option<Micros>,
     /// Since when reports are not answered, for want of a sure look.
     blind_since: Option<Micros>,
     /// Its right to act, as its node saw it last.
-    pub footing: Footing,
+    pub proof: LeadershipProof,
     watch_at: Option<Micros>,
-    jobs: Shelf<Job>,
+    jobs: Slab<Job>,
     /// Which of the open jobs wait for which.
     graph: Graph,
     /// Jobs that others wait for and that are not open here.
     proofs: Proofs,
-    machines: Shelf<Machine>,
+    machines: Slab<Machine>,
     index: Index,
     /// What ageing has taken off any job that was active all the time, in
     /// CPU-seconds.
@@ -363,14 +363,14 @@
             queue_revision: None,
             cancelled_rows: Vec::new(),
             load_sent: now,
-            last_read: None,
+            last_consistent_read: None,
             blind_since: None,
-            footing: Footing::default(),
+            proof: LeadershipProof::default(),
             watch_at: None,
-            jobs: Shelf::default(),
+            jobs: Slab::default(),
             graph: Graph::default(),
             proofs: Proofs::default(),
-            machines: Shelf::default(),
+            machines: Slab::default(),
             index: Index::new(ctx.config),
             clock: 0.0,
             pushes: Pushes::new(ctx.config.max_orders),
@@ -444,7 +444,7 @@
     fn watched(&mut self, ctx: &mut Ctx, sent: Micros, reply: Result<StateReply, CallError>) {
         match reply {
             Ok(StateReply::Changes(changes)) => {
-                self.last_read = self.last_read.max(Some(sent));
+                self.last_consistent_read = self.last_consistent_read.max(Some(sent));
                 self.queue_revision = Some(changes.revision);
                 for event in changes.events {
                     if let Event::Put {
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -76,17 +76,17 @@
         let now = ctx.now.steady;
         let fleet: usize = self.index.sums.up.values().sum();
         let most = (fleet as f64 * ctx.config.tuning.delete_share) as usize;
-        let leave = |deed| self.footing.leave(ctx.config, now, deed);
-        if let Some((errand, call, leave)) = self.desk.next(now, most, leave) {
+        let permit = |action| self.proof.permit(ctx.config, now, action);
+        if let Some((errand, call, permit)) = self.desk.next(now, most, permit) {
             let waiter = self.waiter(Step::Cloud(errand));
-            ctx.cloud(call, &leave, waiter);
+            ctx.cloud(call, &permit, waiter);
         }
     }
 
     /// Whether it may be done now.
-    pub(super) fn may(&self, ctx: &Ctx, deed: Deed) -> bool {
+    pub(super) fn may(&self, ctx: &Ctx, action: Action) -> bool {
         let now = ctx.now.steady;
-        self.footing.leave(ctx.config, now, deed).is_some()
+        self.proof.permit(ctx.config, now, action).is_some()
     }
 
     /// This process was not running for a while, or did not listen: what it did not
@@ -108,7 +108,7 @@
     pub(super) fn clear_unreachable(&mut self, ctx: &Ctx) {
         let now = ctx.now.steady;
         let patience = ctx.config.cancel * 3 / 10;
-        let may = self.may(ctx, Deed::Delete(Ground::Cancelled));
+        let may = self.may(ctx, Action::Delete(Ground::Cancelled));
         if now < self.ready_since + patience / 4 || !may {
             return;
         }
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -15,7 +15,7 @@
         let now = ctx.now.steady;
         let cut_off = self.cut_off();
         self.drop_silent(ctx, &cut_off);
-        if self.may(ctx, Deed::Delete(Ground::Returned)) {
+        if self.may(ctx, Action::Delete(Ground::Returned)) {
             self.return_idle(ctx);
         }
         let keep = now.saturating_sub(4 * ctx.config.list_lag + 120 * SECOND);
@@ -24,7 +24,7 @@
             return;
         };
         // Right after the start the machines are still becoming known.
-        if now < self.ready_since + 2 * SECOND || !self.fresh(ctx) || !self.may(ctx, Deed::Rent) {
+        if now < self.ready_since + 2 * SECOND || !self.fresh(ctx) || !self.may(ctx, Action::Rent) {
             return;
         }
         let (booting, slow) = self.booting(&types, now);
@@ -197,7 +197,7 @@
         // sooner once cost a third of all replicas the time that others took
         // to boot (rough, brunnmatt-books-grown).
         let mut elsewhere = self.elsewhere(cut);
-        let may = self.entitled(ctx) && self.may(ctx, Deed::Delete(Ground::Silent));
+        let may = self.entitled(ctx) && self.may(ctx, Action::Delete(Ground::Silent));
         let doubts = self.doubts(ctx.config);
         let types = self.types.clone();
         let types = types.as_deref().map_or(&[][..], Vec::as_slice);
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -38,7 +38,8 @@
     /// end what it cancels, whatever else is out of reach.
     pub(super) fn entitled(&self, ctx: &Ctx) -> bool {
         let limit = ctx.config.blind_limit();
-        self.last_read.is_some_and(|at| ctx.now.steady < at + limit)
+        self.last_consistent_read
+            .is_some_and(|at| ctx.now.steady < at + limit)
     }
 
     /// Whether a cancelled task may have been on the machine for so long that its lease
@@ -88,7 +89,8 @@
 
     /// Sure sight of the state, so that starting tasks is right.
     pub(super) fn fresh(&self, ctx: &Ctx) -> bool {
-        self.last_read.is_some_and(|at| ctx.now.steady < at + SIGHT)
+        self.last_consistent_read
+            .is_some_and(|at| ctx.now.steady < at + SIGHT)
     }
 
     pub(super) fn take_report(&mut self, ctx: &Ctx, r: &Report, source: Source) {
@@ -187,7 +189,7 @@
         if !self.fresh(ctx) {
             return m.cancelled().collect();
         }
-        let lasting = self.footing.proved(ctx.config, ctx.now.steady);
+        let lasting = self.proof.proved(ctx.config, ctx.now.steady);
         m.commands(lasting, |task, attempt| self.settled(task, attempt))
     }
 }
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -316,7 +316,7 @@
                     // No placement of it is written from now on.
                     // When it was confirmed is not known: after the last read, or it
                     // would be known.
-                    let since = self.last_read.unwrap_or(ctx.now.steady);
+                    let since = self.last_consistent_read.unwrap_or(ctx.now.steady);
                     job.cancelled.get_or_insert(since);
                     job.ending = false;
                 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,11 +18,11 @@
 mod learned;
 pub mod ledger;
 pub mod node;
-pub mod shelf;
+pub mod permit;
 mod siblings;
+pub mod slab;
 pub mod store;
 pub mod waiters;
-pub mod warrant;
 pub mod workers;
 
 pub use dillcleat_sched as sched;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -7,10 +7,10 @@
 use crate::leader::{Leader, Note};
 use crate::leadership::{Better, Change, Leadership};
 use crate::learned::Heard;
+use crate::permit::LeadershipProof;
 use crate::siblings::{Sibling, Siblings};
 use crate::store::OpenJob;
 use crate::waiters::{Leading, Waiter};
-use crate::warrant::Footing;
 use crate::{
     Answer, Config, Counts, Input, MILLISECOND, Micros, Now, Output, RequestId, SECOND, Told,
     micros,
@@ -159,16 +159,16 @@
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
         self.awake(now, &mut out);
-        let footing = match input {
+        let proof = match input {
             Input::Tick => {
                 self.leadership.better = match self.hears(now) {
                     true => Better::Nobody,
                     false if self.siblings.better(now.steady) => Better::Sibling,
                     false => Better::Unknown,
                 };
-                self.footing(now)
+                self.proof(now)
             }
-            _ => Footing::default(),
+            _ => LeadershipProof::default(),
         };
         let mut ctx = Ctx {
             now,
@@ -183,7 +183,7 @@
                 self.admission.tick(&mut ctx);
                 ctx.hasten();
                 if let Some(leader) = &mut self.leader {
-                    leader.footing = footing;
+                    leader.proof = proof;
                     leader.tick(&mut ctx);
                 }
                 if now.steady >= self.beat_at {
@@ -214,7 +214,7 @@
                     Some((Waiter::Leadership(step), sent)) => {
                         change = self.leadership.reply(&mut ctx, step, sent, reply);
                         if let Some(leader) = &mut self.leader {
-                            leader.footing.proved = self.leadership.proved();
+                            leader.proof.proved = self.leadership.proved();
                         }
                     }
                     Some((Waiter::Leader { term, step }, sent)) => {
@@ -292,7 +292,7 @@
                 let types = self.leadership.types.clone();
                 let inherited = self.learned.inherit(term, now.steady);
                 let mut leader = Leader::new(&mut ctx, term, term_version, types, inherited);
-                leader.footing.proved = self.leadership.proved();
+                leader.proof.proved = self.leadership.proved();
                 if now.steady < self.silent_at + HINT {
                     leader.expect_silence(std::mem::take(&mut self.silent));
                 }
@@ -493,11 +493,11 @@
     }
 
     /// What this node knows of its right to act as leader.
-    fn footing(&self, now: Now) -> Footing {
+    fn proof(&self, now: Now) -> LeadershipProof {
         let heard = |name: &String| self.siblings.is_heard(name, now.steady);
         let far = &self.config.far_siblings;
         let apart = !far.is_empty() && !far.iter().any(heard);
-        Footing {
+        LeadershipProof {
             proved: self.leadership.proved(),
             apart,
         }
--- a/crates/core/src/warrant.rs
+++ b/crates/core/src/permit.rs
@@ -25,7 +25,7 @@
 
 /// What a leader knows of its right to act, as its node sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Footing {
+pub struct LeadershipProof {
     /// When the call was sent by whose answer this node was last proved to lead.
     pub proved: Micros,
     /// There are controllers in other zones, and none of them is heard.
@@ -47,46 +47,46 @@
 
 /// What is asked of the cloud.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Deed {
+pub enum Action {
     /// Changes nothing.
     Look,
     Rent,
     Delete(Ground),
 }
 
-/// Leave to send one call; only a [`Footing`] gives it.
+/// Permit to send one call; only a [`LeadershipProof`] gives it.
 #[derive(Debug)]
-pub struct Leave {
+pub struct Permit {
     until: Micros,
     lasting: bool,
 }
 
-impl Footing {
+impl LeadershipProof {
     /// Whether this node led a moment ago.
     pub fn proved(&self, config: &Config, now: Micros) -> bool {
         now < self.proved + proof_time(config)
     }
 
-    /// Leave to do it, if there is any.
+    /// Permit to do it, if there is any.
     ///
     /// Without proof there is none, for no ground. That most controllers are refused by
     /// the state service and none says otherwise is no proof that it is out: the one that
     /// was elected meanwhile may not be heard (seed 11387 of the pipelines' days). What
     /// whoever was told of a cancellation is owed is left to time: who holds it is not
     /// answered any more, and its lease ends it (`Leader::checkin`).
-    pub fn leave(&self, config: &Config, now: Micros, deed: Deed) -> Option<Leave> {
-        let until = match deed {
-            Deed::Look => Micros::MAX,
+    pub fn permit(&self, config: &Config, now: Micros, action: Action) -> Option<Permit> {
+        let until = match action {
+            Action::Look => Micros::MAX,
             _ if self.proved(config, now) => self.proved + proof_time(config),
-            Deed::Rent | Deed::Delete(_) => return None,
+            Action::Rent | Action::Delete(_) => return None,
         };
-        let lasting = deed != Deed::Look;
-        Some(Leave { until, lasting })
+        let lasting = action != Action::Look;
+        Some(Permit { until, lasting })
     }
 }
 
-impl Leave {
-    /// Whether it is leave for a call such as this.
+impl Permit {
+    /// Whether it permits a call such as this.
     pub fn covers(&self, call: &CloudCall) -> bool {
         let lasting = matches!(call, CloudCall::Rent(_) | CloudCall::Delete(_));
         self.lasting || !lasting
--- a/crates/core/src/shelf.rs
+++ b/crates/core/src/slab.rs
@@ -3,7 +3,7 @@
 //!
 //! Whoever takes one out to change it leaves it marked, so what is derived from
 //! it (an index, a sum) can be brought up to date by looking at the marked ones
-//! alone. Nothing can be changed unmarked but by [`Shelf::quiet`].
+//! alone. Nothing can be changed unmarked but by [`Slab::quiet`].
 
 use dillcleat_sched::Place;
 use std::collections::HashMap;
@@ -16,7 +16,7 @@
 }
 
 #[derive(Debug)]
-pub struct Shelf<T> {
+pub struct Slab<T> {
     held: Vec<Option<Held<T>>>,
     by_name: HashMap<Rc<str>, Place>,
     vacant: Vec<Place>,
@@ -24,9 +24,9 @@
     is_marked: Vec<bool>,
 }
 
-impl<T> Default for Shelf<T> {
+impl<T> Default for Slab<T> {
     fn default() -> Self {
-        Shelf {
+        Slab {
             held: Vec::new(),
             by_name: HashMap::new(),
             vacant: Vec::new(),
@@ -36,7 +36,7 @@
     }
 }
 
-impl<T> Shelf<T> {
+impl<T> Slab<T> {
     pub fn len(&self) -> usize {
         self.by_name.len()
     }
@@ -80,7 +80,7 @@
         Some(&mut held.value)
     }
 
-    /// Puts a thing on the shelf, in place of one of the same name.
+    /// Puts a thing on the slab, in place of one of the same name.
     pub fn insert(&mut self, name: Rc<str>, value: T) -> Place {
         let place = match self.place(&name) {
             Some(place) => place,
@@ -162,7 +162,7 @@
 
     #[test]
     fn what_may_have_changed_is_marked_once_even_if_it_has_gone() {
-        let mut s: Shelf<u32> = Shelf::default();
+        let mut s: Slab<u32> = Slab::default();
         let a = s.insert("a".into(), 1);
         let b = s.insert("b".into(), 2);
         assert_eq!(s.take_marked(), [a, b]);
--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -99,7 +99,7 @@
                     }
                     late.fetch_add(o.late_hits, Ordering::Relaxed);
                     refused.fetch_add(o.refused, Ordering::Relaxed);
-                    let clean = o.breaches.is_empty()
+                    let clean = o.violations.is_empty()
                         && o.malformed.is_empty()
                         && o.unfinished.is_empty()
                         && o.left.is_empty()
@@ -113,7 +113,7 @@
                         }
                         println!(
                             "seed {seed}: {:?} malformed {:?} unfinished {:?} left {:?} stale {:?} on {faults:?}",
-                            o.breaches, o.malformed, o.unfinished, o.left, o.stale
+                            o.violations, o.malformed, o.unfinished, o.left, o.stale
                         );
                     }
                 }
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -31,7 +31,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Breach {
+pub struct Violation {
     pub rule: Rule,
     pub at: Micros,
     pub what: String,
@@ -81,7 +81,7 @@
     polls: Polls,
     /// From this time on there are no troubles: whoever asks is to be answered.
     pub troubles_end: Micros,
-    pub breaches: Vec<Breach>,
+    pub violations: Vec<Violation>,
 }
 
 impl Checker {
@@ -94,17 +94,17 @@
             starts: 0,
             polls: Polls::default(),
             troubles_end: Micros::MAX,
-            breaches: Vec::new(),
+            violations: Vec::new(),
         }
     }
 
     /// What somebody else has found.
     pub fn found(&mut self, rule: Rule, at: Micros, what: String) {
-        self.breach(rule, at, what);
+        self.violation(rule, at, what);
     }
 
-    fn breach(&mut self, rule: Rule, at: Micros, what: String) {
-        self.breaches.push(Breach { rule, at, what });
+    fn violation(&mut self, rule: Rule, at: Micros, what: String) {
+        self.violations.push(Violation { rule, at, what });
     }
 
     pub fn submits(&mut self, spec: &JobSpec) {
@@ -142,7 +142,7 @@
                 }
             }
             (400 | 422, Some(job)) if job.accepted.is_some() => {
-                self.breach(
+                self.violation(
                     Rule::Forgotten,
                     now,
                     format!("{id}: answered {status} again"),
@@ -156,7 +156,7 @@
     pub fn answered_poll(&mut self, id: &str, status: u16, state: Option<JobState>, now: Micros) {
         let Some(job) = self.jobs.get_mut(id) else {
             if status == 200 {
-                self.breach(Rule::Invented, now, format!("{id} was never submitted"));
+                self.violation(Rule::Invented, now, format!("{id} was never submitted"));
             }
             return;
         };
@@ -169,7 +169,7 @@
                 }
             }
             404 if job.accepted.is_some() => {
-                self.breach(Rule::Forgotten, now, format!("{id}: answered 404"));
+                self.violation(Rule::Forgotten, now, format!("{id}: answered 404"));
             }
             _ => {
                 self.polls.failed += 1;
@@ -180,7 +180,7 @@
                 // Once all troubles are over it doesn't matter how others fare.
                 let well = now > since.max(self.troubles_end) + 75 * SECOND;
                 if accepted && ((now > since + 90 * SECOND && most) || well) {
-                    self.breach(Rule::Forgotten, now, format!("{id}: no answer for long"));
+                    self.violation(Rule::Forgotten, now, format!("{id}: no answer for long"));
                 }
             }
         }
@@ -221,7 +221,7 @@
             }
         }
         if let Some((rule, what)) = broken {
-            self.breach(rule, now, format!("{id}: {what}"));
+            self.violation(rule, now, format!("{id}: {what}"));
         }
     }
 
@@ -258,10 +258,10 @@
                 "{task} starts on {} while on {}",
                 place.machine, other.machine
             );
-            self.breach(Rule::RanTwice, now, what);
+            self.violation(Rule::RanTwice, now, what);
         }
         let Some(job) = self.jobs.get(&task.job) else {
-            self.breach(Rule::WrongPlace, now, format!("{task}: no such job"));
+            self.violation(Rule::WrongPlace, now, format!("{task}: no such job"));
             return;
         };
         let spec = &job.spec;
@@ -295,17 +295,17 @@
         let late = job.cancel_told.is_some_and(|at| now > at + self.cancel);
         let team = spec.team.clone();
         if let Some(wrong) = wrong {
-            self.breach(Rule::WrongPlace, now, format!("{task}: wrong {wrong}"));
+            self.violation(Rule::WrongPlace, now, format!("{task}: wrong {wrong}"));
         }
         if let Some(early) = early {
-            self.breach(
+            self.violation(
                 Rule::TooEarly,
                 now,
                 format!("{task} starts before {early} is done"),
             );
         }
         if late {
-            self.breach(Rule::RanCancelled, now, format!("{task} starts"));
+            self.violation(Rule::RanCancelled, now, format!("{task} starts"));
         }
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.began.get_or_insert(now);
@@ -320,7 +320,7 @@
                 .map(|j| j.spec.cpus)
                 .sum();
             if used > limit + 1e-6 {
-                self.breach(Rule::Quota, now, format!("{team} uses {used} of {limit}"));
+                self.violation(Rule::Quota, now, format!("{team} uses {used} of {limit}"));
             }
         }
     }
@@ -350,7 +350,7 @@
             .collect();
         for task in late {
             self.on.remove(&task);
-            self.breach(Rule::RanCancelled, now, format!("{task} still runs"));
+            self.violation(Rule::RanCancelled, now, format!("{task} still runs"));
         }
     }
 
@@ -379,10 +379,10 @@
 
     pub fn finish(&mut self, now: Micros) {
         for id in self.late_begins(now) {
-            self.breach(Rule::LateBegin, now, format!("{id}: one of the largest"));
+            self.violation(Rule::LateBegin, now, format!("{id}: one of the largest"));
         }
         if self.starts == 0 {
-            self.breach(Rule::NothingRan, now, "no task was started".into());
+            self.violation(Rule::NothingRan, now, "no task was started".into());
         }
     }
 
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -11,7 +11,7 @@
 use self::pipelines::Stands;
 use crate::cloud::Cloud;
 use crate::objects::{self, Plan, Watcher};
-use crate::rules::{Breach, Checker, Place};
+use crate::rules::{Checker, Place, Violation};
 use crate::scenario::{Cut, Fault, Form, Scenario};
 use crate::served::Shares;
 use crate::state::{StateService, Watches};
@@ -51,7 +51,7 @@
 /// What a run has come to.
 #[derive(Debug)]
 pub struct Outcome {
-    pub breaches: Vec<Breach>,
+    pub violations: Vec<Violation>,
     pub starts: u64,
     pub accepted: usize,
     /// Accepted jobs that neither completed nor were cancelled or services.
@@ -522,7 +522,7 @@
                 self.happen(ev);
             }
             self.checker.step(self.now);
-            if !self.checker.breaches.is_empty() {
+            if !self.checker.violations.is_empty() {
                 break;
             }
         }
@@ -552,7 +552,7 @@
             left: [self.state.keys("t/"), self.state.keys("q/")].concat(),
             refused: self.state.refused,
             malformed: self.state.malformed,
-            breaches: self.checker.breaches,
+            violations: self.checker.violations,
             stale: self.stale,
             digest: self.digest.finalize().into(),
             placements: self.placements.finalize().into(),
--- a/crates/rehearsal/tests/meetings.rs
+++ b/crates/rehearsal/tests/meetings.rs
@@ -7,7 +7,7 @@
     let (seed, faults) = (scenario.seed, scenario.faults.clone());
     let call = scenario.ends_at_call;
     let o = World::new(scenario).run();
-    assert_eq!(o.breaches, [], "seed {seed}, {call:?}: {faults:?}");
+    assert_eq!(o.violations, [], "seed {seed}, {call:?}: {faults:?}");
     assert_eq!(o.malformed, [""; 0], "seed {seed}, {call:?}");
     assert_eq!(o.stale, [""; 0], "seed {seed}, {call:?}");
     assert_eq!(o.unfinished, [""; 0], "seed {seed}, {call:?}: {faults:?}");
--- a/crates/rehearsal/tests/objects.rs
+++ b/crates/rehearsal/tests/objects.rs
@@ -8,7 +8,7 @@
 }
 
 fn clean(seed: u64, o: &Outcome) {
-    assert_eq!(o.breaches, [], "seed {seed}");
+    assert_eq!(o.violations, [], "seed {seed}");
     assert_eq!(o.malformed, [""; 0], "seed {seed}");
     assert_eq!(o.stale, [""; 0], "seed {seed}");
     assert_eq!(o.unfinished, [""; 0], "seed {seed}");
--- a/crates/rehearsal/tests/rules_are_checked.rs
+++ b/crates/rehearsal/tests/rules_are_checked.rs
@@ -1,4 +1,4 @@
-//! The checker catches a planted breach of each rule, and nothing else.
+//! The checker catches a planted violation of each rule, and nothing else.
 
 use dillcleat_core::SECOND;
 use dillcleat_rehearsal::rules::Place;
@@ -79,7 +79,7 @@
             c.asks_to_cancel("req-1");
             c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2);
             c.answered_poll("req-2", 200, Some(JobState::Queued), 10 * SECOND + 2);
-            assert_eq!(c.breaches, []);
+            assert_eq!(c.violations, []);
             c.answered_poll("req-2", 200, Some(JobState::Queued), 10 * SECOND + 3);
         }),
         (Rule::WrongPlace, 1, |c| {
@@ -94,7 +94,7 @@
             c.asks_to_cancel("req-1");
             c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2);
             c.step(9 * SECOND);
-            assert!(c.breaches.is_empty());
+            assert!(c.violations.is_empty());
             c.step(11 * SECOND);
         }),
         (Rule::Forgotten, 1, |c| {
@@ -123,7 +123,7 @@
             for at in [10, 60, 125] {
                 c.answered_poll("req-1", 0, None, at * SECOND);
             }
-            assert_eq!(c.breaches, []);
+            assert_eq!(c.violations, []);
             c.answered_poll("req-1", 503, None, 126 * SECOND);
         }),
         (Rule::LateBegin, 1, |c| {
@@ -144,7 +144,7 @@
             c.leaves(&task(0), "x", true);
             let mut on_time = c.clone();
             on_time.finish(241 * SECOND);
-            assert_eq!(on_time.breaches, []);
+            assert_eq!(on_time.violations, []);
             c.finish(242 * SECOND);
         }),
         (Rule::NothingRan, 1, |c| c.finish(9)),
@@ -152,7 +152,7 @@
     for (rule, tasks, plant) in planted {
         let mut c = checker(tasks);
         plant(&mut c);
-        let caught: Vec<Rule> = c.breaches.iter().map(|b| b.rule).collect();
+        let caught: Vec<Rule> = c.violations.iter().map(|b| b.rule).collect();
         assert_eq!(caught, [rule]);
     }
 }
@@ -170,5 +170,5 @@
     c.answered_poll("req-2", 404, None, 6);
     c.step(100 * SECOND);
     c.finish(100 * SECOND);
-    assert_eq!(c.breaches, []);
+    assert_eq!(c.violations, []);
 }
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -18,7 +18,7 @@
 fn holds(name: &str, faults: impl Fn(u64) -> Vec<(Micros, Fault)>) {
     for seed in 1..=6 {
         let o = play(seed, 14, faults(seed));
-        assert_eq!(o.breaches, [], "{name}, seed {seed}");
+        assert_eq!(o.violations, [], "{name}, seed {seed}");
         assert_eq!(o.malformed, [""; 0], "{name}, seed {seed}");
         assert_eq!(o.stale, [""; 0], "{name}, seed {seed}");
         assert!(
@@ -36,7 +36,7 @@
 fn clean(scenario: Scenario) -> Outcome {
     let (seed, faults) = (scenario.seed, scenario.faults.clone());
     let o = World::new(scenario).run();
-    assert_eq!(o.breaches, [], "seed {seed}: {faults:?}");
+    assert_eq!(o.violations, [], "seed {seed}: {faults:?}");
     assert_eq!(o.malformed, [""; 0], "seed {seed}");
     assert_eq!(o.stale, [""; 0], "seed {seed}");
     assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
@@ -300,7 +300,7 @@
             ..Scenario::quiet(seed)
         })
         .run();
-        assert_eq!(o.breaches, [], "seed {seed}");
+        assert_eq!(o.violations, [], "seed {seed}");
         assert_eq!(o.malformed, [""; 0], "seed {seed}");
         assert!(o.starts > 200, "seed {seed}: {} starts", o.starts);
     }
@@ -427,7 +427,7 @@
             ..Scenario::quiet(seed)
         })
         .run();
-        assert_eq!(o.breaches, [], "seed {seed}");
+        assert_eq!(o.violations, [], "seed {seed}");
         assert_eq!(o.malformed, [""; 0], "seed {seed}");
         assert_eq!(o.unfinished, [""; 0], "seed {seed}");
         assert_eq!(o.left, [""; 0], "seed {seed}: keys left");
