A read of a record that is refused is made again after a pause

Cause, found in reading for the meeting of a conflict and an outage: the read of a job's mark, and of a chunk of which an earlier try may have been applied, was made again at once when it was refused, as fast as refusals came. Now after 0.1 s, like other calls.

--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -43,7 +43,7 @@
 use dillcleat_wire::state::{self, Change, Event, Page, Row, StateCall, StateReply, Txn, Value};
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
 use dillcleat_wire::worker::{Orders, Report, ReportAnswer, Why};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// How long a watch for submissions and cancellations is held.
@@ -297,6 +297,8 @@
     pushes: Pushes,
     gone: HashMap<String, Micros>,
     ledger: Ledger,
+    /// Reads that were not answered, by when they are made again.
+    reads: VecDeque<(Micros, String, Step)>,
     pace: Pace,
     /// What a value may take, as far as is known: less once the state service has
     /// refused one.
@@ -376,6 +378,7 @@
             pushes: Pushes::new(ctx.config.max_orders),
             gone: HashMap::new(),
             ledger: Ledger::default(),
+            reads: VecDeque::new(),
             pace: Pace::new(ctx.config.state_write_rps_before),
             value_bytes: ctx.config.value_bytes_before,
             desk: Desk::new(ctx.config.cloud_rps, now),
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -67,6 +67,7 @@
             ctx.state(call, waiter);
         }
         self.look_for_proofs(ctx);
+        self.read_again(ctx);
         self.write(ctx);
         self.push_orders(ctx);
         self.call_cloud(ctx);
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -260,7 +260,27 @@
             Ok(StateReply::Found(row)) => self.applied(ctx, batch, row.version),
             _ => {
                 self.ledger.batch = Some(batch);
-                let waiter = self.waiter(Step::Reread { key: key.clone() });
+                self.read_later(ctx, key.clone(), Step::Reread { key });
+            }
+        }
+    }
+
+    /// A read that was not answered is made again after a pause: made at once, it was
+    /// refused hundreds of times a second in an outage.
+    fn read_later(&mut self, ctx: &Ctx, key: String, step: Step) {
+        let at = ctx.now.steady + RETRY;
+        self.reads.push_back((at, key, step));
+    }
+
+    /// Makes the reads that are due.
+    pub(super) fn read_again(&mut self, ctx: &mut Ctx) {
+        while self
+            .reads
+            .front()
+            .is_some_and(|(at, ..)| ctx.now.steady >= *at)
+        {
+            if let Some((_, key, step)) = self.reads.pop_front() {
+                let waiter = self.waiter(step);
                 ctx.state(StateCall::Get { key }, waiter);
             }
         }
@@ -340,10 +360,7 @@
         reply: Result<StateReply, CallError>,
     ) {
         let Ok(StateReply::Found(row)) = reply else {
-            let waiter = self.waiter(Step::Ended { id: id.clone() });
-            let key = store::job_key(&id);
-            ctx.state(StateCall::Get { key }, waiter);
-            return;
+            return self.read_later(ctx, store::job_key(&id), Step::Ended { id });
         };
         match row.read::<JobMark>() {
             Some(mark) if mark.s == Mark::Done => self.job_done(ctx, &id, mark),
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -128,6 +128,10 @@
     /// A listing of this prefix waits for an answer.
     pub held: Option<&'static str>,
     pub listings: Vec<CallId>,
+    /// Transactions that compare this key fail for it.
+    pub conflict: Option<String>,
+    /// Reads of single keys that were refused.
+    pub refused: usize,
     /// Bodies of the answers that were given.
     pub bodies: Vec<Vec<u8>>,
     /// Watches that wait for an answer.
@@ -144,6 +148,8 @@
             tasks: Vec::new(),
             held: None,
             listings: Vec::new(),
+            conflict: None,
+            refused: 0,
             bodies: Vec::new(),
             watches: Vec::new(),
         }
@@ -199,7 +205,23 @@
                             revision: 1,
                         }),
                         StateCall::NewLease { .. } => StateReply::Lease { lease: 1 },
-                        StateCall::Txn(_) => StateReply::Committed { revision: 2 },
+                        StateCall::Txn(txn) => {
+                            let failed = txn.compare.into_iter().map(|c| c.key);
+                            match failed
+                                .into_iter()
+                                .find(|k| around.conflict.as_ref() == Some(k))
+                            {
+                                Some(key) => StateReply::Conflict {
+                                    failed: vec![key],
+                                    revision: 2,
+                                },
+                                None => StateReply::Committed { revision: 2 },
+                            }
+                        }
+                        StateCall::Get { .. } => {
+                            around.refused += 1;
+                            StateReply::Unavailable
+                        }
                         StateCall::Extend { .. } => StateReply::Extended,
                         _ => continue,
                     };
--- a/crates/core/tests/gap.rs
+++ b/crates/core/tests/gap.rs
@@ -10,7 +10,9 @@
 use dillcleat_wire::encode;
 use dillcleat_wire::state::{Changes, Event, Page, Row, StateReply, value};
 use dillcleat_wire::user::{JobSpec, Kind};
-use dillcleat_wire::worker::{Command, REPORT_PATH, Report, ReportAnswer, TaskReport, TaskState};
+use dillcleat_wire::worker::{
+    Command, REPORT_PATH, Report, ReportAnswer, TaskReport, TaskState, Why,
+};
 
 const START: Micros = 1000 * SECOND;
 const JOB: &str = "req-000001";
@@ -42,6 +44,8 @@
     seq: u64,
     /// The machine still has the task.
     has_task: bool,
+    /// It has completed.
+    completed: bool,
 }
 
 impl Gap {
@@ -75,6 +79,7 @@
             rows: vec![recorded("m", "a"), types(8.0)],
             seq: 0,
             has_task: true,
+            completed: false,
         }
     }
 
@@ -96,8 +101,11 @@
         let task = TaskReport {
             task: format!("{JOB}/0").parse().expect("a task's name"),
             attempt: 1,
-            state: TaskState::Running,
-            why: None,
+            state: match self.completed {
+                true => TaskState::Exited,
+                false => TaskState::Running,
+            },
+            why: self.completed.then_some(Why::Done),
             saved: None,
         };
         let report = Report {
@@ -356,6 +364,24 @@
     assert!(!deleted);
 }
 
+/// The end of a job meets its cancellation just as the state service goes out: its record
+/// is read until it is answered, and not as fast as refusals come.
+#[test]
+fn a_refused_read_is_made_again_after_a_pause() {
+    let mut gap = Gap::leading();
+    gap.around.conflict = Some(store::job_key(JOB));
+    gap.completed = true;
+    gap.reports(SECOND / 10);
+    for t in 2..22 {
+        gap.step(t * SECOND / 20, Input::Tick);
+    }
+    assert!(
+        (4..=11).contains(&gap.around.refused),
+        "{} reads in a second",
+        gap.around.refused
+    );
+}
+
 /// A lease that takes up the whole of `cancel_s` leaves no time: then reports are
 /// answered all the same, and what may come late by how much is said.
 #[test]
