A cancellation that is seen in the queue is obeyed though its mark can't be read yet

Cause, found in reading for a conflict that meets lost answers: the write of a placement meets the mark of a cancellation, the read of the mark is lost again and again, and the watch, which tells of the cancellation, was passed over, since the job was held for cancelled already. Its running tasks were not stopped until the mark was read, and the reads of the watch moved the time on until which reports are answered. Test: a_cancellation_is_obeyed_though_its_mark_can_not_be_read, which fails on the sources before.

--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -199,11 +199,10 @@
             };
             let at = confirmed(ctx, value);
             if let Some(job) = self.jobs.get_mut(&id) {
-                // Its mark may have shown it before, and not since when.
-                let known = job
-                    .cancelled
-                    .replace(job.cancelled.map_or(at, |c| c.min(at)));
-                if known.is_none() && self.stage == Stage::Ready {
+                // A write may have met its mark before, which says not since when. That
+                // is read yet, perhaps for long: this row is proof enough.
+                job.cancelled = Some(job.cancelled.map_or(at, |c| c.min(at)));
+                if !job.stopped && self.stage == Stage::Ready {
                     self.stop_job(ctx, &id);
                 }
             }
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -364,7 +364,11 @@
         };
         match row.read::<JobMark>() {
             Some(mark) if mark.s == Mark::Done => self.job_done(ctx, &id, mark),
-            Some(mark) if mark.s == Mark::Cancelled => self.stop_job(ctx, &id),
+            Some(mark) if mark.s == Mark::Cancelled => {
+                if self.jobs.get(&id).is_some_and(|job| !job.stopped) {
+                    self.stop_job(ctx, &id);
+                }
+            }
             other => {
                 log::error!("{id}: unexpected record {other:?}");
                 self.notes.push(Note::Outdated);
--- a/crates/core/tests/gap.rs
+++ b/crates/core/tests/gap.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Around, config_with_team, recorded, step_with, types};
+use common::{Around, config_with_team, recorded, step_with};
 use dillcleat_core::store::{self, CancelledJob, Chunk, OpenJob};
 use dillcleat_core::{CallError, Config, Input, MILLISECOND, Micros, Node, RequestId, SECOND};
 use dillcleat_mesh::Message;
@@ -51,10 +51,15 @@
 impl Gap {
     /// A node that is about to lead, with a task of a job on one machine.
     fn new() -> Gap {
+        Gap::of(1)
+    }
+
+    /// The same with a job of so many tasks, of which the first is there.
+    fn of(tasks: u32) -> Gap {
         let config = config_with_team();
         let spec = JobSpec {
             team: "t".into(),
-            ..JobSpec::plain(JOB, Kind::Batch, 1, 1.0)
+            ..JobSpec::plain(JOB, Kind::Batch, tasks, 1.0)
         };
         let open = OpenJob {
             spec,
@@ -76,7 +81,7 @@
                 tasks: vec![row(tasks, &chunk)],
                 ..Around::default()
             },
-            rows: vec![recorded("m", "a"), types(8.0)],
+            rows: vec![recorded("m", "a")],
             seq: 0,
             has_task: true,
             completed: false,
@@ -364,6 +369,25 @@
     assert!(!deleted);
 }
 
+/// Its mark has changed, as a placement's write shows, and can't be read, while the watch
+/// tells of the cancellation: its tasks once ran on until the mark was read.
+#[test]
+fn a_cancellation_is_obeyed_though_its_mark_can_not_be_read() {
+    let mut gap = Gap::of(2);
+    gap.around.conflict = Some(store::job_key(JOB));
+    gap.around.types = vec![common::machine_type(8.0)];
+    gap.step(0, Input::Tick);
+    assert!(gap.reports(SECOND / 2).is_some());
+    gap.step(SECOND, Input::Tick);
+    assert!(gap.around.refused > 0, "a placement of the second task");
+    gap.watched(3 * SECOND / 2, vec![Gap::event(cancelled(START + SECOND))]);
+    let commands = gap.reports(2 * SECOND).expect("an answer");
+    assert!(
+        matches!(&commands[..], [Command::Stop { .. }]),
+        "{commands:?}"
+    );
+}
+
 /// The end of a job meets its cancellation just as the state service goes out: its record
 /// is read until it is answered, and not as fast as refusals come.
 #[test]
