--- a/crates/rehearsal/examples/shares.rs
+++ b/crates/rehearsal/examples/shares.rs
@@ -2,11 +2,13 @@
 //! reports (`--report`) and logs (`--log info`).
 //!
 //! By class and by team: arrays that were due, from the log. By class only, as the
-//! report tells it: replica time, and submissions that were answered.
+//! report tells it: replica time, and submissions that were answered. Where the report
+//! tells it, also how many jobs of each team and of each class's largest began.
 
 use clap::Parser;
 use dillcleat_core::{Micros, micros};
 use dillcleat_rehearsal::Shares;
+use dillcleat_rehearsal::served::LEAST;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
@@ -25,6 +27,17 @@
 struct DayReport {
     duration_s: f64,
     classes: BTreeMap<String, ClassReport>,
+    /// Jobs of each team, and the largest of each class.
+    #[serde(default)]
+    teams: BTreeMap<String, Began>,
+    #[serde(default)]
+    largest: BTreeMap<String, Began>,
+}
+
+#[derive(Deserialize)]
+struct Began {
+    jobs: f64,
+    started: f64,
 }
 
 #[derive(Deserialize)]
@@ -144,12 +157,22 @@
 /// Prints a day's table; whether enough was served.
 fn day(report: &Path) -> Result<bool, Box<dyn Error>> {
     let log = String::from_utf8_lossy(&std::fs::read(report.with_extension("log"))?).into_owned();
-    let shares = shares(&serde_json::from_slice(&std::fs::read(report)?)?, &log);
+    let told: DayReport = serde_json::from_slice(&std::fs::read(report)?)?;
+    let shares = shares(&told, &log);
     println!("{}:\n\n{shares}", report.with_extension("").display());
+    let mut starved = shares.starved();
+    for (group, all) in [("team", &told.teams), ("largest of class", &told.largest)] {
+        for (name, began) in all.iter().filter(|(_, b)| b.jobs > 0.0) {
+            let share = began.started / began.jobs;
+            println!("Began, {group} {name}: {share:.3} of {}.", began.jobs);
+            if share < LEAST {
+                starved.push(format!("{group} {name}"));
+            }
+        }
+    }
     if let Some((name, share)) = shares.least() {
         println!("Least served: {name}, {share:.3}.\n");
     }
-    let starved = shares.starved();
     if !starved.is_empty() {
         println!("FAILED, too little for {}.\n", starved.join(", "));
     }
