--- a/crates/core/tests/gap.rs
+++ b/crates/core/tests/gap.rs
@@ -187,6 +187,15 @@
     }
 }
 
+/// The only page of a listing.
+fn page(rows: &[Row]) -> Result<StateReply, CallError> {
+    Ok(StateReply::Page(Page {
+        rows: rows.to_vec(),
+        more: false,
+        revision: 1,
+    }))
+}
+
 /// Whoever was told at once after the last read is owed the end of the tasks, and the
 /// lease of a report that was answered last runs from its sending.
 fn holds(gap: &Gap, read: Micros, last_answer: Micros) {
@@ -242,13 +251,6 @@
     gap.step(3 * SECOND, Input::Tick);
     let listing = gap.around.listings.pop().expect("once more");
     gap.around.held = Some(store::TASKS);
-    let page = |rows: &[Row]| {
-        Ok(StateReply::Page(Page {
-            rows: rows.to_vec(),
-            more: false,
-            revision: 1,
-        }))
-    };
     let reply = page(&gap.around.queue);
     gap.step(4 * SECOND, Input::State { id: listing, reply });
     assert!(gap.reports(4 * SECOND).is_some(), "no cancellation there");
@@ -257,6 +259,22 @@
     holds(&gap, 3 * SECOND, last);
 }
 
+/// The pages come slowly, and then nothing more.
+#[test]
+fn a_load_counts_from_the_sending_of_its_first_page() {
+    let mut gap = Gap::new();
+    gap.around.held = Some(store::TASKS);
+    for s in 0..10 {
+        gap.step(s * SECOND, Input::Tick);
+    }
+    let listing = gap.around.listings.pop().expect("tasks are read");
+    let reply = page(&gap.around.tasks);
+    gap.step(9 * SECOND, Input::State { id: listing, reply });
+    assert!(gap.node.fence().is_some(), "all is read");
+    let last = gap.answered_until(10 * SECOND);
+    holds(&gap, 0, last);
+}
+
 /// While the placements are yet to be read any machine may hold what is cancelled.
 #[test]
 fn a_leader_that_reads_yet_answers_no_longer_than_the_oldest_cancellation_lets_it() {
