--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use dillcleat_wire::cloud::{CloudCall, CloudReply, MachineList, MachineType};
 use dillcleat_wire::encode;
 use dillcleat_wire::platform::{Platform, Team};
-use dillcleat_wire::state::{Page, Row, StateCall, StateReply, value};
+use dillcleat_wire::state::{Page, Row, StateCall, StateReply, Txn, value};
 use dillcleat_wire::worker::{REPORT_PATH, Report};
 
 const SETTINGS: &str = r#"
@@ -132,6 +132,8 @@
     pub conflict: Option<String>,
     /// Reads of single keys that were refused.
     pub refused: usize,
+    /// Transactions that were carried out.
+    pub writes: Vec<Txn>,
     /// Bodies of the answers that were given.
     pub bodies: Vec<Vec<u8>>,
     /// Watches that wait for an answer.
@@ -150,6 +152,7 @@
             listings: Vec::new(),
             conflict: None,
             refused: 0,
+            writes: Vec::new(),
             bodies: Vec::new(),
             watches: Vec::new(),
         }
@@ -206,6 +209,7 @@
                         }),
                         StateCall::NewLease { .. } => StateReply::Lease { lease: 1 },
                         StateCall::Txn(txn) => {
+                            around.writes.push(txn.clone());
                             let failed = txn.compare.into_iter().map(|c| c.key);
                             match failed
                                 .into_iter()
--- a/crates/core/tests/gap.rs
+++ b/crates/core/tests/gap.rs
@@ -7,6 +7,7 @@
 use dillcleat_core::store::{self, CancelledJob, Chunk, OpenJob};
 use dillcleat_core::{CallError, Config, Input, MILLISECOND, Micros, Node, RequestId, SECOND};
 use dillcleat_mesh::Message;
+use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::encode;
 use dillcleat_wire::state::{Changes, Event, Page, Row, StateReply, value};
 use dillcleat_wire::user::{JobSpec, Kind};
@@ -380,13 +381,79 @@
         gap.step(at, Input::Mesh { from, message });
         let now = START + at;
         let (_, calls) = step_with(&mut gap.node, now, Input::Tick, &gap.rows, &mut gap.around);
-        deleted |= calls
-            .iter()
-            .any(|c| matches!(c, dillcleat_wire::cloud::CloudCall::Delete(_)));
+        deleted |= calls.iter().any(|c| matches!(c, CloudCall::Delete(_)));
     }
     assert!(!deleted);
 }
 
+/// Whoever leads next is protected by nothing else.
+#[test]
+fn every_write_of_a_leader_compares_its_term() {
+    let mut gap = Gap::of(2);
+    gap.around.types = vec![common::machine_type(8.0)];
+    gap.step(0, Input::Tick);
+    gap.around.writes.clear();
+    gap.completed = true;
+    for t in 1..20 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+        gap.reports(t * 100 * MILLISECOND);
+    }
+    let writes = &gap.around.writes;
+    assert!(writes.len() > 1, "an end and a placement");
+    for txn in writes {
+        let term = |c: &dillcleat_wire::state::Compare| c.key == store::TERM;
+        assert!(txn.compare.iter().any(term), "{txn:?}");
+    }
+}
+
+/// A machine was deleted, and a copy of an old report of it arrives.
+#[test]
+fn what_is_gone_does_not_come_back_by_an_old_report() {
+    let mut gap = Gap::leading();
+    gap.reports(SECOND / 2);
+    gap.watched(SECOND, vec![Gap::event(cancelled(START + SECOND))]);
+    let mut deleted = 0;
+    for t in 20..600 {
+        let at = t * 100 * MILLISECOND;
+        let now = START + at;
+        let tick = Input::Tick;
+        let (_, calls) = step_with(&mut gap.node, now, tick, &gap.rows, &mut gap.around);
+        let deletion = |c: &CloudCall| matches!(c, CloudCall::Delete(_));
+        deleted += calls.into_iter().filter(deletion).count();
+        gap.watched(at, Vec::new());
+        // Until the deletion it reports; what arrives later was sent before.
+        if t % 10 == 0 && (t < 160 && deleted == 0 || t == 250) {
+            gap.reports(at);
+        }
+    }
+    assert_eq!(deleted, 1, "it is not known again");
+}
+
+/// The leader may end before the write gets through: the machine keeps the result for
+/// the next one.
+#[test]
+fn an_end_is_reaped_only_once_it_is_stored() {
+    for tasks in [1, 2] {
+        let mut gap = Gap::of(tasks);
+        gap.step(0, Input::Tick);
+        gap.reports(SECOND / 2);
+        gap.around.state = false;
+        gap.completed = true;
+        assert_eq!(gap.reports(SECOND), Some(vec![]));
+        gap.step(2 * SECOND, Input::Tick);
+        assert_eq!(gap.reports(2 * SECOND), Some(vec![]));
+        gap.around.state = true;
+        for t in 21..30 {
+            gap.step(t * 100 * MILLISECOND, Input::Tick);
+        }
+        let commands = gap.reports(3 * SECOND).expect("an answer");
+        assert!(
+            matches!(&commands[..], [Command::Forget { .. }]),
+            "{tasks}: {commands:?}"
+        );
+    }
+}
+
 /// Its mark has changed, as a placement's write shows, and can't be read, while the watch
 /// tells of the cancellation: its tasks once ran on until the mark was read.
 #[test]
