--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -128,11 +128,14 @@
     /// A listing of this prefix waits for an answer.
     pub held: Option<&'static str>,
     pub listings: Vec<CallId>,
-    /// Transactions that compare this key fail for it.
+    /// Transactions that compare this key fail for it, and reads of single keys are
+    /// refused. Without it there is no such key.
     pub conflict: Option<String>,
     /// Reads of single keys that were refused.
     pub refused: usize,
-    /// Transactions that were carried out.
+    /// Leases that were let go.
+    pub let_go: Vec<u64>,
+    /// Transactions that were sent.
     pub writes: Vec<Txn>,
     /// Bodies of the answers that were given.
     pub bodies: Vec<Vec<u8>>,
@@ -152,6 +155,7 @@
             listings: Vec::new(),
             conflict: None,
             refused: 0,
+            let_go: Vec::new(),
             writes: Vec::new(),
             bodies: Vec::new(),
             watches: Vec::new(),
@@ -222,11 +226,18 @@
                                 None => StateReply::Committed { revision: 2 },
                             }
                         }
+                        StateCall::Get { .. } if around.conflict.is_none() => {
+                            StateReply::Absent { revision: 2 }
+                        }
                         StateCall::Get { .. } => {
                             around.refused += 1;
                             StateReply::Unavailable
                         }
                         StateCall::Extend { .. } => StateReply::Extended,
+                        StateCall::EndLease { lease } => {
+                            around.let_go.push(lease);
+                            StateReply::Extended
+                        }
                         _ => continue,
                     };
                     inputs.push(Input::State {
--- a/crates/core/tests/gap.rs
+++ b/crates/core/tests/gap.rs
@@ -9,8 +9,8 @@
 use dillcleat_mesh::Message;
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::encode;
-use dillcleat_wire::state::{Changes, Event, Page, Row, StateReply, value};
-use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::state::{Change, Changes, Event, Page, Row, StateReply, value};
+use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind};
 use dillcleat_wire::worker::{
     Command, REPORT_PATH, Report, ReportAnswer, TaskReport, TaskState, Why,
 };
@@ -386,6 +386,89 @@
     assert!(!deleted);
 }
 
+/// The write of a placement had no answer and was carried out late, before its second try.
+#[test]
+fn a_try_that_was_carried_out_late_is_looked_for() {
+    let mut gap = Gap::of(2);
+    gap.around.types = vec![common::machine_type(8.0)];
+    gap.step(0, Input::Tick);
+    gap.reports(SECOND / 10);
+    gap.around.state = false;
+    gap.step(SECOND / 5, Input::Tick);
+    gap.around.state = true;
+    let chunk = store::tasks_key(JOB, store::Span::Chunk(0));
+    gap.around.conflict = Some(chunk);
+    for t in 3..8 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    assert!(gap.around.refused > 0, "the chunk is read");
+    assert!(gap.node.leading().is_some(), "nobody else wrote it");
+}
+
+/// A copy of an older report has no commands in its answer: whoever sent it doesn't hear
+/// them, and what is launched would count as on its way.
+#[test]
+fn an_older_report_is_answered_without_commands() {
+    let mut gap = Gap::leading();
+    gap.reports(SECOND / 2);
+    gap.reports(SECOND);
+    gap.watched(SECOND, vec![Gap::event(cancelled(START + SECOND))]);
+    gap.seq -= 2;
+    assert_eq!(gap.reports(SECOND), Some(vec![]));
+    gap.seq += 1;
+    let commands = gap.reports(SECOND).expect("an answer");
+    assert!(matches!(&commands[..], [Command::Stop { .. }]));
+}
+
+#[test]
+fn a_later_term_in_the_store_ends_an_earlier_one() {
+    let mut gap = Gap::leading();
+    gap.step(SECOND / 10, Input::Tick);
+    let term = row(store::TERM.into(), &store::Term { term: 9 });
+    gap.watched(SECOND / 2, vec![Gap::event(term)]);
+    assert_eq!(gap.node.leading(), None);
+}
+
+/// Its transaction may be carried out yet: with the lease gone it can't set the key.
+#[test]
+fn whoever_is_not_elected_lets_its_lease_go() {
+    let mut gap = Gap::new();
+    gap.around.conflict = Some(store::LEAD.into());
+    gap.step(0, Input::Tick);
+    assert_eq!(gap.node.leading(), None);
+    assert_eq!(gap.around.let_go, [1]);
+}
+
+/// Carried out late, after its job has ended and its description is dropped.
+#[test]
+fn a_submission_compares_that_its_job_is_neither_open_nor_ended() {
+    let mut gap = Gap::new();
+    gap.around.types = vec![common::machine_type(8.0)];
+    for t in 0..30 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    let id = "req-000002";
+    let spec = JobSpec {
+        team: "t".into(),
+        ..JobSpec::plain(id, Kind::Batch, 1, 1.0)
+    };
+    gap.around.writes.clear();
+    let input = Input::Request {
+        id: RequestId(7),
+        method: "POST".into(),
+        target: JOBS_PATH.into(),
+        body: encode(&spec),
+    };
+    assert_eq!(gap.step(3 * SECOND, input), [201]);
+    let open = store::open_key(id);
+    let puts = |c: &Change| matches!(c, Change::Put { key, .. } if *key == open);
+    let submission = gap.around.writes.iter().find(|t| t.then.iter().any(puts));
+    let compared = &submission.expect("it is stored").compare;
+    for key in [store::job_key(id), open.clone()] {
+        assert!(compared.iter().any(|c| c.key == key && c.version == 0));
+    }
+}
+
 /// Whoever leads next is protected by nothing else.
 #[test]
 fn every_write_of_a_leader_compares_its_term() {
--- a/crates/core/tests/proof.rs
+++ b/crates/core/tests/proof.rs
@@ -153,3 +153,34 @@
     );
     assert_eq!(m.commands(true, |_, _| false), []);
 }
+
+/// The end of an attempt of before is none of the present one.
+#[test]
+fn an_earlier_attempt_is_not_the_placed_one() {
+    let mut m = machine();
+    m.slots.clear();
+    let slot = Machine::slot(2, 1, (0, &spec()), true);
+    m.place(key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    let ended = report(1, 2, TERM, &[(1, TaskState::Exited)]);
+    assert_eq!(take(&mut m, &ended, Source::Checkin), []);
+    let both = [(1, TaskState::Exited), (2, TaskState::Running)];
+    let events = take(&mut m, &report(1, 3, TERM, &both), Source::Checkin);
+    assert_eq!(events, [SlotEvent::Running(key())]);
+    // One that still runs is a stray, and is stopped.
+    let stray = report(1, 4, TERM, &[(1, TaskState::Running)]);
+    take(&mut m, &stray, Source::Checkin);
+    let stops = m.commands(true, |_, _| true);
+    assert!(matches!(&stops[..], [Command::Stop { attempt: 1, .. }, ..]));
+}
+
+/// Two placements on one machine may be read of which the first is of a session that is
+/// over: its task is not started again in the next.
+#[test]
+fn nothing_is_commanded_for_a_session_that_is_over() {
+    let mut m = machine();
+    m.slots.clear();
+    take(&mut m, &report(2, 2, TERM, &[]), Source::Checkin);
+    let slot = Machine::slot(1, 1, (0, &spec()), true);
+    m.place(key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    assert_eq!(m.commands(true, |_, _| true), []);
+}
