--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -128,6 +128,8 @@
     /// A listing of this prefix waits for an answer.
     pub held: Option<&'static str>,
     pub listings: Vec<CallId>,
+    /// A record that reads of its key find.
+    pub found: Option<Row>,
     /// Transactions that compare this key fail for it, and reads of single keys are
     /// refused. Without it there is no such key.
     pub conflict: Option<String>,
@@ -153,6 +155,7 @@
             tasks: Vec::new(),
             held: None,
             listings: Vec::new(),
+            found: None,
             conflict: None,
             refused: 0,
             let_go: Vec::new(),
@@ -226,6 +229,14 @@
                                 None => StateReply::Committed { revision: 2 },
                             }
                         }
+                        StateCall::Get { key }
+                            if around.found.as_ref().is_some_and(|r| r.key == key) =>
+                        {
+                            match &around.found {
+                                Some(row) => StateReply::Found(row.clone()),
+                                None => StateReply::Unavailable,
+                            }
+                        }
                         StateCall::Get { .. } if around.conflict.is_none() => {
                             StateReply::Absent { revision: 2 }
                         }
--- a/crates/core/tests/gap.rs
+++ b/crates/core/tests/gap.rs
@@ -10,7 +10,7 @@
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::encode;
 use dillcleat_wire::state::{Change, Changes, Event, Page, Row, StateReply, value};
-use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind};
+use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind, cancel_path};
 use dillcleat_wire::worker::{
     Command, REPORT_PATH, Report, ReportAnswer, TaskReport, TaskState, Why,
 };
@@ -469,6 +469,29 @@
     }
 }
 
+/// Carried out late, after its job is done.
+#[test]
+fn a_cancellation_compares_the_mark() {
+    let mut gap = Gap::leading();
+    let open = gap.around.queue[0].clone();
+    gap.around.found = Some(open);
+    gap.around.writes.clear();
+    let input = Input::Request {
+        id: RequestId(7),
+        method: "POST".into(),
+        target: cancel_path(JOB),
+        body: Vec::new(),
+    };
+    assert_eq!(gap.step(SECOND, input), [200]);
+    let cancelled = store::cancelled_key(JOB);
+    let puts = |c: &Change| matches!(c, Change::Put { key, .. } if *key == cancelled);
+    let mut writes = gap.around.writes.iter();
+    let cancellation = writes.find(|t| t.then.iter().any(puts));
+    let compared = &cancellation.expect("it is stored").compare;
+    let mark = store::job_key(JOB);
+    assert!(compared.iter().any(|c| c.key == mark && c.version == 0));
+}
+
 /// Whoever leads next is protected by nothing else.
 #[test]
 fn every_write_of_a_leader_compares_its_term() {
@@ -489,6 +512,31 @@
     }
 }
 
+/// The task is not seen gone though its machine reports: who can prove to lead doesn't wait
+/// for the lease.
+#[test]
+fn a_cancelled_task_that_stays_costs_its_machine_in_time() {
+    let mut gap = Gap::leading();
+    gap.watched(SECOND, vec![Gap::event(cancelled(START + SECOND))]);
+    let mut deleted = None;
+    for t in 10..400 {
+        let at = t * 100 * MILLISECOND;
+        let now = START + at;
+        let tick = Input::Tick;
+        let (_, calls) = step_with(&mut gap.node, now, tick, &gap.rows, &mut gap.around);
+        let deletes = |c: &CloudCall| matches!(c, CloudCall::Delete(_));
+        if calls.iter().any(deletes) {
+            deleted.get_or_insert(at);
+        }
+        gap.watched(at, Vec::new());
+        if t % 10 == 0 {
+            gap.reports(at);
+        }
+    }
+    let deleted = deleted.expect("it is deleted");
+    assert!(deleted < SECOND + gap.config.cancel * 4 / 10, "{deleted}");
+}
+
 /// A machine was deleted, and a copy of an old report of it arrives.
 #[test]
 fn what_is_gone_does_not_come_back_by_an_old_report() {
