--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -280,6 +280,16 @@
     (statuses, calls)
 }
 
+/// A record as an earlier leader has left it.
+pub fn row<T: serde::Serialize>(key: String, record: &T) -> Row {
+    Row {
+        key,
+        value: value(record),
+        version: 1,
+        lease: None,
+    }
+}
+
 /// A machine as an earlier leader has put it on record.
 pub fn recorded(machine: &str, zone: &str) -> Row {
     Row {
--- a/crates/core/tests/gap.rs
+++ b/crates/core/tests/gap.rs
@@ -3,13 +3,13 @@
 
 mod common;
 
-use common::{Around, config_with_team, recorded, step_with};
+use common::{Around, config_with_team, recorded, row, step_with};
 use dillcleat_core::store::{self, CancelledJob, Chunk, OpenJob};
 use dillcleat_core::{CallError, Config, Input, MILLISECOND, Micros, Node, RequestId, SECOND};
 use dillcleat_mesh::Message;
 use dillcleat_wire::cloud::CloudCall;
 use dillcleat_wire::encode;
-use dillcleat_wire::state::{Change, Changes, Event, Page, Row, StateReply, value};
+use dillcleat_wire::state::{Change, Changes, Event, Page, Row, StateReply};
 use dillcleat_wire::user::{JOBS_PATH, JobSpec, Kind, cancel_path};
 use dillcleat_wire::worker::{
     Command, REPORT_PATH, Report, ReportAnswer, TaskReport, TaskState, Why,
@@ -23,15 +23,6 @@
     time * 10_005 / 10_000
 }
 
-fn row<T: serde::Serialize>(key: String, record: &T) -> Row {
-    Row {
-        key,
-        value: value(record),
-        version: 1,
-        lease: None,
-    }
-}
-
 /// When its user was told that the job is cancelled.
 fn cancelled(at: Micros) -> Row {
     row(store::cancelled_key(JOB), &CancelledJob { at })
--- a/crates/core/tests/limits_fall.rs
+++ b/crates/core/tests/limits_fall.rs
@@ -3,10 +3,11 @@
 
 mod common;
 
+use common::row;
 use dillcleat_core::store::{self, OpenJob, Span, parse_tasks_key};
 use dillcleat_core::{CallError, Input, MILLISECOND, Micros, Node, Now, Output, SECOND};
 use dillcleat_wire::decode;
-use dillcleat_wire::state::{Change, Page, Row, StateCall, StateReply, Txn, json_size, value};
+use dillcleat_wire::state::{Change, Page, Row, StateCall, StateReply, Txn, json_size};
 use dillcleat_wire::user::{JobSpec, Kind};
 use dillcleat_wire::worker::{Command, ReportAnswer};
 use std::collections::BTreeSet;
@@ -14,15 +15,6 @@
 const TASKS: u32 = 150;
 const LOW: usize = 2048;
 
-fn row<T: serde::Serialize>(key: String, record: &T) -> Row {
-    Row {
-        key,
-        value: value(record),
-        version: 1,
-        lease: None,
-    }
-}
-
 /// A node that leads, with a job whose tasks fit the one machine that there is.
 struct Led {
     node: Node,
--- a/crates/rehearsal/tests/meetings.rs
+++ b/crates/rehearsal/tests/meetings.rs
@@ -1,20 +1,9 @@
 //! Days on which troubles meet (docs/meetings.md). More of them by the README's command.
 
-use dillcleat_rehearsal::{Moment, Scenario, World};
+mod common;
 
-/// The rules hold, all work ends, and nothing stays behind.
-fn clean(scenario: Scenario) -> u64 {
-    let (seed, faults) = (scenario.seed, scenario.faults.clone());
-    let call = scenario.ends_at_call;
-    let o = World::new(scenario).run();
-    assert_eq!(o.violations, [], "seed {seed}, {call:?}: {faults:?}");
-    assert_eq!(o.malformed, [""; 0], "seed {seed}, {call:?}");
-    assert_eq!(o.stale, [""; 0], "seed {seed}, {call:?}");
-    assert_eq!(o.unfinished, [""; 0], "seed {seed}, {call:?}: {faults:?}");
-    assert_eq!(o.left, [""; 0], "seed {seed}, {call:?}: {faults:?}");
-    assert!(o.starts > 0);
-    o.state_calls
-}
+use common::clean;
+use dillcleat_rehearsal::{Moment, Scenario};
 
 fn meetings(seeds: std::ops::Range<u64>) {
     for seed in seeds {
@@ -57,7 +46,8 @@
     let calls = clean(Scenario {
         ends_at_call: None,
         ..Scenario::ends_at_call(0)
-    });
+    })
+    .state_calls;
     assert!(calls > 200, "{calls} calls");
     for seed in (1..3 * calls).step_by(61) {
         clean(Scenario::ends_at_call(seed));
--- a/crates/rehearsal/tests/seeded_days.rs
+++ b/crates/rehearsal/tests/seeded_days.rs
@@ -1,6 +1,9 @@
 //! Seeded days with troubles: the rules hold after every step, work finishes
 //! once the troubles are over, and nothing is left behind in the store.
 
+mod common;
+
+use common::clean;
 use dillcleat_core::{Micros, SECOND};
 use dillcleat_rehearsal::{Fault, Outcome, Scenario, World};
 
@@ -32,18 +35,6 @@
     }
 }
 
-/// A random day: the rules hold, all work ends and nothing stays behind.
-fn clean(scenario: Scenario) -> Outcome {
-    let (seed, faults) = (scenario.seed, scenario.faults.clone());
-    let o = World::new(scenario).run();
-    assert_eq!(o.violations, [], "seed {seed}: {faults:?}");
-    assert_eq!(o.malformed, [""; 0], "seed {seed}");
-    assert_eq!(o.stale, [""; 0], "seed {seed}");
-    assert_eq!(o.unfinished, [""; 0], "seed {seed}: {faults:?}");
-    assert_eq!(o.left, [""; 0], "seed {seed}: keys left, {faults:?}");
-    o
-}
-
 fn s(n: u64) -> Micros {
     n * SECOND
 }
