--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -37,9 +37,13 @@
     /// of was confirmed after its last read; for want of answers in time the leases then
     /// end what it cancels, whatever else is out of reach.
     pub(super) fn entitled(&self, ctx: &Ctx) -> bool {
-        let limit = ctx.config.blind_limit();
+        self.read_within(ctx, ctx.config.blind_limit())
+    }
+
+    /// Whether the last read of the cancellations was sent so short a time ago.
+    fn read_within(&self, ctx: &Ctx, time: Micros) -> bool {
         self.last_consistent_read
-            .is_some_and(|at| ctx.now.steady < at + limit)
+            .is_some_and(|at| ctx.now.steady < at + time)
     }
 
     /// Whether a cancelled task may have been on the machine for so long that its lease
@@ -89,8 +93,7 @@
 
     /// Sure sight of the state, so that starting tasks is right.
     pub(super) fn fresh(&self, ctx: &Ctx) -> bool {
-        self.last_consistent_read
-            .is_some_and(|at| ctx.now.steady < at + SIGHT)
+        self.read_within(ctx, SIGHT)
     }
 
     pub(super) fn take_report(&mut self, ctx: &Ctx, r: &Report, source: Source) {
