A read answers only the request that sent it

Reads of a job's description or mark were counted out to the requests that waited in the order in which these had come, but answers come over several connections in any order. A poll from before a job was accepted could leave its answer, that there is none, to a poll that came afterwards: an accepted or done job was answered 404. So were submissions with bad content and cancellations. The request now travels with its read.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -36,10 +36,6 @@
     calls: Budget,
     writes: Budget,
     cache: Cache,
-    /// Look-ups under way, by job, with everybody who waits for them.
-    lookups: HashMap<String, Vec<Ask>>,
-    /// The same for those that are not open.
-    marks: HashMap<String, Vec<Ask>>,
     /// Asks that wait for the next comparison.
     waiting: Vec<(String, Ask)>,
     checking: HashMap<String, Vec<Ask>>,
@@ -88,25 +84,12 @@
     None
 }
 
-/// The oldest ask of a job: each read answers one, so that none is answered by a
-/// read that began before the ask.
-fn next(asks: &mut HashMap<String, Vec<Ask>>, id: &str) -> Option<Ask> {
-    let of_job = asks.get_mut(id).filter(|a| !a.is_empty())?;
-    let ask = of_job.remove(0);
-    if of_job.is_empty() {
-        asks.remove(id);
-    }
-    Some(ask)
-}
-
 impl Admission {
     pub fn new(config: &Config) -> Self {
         Admission {
             calls: Budget::new(config.state_rps, config),
             writes: Budget::new(config.state_write_rps, config),
             cache: Cache::new(config),
-            lookups: HashMap::new(),
-            marks: HashMap::new(),
             waiting: Vec::new(),
             checking: HashMap::new(),
             checks: 0,
@@ -308,9 +291,10 @@
     }
 
     fn lookup(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
-        // A look-up under way may have read before this request came in, but
-        // then nobody can have been told more than this answer by now: what it
-        // finds is kept only if open, and an open record is compared first.
+        // Each ask has a read of its own, whose answer carries it: one under way may have
+        // read before this request came in. Asks were once given the answers in the order
+        // in which they had come, and answers come in any: of an accepted job a user who
+        // had been told so was told that there is none.
         if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, Need::of(&ask), ctx.now.steady)
         {
             return ctx.answer(ask.request(), Answer::later("too many requests"));
@@ -319,9 +303,7 @@
         let call = StateCall::Get {
             key: store::open_key(&id),
         };
-        let asks = self.lookups.entry(id.clone()).or_default();
-        asks.push(ask);
-        ctx.state(call, Waiter::Admission(Step::Lookup { id }));
+        ctx.state(call, Waiter::Admission(Step::Lookup { id, ask }));
     }
 
     /// Reads the mark of a job that is not open, or whose end has just come.
@@ -332,8 +314,7 @@
         let call = StateCall::Get {
             key: store::job_key(&id),
         };
-        self.marks.entry(id.clone()).or_default().push(ask);
-        ctx.state(call, Waiter::Admission(Step::Ended { id }));
+        ctx.state(call, Waiter::Admission(Step::Ended { id, ask }));
     }
 
     fn check(&mut self, ctx: &mut Ctx) {
--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -5,17 +5,13 @@
 impl Admission {
     pub fn reply(&mut self, ctx: &mut Ctx, step: Step, reply: Result<StateReply, CallError>) {
         match step {
-            Step::Lookup { id } => {
+            Step::Lookup { id, ask } => {
                 self.under_way -= 1;
-                if let Some(ask) = next(&mut self.lookups, &id) {
-                    self.looked_up(ctx, id, ask, reply);
-                }
+                self.looked_up(ctx, id, ask, reply);
             }
-            Step::Ended { id } => {
+            Step::Ended { id, ask } => {
                 self.under_way -= 1;
-                if let Some(ask) = next(&mut self.marks, &id) {
-                    self.found_mark(ctx, &id, ask, reply);
-                }
+                self.found_mark(ctx, &id, ask, reply);
             }
             Step::Check { jobs } => {
                 self.checks -= 1;
--- a/crates/core/src/waiters.rs
+++ b/crates/core/src/waiters.rs
@@ -34,13 +34,15 @@
 /// Of requests of users.
 #[derive(Debug, Clone)]
 pub enum Admitting {
-    /// Is it open?
+    /// Is it open? The answer is for this ask alone: it was sent after that came in.
     Lookup {
         id: String,
+        ask: Ask,
     },
-    /// It is not open: has it ended?
+    /// It is not open: has it ended? For this ask alone as well.
     Ended {
         id: String,
+        ask: Ask,
     },
     /// A job that a submission waits for: is it open, or has it ended?
     Name {
