What a node has told of a job it does not take back in a late answer

An answer that was on its way while the same node heard of something newer was given as it came: a read of the mark from before the job was stored said 404 after the node's own 201; a submission whose answer came after the job's cancellation said pending after aborted; a comparison that came late made the node forget an end that it knew. An end that is known is now told whatever comes later; an absent mark is looked at again if the job has become known in the meantime. A comparison that shows a change no longer drops the job from memory: its mark is read and replaces what is remembered, and without the drop nobody who waits reads the description once more.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -273,8 +273,10 @@
 
     /// Settles an ask by memory, a comparison or a look-up, whichever is enough.
     fn ask(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
+        if let Some(end) = self.cache.end(&id) {
+            return self.settle(ctx, &id, Some(end), ask);
+        }
         match self.cache.get(&id) {
-            Some(known) if known.mark.s != Mark::Open => self.settle(ctx, &id, Some(known), ask),
             // The transaction that cancels compares by itself.
             Some(known) if matches!(ask, Ask::Cancel { .. }) => {
                 self.settle(ctx, &id, Some(known), ask);
@@ -324,7 +326,7 @@
         {
             return;
         }
-        let mut jobs: Vec<(String, u64)> = Vec::new();
+        let mut jobs: Vec<String> = Vec::new();
         let mut txn = Txn::default();
         let limit = ctx.config.txn_ops * 4;
         let mut later = Vec::new();
@@ -338,14 +340,14 @@
                 continue;
             }
             // One comparison at a time per job keeps the accounts simple.
-            let own = jobs.iter().any(|(j, _)| *j == id);
+            let own = jobs.contains(&id);
             if !own && (jobs.len() >= limit || self.checking.contains_key(&id)) {
                 later.push((id, ask));
                 continue;
             }
             if !own {
                 txn = txn.compare(store::job_key(&id), known.version);
-                jobs.push((id.clone(), known.version));
+                jobs.push(id.clone());
             }
             self.checking.entry(id).or_default().push(ask);
         }
--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -15,7 +15,7 @@
             }
             Step::Check { jobs } => {
                 self.checks -= 1;
-                for (id, version) in jobs {
+                for id in jobs {
                     let asks = self.checking.remove(&id).unwrap_or_default();
                     match &reply {
                         Ok(StateReply::Committed { .. }) => {
@@ -29,13 +29,10 @@
                         }
                         Ok(StateReply::Conflict { failed, .. }) => {
                             let changed = failed.contains(&store::job_key(&id));
-                            if changed {
-                                self.cache.drop_stale(&id, version);
-                            }
                             for ask in asks {
-                                // The others were equal at that same moment.
                                 match self.cache.get(&id) {
-                                    Some(known) if !changed => {
+                                    // The others were equal at that same moment.
+                                    Some(known) if !changed || known.mark.s != Mark::Open => {
                                         self.settle(ctx, &id, Some(known), ask);
                                     }
                                     _ if changed => self.look_for_mark(ctx, id.clone(), ask),
@@ -116,6 +113,14 @@
                     );
                 }
             },
+            // It has been stored since then, and this node may have told its user: looked
+            // at again, it is not called unknown.
+            Ok(StateReply::Absent { .. })
+                if (self.cache.get(id))
+                    .is_some_and(|known| known.version == 0 || known.mark.s != Mark::Open) =>
+            {
+                self.ask(ctx, id.to_string(), ask);
+            }
             Ok(StateReply::Absent { .. }) => self.settle(ctx, id, None, ask),
             _ => ctx.answer(ask.request(), Answer::later("the state is out of reach")),
         }
@@ -148,6 +153,10 @@
                     job.spec.class,
                     job.spec.team,
                 );
+                // Cancelled or done before this answer came, and told so.
+                if let Some(end) = self.cache.end(&id) {
+                    return self.settle(ctx, &id, Some(end), Ask::Tell(request));
+                }
                 let status = JobStatus {
                     id,
                     state: JobState::Queued,
@@ -156,9 +165,12 @@
                 };
                 ctx.answer(request, Answer::body(201, &status));
             }
-            // It is described and has no mark, as of now: open, and nobody can have been
-            // told of an end. To read both again took a slow submission past 200 ms.
-            Ok(StateReply::Conflict { failed, .. }) if failed == [store::open_key(&id)] => {
+            // It was described and had no mark: open, unless its end has come between
+            // that and this answer, of which this node then knows. To read both again
+            // took a slow submission past 200 ms.
+            Ok(StateReply::Conflict { failed, .. })
+                if failed == [store::open_key(&id)] && self.cache.end(&id).is_none() =>
+            {
                 self.under_way -= 1;
                 log::info!("{id} is known already, perhaps by an earlier try");
                 let mark = JobMark {
--- a/crates/core/src/known.rs
+++ b/crates/core/src/known.rs
@@ -48,8 +48,7 @@
 #[derive(Debug)]
 pub(crate) struct Cache {
     jobs: HashMap<String, Known>,
-    /// In the order in which they are forgotten. A job that was dropped and put
-    /// back stands here twice and is forgotten with the first.
+    /// In the order in which they are forgotten.
     order: VecDeque<String>,
     limit: usize,
 }
@@ -68,12 +67,9 @@
         self.jobs.get(id).copied()
     }
 
-    /// Forgets what has proved to be out of date. To look for its place among
-    /// all others cost as much as there are jobs, at every job's end.
-    pub fn drop_stale(&mut self, id: &str, version: u64) {
-        if self.jobs.get(id).is_some_and(|k| k.version == version) {
-            self.jobs.remove(id);
-        }
+    /// How the job ended, if that was seen.
+    pub fn end(&self, id: &str) -> Option<Known> {
+        self.get(id).filter(|known| known.mark.s != Mark::Open)
     }
 
     pub fn put(&mut self, id: &str, known: Known) {
--- a/crates/core/src/waiters.rs
+++ b/crates/core/src/waiters.rs
@@ -51,7 +51,7 @@
         mark: bool,
     },
     Check {
-        jobs: Vec<(String, u64)>,
+        jobs: Vec<String>,
     },
     Create {
         request: RequestId,
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::users::{Driven, Store, spec, with};
-use dillcleat_core::{Micros, SECOND};
-use dillcleat_wire::state::Value;
+use dillcleat_core::{Micros, SECOND, store};
+use dillcleat_wire::state::{StateReply, Value};
 use dillcleat_wire::user::{JOBS_PATH, JobState};
 
 const START: Micros = 1000 * SECOND;
@@ -87,3 +87,88 @@
         assert_ne!(node.answer(first), None);
     }
 }
+
+/// A node that has told of a job does not call it unknown afterwards, even to somebody
+/// who asked before: both may be the same user.
+#[test]
+fn what_a_node_has_told_it_does_not_deny_in_a_late_answer() {
+    for (ask, open) in ASKING {
+        let mut node = node();
+        let mut store = Store::default();
+        let first = ask(&mut node);
+        node.serve(&mut store);
+        let (early, call) = node.take();
+        let absent = store.carry_out(&call);
+        let second = node.submit(&spec(JOB));
+        node.settle(&mut store);
+        assert_eq!(node.answer(second), Some((201, Some(JobState::Queued))));
+        node.reply(early, Ok(absent));
+        node.settle(&mut store);
+        assert_eq!(node.answer(first), open);
+    }
+}
+
+/// A submission that is answered after its job has ended here: it was stored, or an
+/// earlier one was.
+#[test]
+fn a_late_answer_to_a_submission_takes_no_end_back() {
+    for mut store in [Store::default(), accepted()] {
+        let mut node = node();
+        let submission = node.submit(&spec(JOB));
+        let (late, call) = node.take();
+        let reply = store.carry_out(&call);
+        let cancellation = node.cancel(JOB);
+        node.settle(&mut store);
+        assert_eq!(node.answer(cancellation), CANCELLED);
+        node.reply(late, Ok(reply));
+        assert_eq!(node.answer(submission), CANCELLED);
+        let poll = node.poll(JOB);
+        assert_eq!(node.answer(poll), CANCELLED);
+    }
+}
+
+/// Two comparisons of which the later one shows the end, and is answered first. What has
+/// ended stays known: the next poll needs no read.
+#[test]
+fn a_late_comparison_makes_nobody_forget_an_end() {
+    let mut node = node();
+    let mut store = accepted();
+    node.poll(JOB);
+    node.settle(&mut store);
+    let poll = node.poll(JOB);
+    let (late, _) = node.take();
+    store.done(JOB);
+    let cancellation = node.cancel(JOB);
+    node.settle(&mut store);
+    assert_eq!(node.answer(cancellation), DONE);
+    let conflict = StateReply::Conflict {
+        failed: vec![store::job_key(JOB)],
+        revision: 2,
+    };
+    node.reply(late, Ok(conflict));
+    assert_eq!(node.answer(poll), DONE);
+    let poll = node.poll(JOB);
+    assert_eq!(node.answer(poll), DONE);
+}
+
+/// One comparison serves those who asked before it was sent, and nobody else.
+#[test]
+fn a_comparison_answers_nobody_who_came_after_it() {
+    let mut node = node();
+    let mut store = accepted();
+    node.poll(JOB);
+    node.settle(&mut store);
+    let first = node.poll(JOB);
+    let (early, call) = node.take();
+    let equal = store.carry_out(&call);
+    store.done(JOB);
+    for ask in [|n: &mut Driven| n.poll(JOB), bad_submission] {
+        let later = ask(&mut node);
+        assert_eq!((node.answer(later), node.sent.len()), (None, 0));
+    }
+    let later = node.poll(JOB);
+    node.reply(early, Ok(equal));
+    assert_eq!((node.answer(first), node.answer(later)), (QUEUED, None));
+    node.settle(&mut store);
+    assert_eq!(node.answer(later), DONE);
+}
