A known job is not refused for what its repetition holds

That the state service calls a submission malformed was answered 400 without a look at whether the job is known: a repetition with more in it than was taken would be refused, which it must never be. It is now looked up like any other refusal.

lost_answers.rs: what_the_store_calls_malformed_is_refused_only_if_it_is_unknown failed before. Its other tests hold the answers to submissions and cancellations that were carried out while only their answer was lost, with the job done, cancelled or cleared by the time of the next try, and that nothing of such a request stays counted.

--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -194,7 +194,9 @@
             Ok(StateReply::Malformed) => {
                 self.under_way -= 1;
                 log::error!("the state service calls the record of {id} malformed");
-                ctx.answer(request, Answer::refusal(400, "the job cannot be stored"));
+                // A repeated submission may hold more than the one that was taken.
+                let answer = Answer::refusal(400, "the job cannot be stored");
+                self.ask(ctx, id, Ask::Refuse { request, answer });
             }
             _ => {
                 self.under_way -= 1;
