--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -201,7 +201,8 @@
             Ok(spec) => spec,
             Err(e) => return self.ask(ctx, id, refuse(400, e.to_string())),
         };
-        let Some(types) = types else {
+        // An empty list is one from a cloud in trouble: by it nothing would ever run.
+        let Some(types) = types.filter(|types| !types.is_empty()) else {
             let answer = Answer::later("the machine types are not known yet");
             return self.ask(ctx, id, Ask::Refuse { request, answer });
         };
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -98,7 +98,8 @@
 
     /// Why a job can never run here; None while the machine types are unknown.
     pub fn fitness(&self, spec: &JobSpec) -> Option<Result<(), &'static str>> {
-        let types = self.leadership.types.as_ref()?;
+        let types = self.leadership.types.as_ref();
+        let types = types.filter(|types| !types.is_empty())?;
         Some(unfit(&self.config, types, spec).map_or(Ok(()), Err))
     }
 
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -172,3 +172,73 @@
     node.settle(&mut store);
     assert_eq!(node.answer(later), DONE);
 }
+
+/// A leader stores the end of a job's last task while its user cancels: whichever comes
+/// first stands, and every node tells that one, whatever it knew before.
+#[test]
+fn a_cancellation_meets_the_end_of_the_last_task() {
+    for (done_first, told) in [(true, DONE), (false, CANCELLED)] {
+        let mut store = accepted();
+        // One knows the job, one is about to read of it, one has read and compares.
+        let mut nodes = [node(), node(), node()];
+        for node in &mut nodes[..2] {
+            node.poll(JOB);
+            node.settle(&mut store);
+        }
+        nodes[1].poll(JOB);
+        nodes[2].poll(JOB);
+        nodes[2].serve(&mut store);
+        let cancellation = nodes[0].cancel(JOB);
+        let (id, call) = nodes[0].take();
+        let end = done_first.then(|| store.done(JOB));
+        let reply = store.carry_out(&call);
+        let end = end.unwrap_or_else(|| store.done(JOB));
+        assert_eq!(matches!(end, StateReply::Committed { .. }), done_first);
+        // The others are asked before the one that cancels hears of its transaction.
+        let asking: [Asking; 4] = [
+            |n| n.poll(JOB),
+            |n| n.submit(&spec(JOB)),
+            |n| n.cancel(JOB),
+            bad_submission,
+        ];
+        for ask in asking {
+            for node in &mut nodes[1..] {
+                let request = ask(node);
+                for _ in 0..3 {
+                    node.settle(&mut store);
+                    node.tick();
+                }
+                assert_eq!(node.answer(request), told);
+            }
+        }
+        nodes[0].reply(id, Ok(reply));
+        nodes[0].settle(&mut store);
+        assert_eq!(nodes[0].answer(cancellation), told);
+        let poll = nodes[0].poll(JOB);
+        assert_eq!(nodes[0].answer(poll), told);
+    }
+}
+
+/// The description of a job goes when it is done, or cancelled and its tasks are gone;
+/// its mark was there before. Whoever reads in between finds one of the two.
+#[test]
+fn a_job_whose_description_is_being_dropped_is_never_unknown() {
+    for (ask, _) in ASKING {
+        for (cancel, told) in [(false, DONE), (true, CANCELLED)] {
+            let mut store = accepted();
+            let (mut other, mut node) = (node(), node());
+            let request = ask(&mut node);
+            if cancel {
+                other.cancel(JOB);
+                other.settle(&mut store);
+                // It is read while it is there, and dropped before the comparison.
+                node.serve(&mut store);
+                store.clear(JOB);
+            } else {
+                store.done(JOB);
+            }
+            node.settle(&mut store);
+            assert_eq!(node.answer(request), told);
+        }
+    }
+}
--- a/crates/core/tests/common/users.rs
+++ b/crates/core/tests/common/users.rs
@@ -102,6 +102,8 @@
     pub at: Micros,
     pub sent: Vec<(CallId, StateCall)>,
     pub told: Vec<Answered>,
+    /// The row of machine types that it reads.
+    pub types: Row,
     requests: u64,
 }
 
@@ -112,6 +114,7 @@
             at,
             sent: Vec::new(),
             told: Vec::new(),
+            types: super::types(8.0),
             requests: 0,
         }
     }
@@ -141,7 +144,7 @@
                         StateCall::List { .. } => inputs.push(Input::State {
                             id,
                             reply: Ok(StateReply::Page(Page {
-                                rows: vec![super::types(8.0)],
+                                rows: vec![self.types.clone()],
                                 more: false,
                                 revision: 1,
                             })),
