--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -36,10 +36,6 @@
     calls: Budget,
     writes: Budget,
     cache: Cache,
-    /// Look-ups under way, by job, with everybody who waits for them.
-    lookups: HashMap<String, Vec<Ask>>,
-    /// The same for those that are not open.
-    marks: HashMap<String, Vec<Ask>>,
     /// Asks that wait for the next comparison.
     waiting: Vec<(String, Ask)>,
     checking: HashMap<String, Vec<Ask>>,
@@ -88,25 +84,12 @@
     None
 }
 
-/// The oldest ask of a job: each read answers one, so that none is answered by a
-/// read that began before the ask.
-fn next(asks: &mut HashMap<String, Vec<Ask>>, id: &str) -> Option<Ask> {
-    let of_job = asks.get_mut(id).filter(|a| !a.is_empty())?;
-    let ask = of_job.remove(0);
-    if of_job.is_empty() {
-        asks.remove(id);
-    }
-    Some(ask)
-}
-
 impl Admission {
     pub fn new(config: &Config) -> Self {
         Admission {
             calls: Budget::new(config.state_rps, config),
             writes: Budget::new(config.state_write_rps, config),
             cache: Cache::new(config),
-            lookups: HashMap::new(),
-            marks: HashMap::new(),
             waiting: Vec::new(),
             checking: HashMap::new(),
             checks: 0,
@@ -218,7 +201,8 @@
             Ok(spec) => spec,
             Err(e) => return self.ask(ctx, id, refuse(400, e.to_string())),
         };
-        let Some(types) = types else {
+        // An empty list is one from a cloud in trouble: by it nothing would ever run.
+        let Some(types) = types.filter(|types| !types.is_empty()) else {
             let answer = Answer::later("the machine types are not known yet");
             return self.ask(ctx, id, Ask::Refuse { request, answer });
         };
@@ -290,8 +274,10 @@
 
     /// Settles an ask by memory, a comparison or a look-up, whichever is enough.
     fn ask(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
+        if let Some(end) = self.cache.end(&id) {
+            return self.settle(ctx, &id, Some(end), ask);
+        }
         match self.cache.get(&id) {
-            Some(known) if known.mark.s != Mark::Open => self.settle(ctx, &id, Some(known), ask),
             // The transaction that cancels compares by itself.
             Some(known) if matches!(ask, Ask::Cancel { .. }) => {
                 self.settle(ctx, &id, Some(known), ask);
@@ -308,9 +294,10 @@
     }
 
     fn lookup(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
-        // A look-up under way may have read before this request came in, but
-        // then nobody can have been told more than this answer by now: what it
-        // finds is kept only if open, and an open record is compared first.
+        // Each ask has a read of its own, whose answer carries it: one under way may have
+        // read before this request came in. Asks were once given the answers in the order
+        // in which they had come, and answers come in any: of an accepted job a user who
+        // had been told so was told that there is none.
         if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, Need::of(&ask), ctx.now.steady)
         {
             return ctx.answer(ask.request(), Answer::later("too many requests"));
@@ -319,9 +306,7 @@
         let call = StateCall::Get {
             key: store::open_key(&id),
         };
-        let asks = self.lookups.entry(id.clone()).or_default();
-        asks.push(ask);
-        ctx.state(call, Waiter::Admission(Step::Lookup { id }));
+        ctx.state(call, Waiter::Admission(Step::Lookup { id, ask }));
     }
 
     /// Reads the mark of a job that is not open, or whose end has just come.
@@ -332,8 +317,7 @@
         let call = StateCall::Get {
             key: store::job_key(&id),
         };
-        self.marks.entry(id.clone()).or_default().push(ask);
-        ctx.state(call, Waiter::Admission(Step::Ended { id }));
+        ctx.state(call, Waiter::Admission(Step::Ended { id, ask }));
     }
 
     fn check(&mut self, ctx: &mut Ctx) {
@@ -343,7 +327,7 @@
         {
             return;
         }
-        let mut jobs: Vec<(String, u64)> = Vec::new();
+        let mut jobs: Vec<String> = Vec::new();
         let mut txn = Txn::default();
         let limit = ctx.config.txn_ops * 4;
         let mut later = Vec::new();
@@ -357,14 +341,14 @@
                 continue;
             }
             // One comparison at a time per job keeps the accounts simple.
-            let own = jobs.iter().any(|(j, _)| *j == id);
+            let own = jobs.contains(&id);
             if !own && (jobs.len() >= limit || self.checking.contains_key(&id)) {
                 later.push((id, ask));
                 continue;
             }
             if !own {
                 txn = txn.compare(store::job_key(&id), known.version);
-                jobs.push((id.clone(), known.version));
+                jobs.push(id.clone());
             }
             self.checking.entry(id).or_default().push(ask);
         }
