Placements of a job that a new leader can't take up stay in the store

A new leader dropped the records of tasks of every job that it didn't know. A job whose description can't be read here, or whose team is missing from this node's settings, is such a one: its tasks were stopped as strays, their results reaped, their share of the team's limit was free, and whoever led next would have started them anew beside those whose stop had not arrived. A record of tasks in an unknown form left its tasks as if they waited, and each write of it ended the term.

Now a record is dropped only once the job's mark says that it has ended, and no description is left. A job of a missing team is taken up and gets nothing new; one that can't be read keeps its records, its machines, its results and its part of the limit, and is stopped when its cancellation is read, by command and, past the limit, by the lease.

--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -10,7 +10,7 @@
 
 use super::*;
 use dillcleat_sched::room::amount;
-use dillcleat_sched::{Pace, Rank, Real, Standing, units};
+use dillcleat_sched::{Pace, Rank, Real, Standing};
 use roaring::RoaringBitmap;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -65,8 +65,11 @@
 /// Sums over all jobs and all machines, in millionths where they are amounts.
 #[derive(Debug, PartialEq)]
 pub(super) struct Sums {
-    /// CPUs and GPUs of placed tasks, by team.
+    /// CPUs and GPUs of placed tasks, by team. Those of teams that are not in the
+    /// settings stand last.
     teams: Vec<(i64, i64)>,
+    /// The same of jobs that can't be taken up.
+    claims: Vec<(i64, i64)>,
     /// Active jobs: those that age.
     pub ageing: usize,
     training: i64,
@@ -87,7 +90,8 @@
 impl Sums {
     fn new(config: &Config) -> Sums {
         Sums {
-            teams: vec![(0, 0); config.teams.len()],
+            teams: vec![(0, 0); config.teams.len() + 1],
+            claims: Vec::new(),
             ageing: 0,
             training: 0,
             arrays: 0,
@@ -140,14 +144,20 @@
                 f64::INFINITY
             }
         };
-        let used = |i: usize| self.teams.get(i).copied().unwrap_or_default();
-        let teams = config.teams.iter().enumerate();
-        teams
-            .map(|(i, t)| TeamView {
-                cpus_left: left(t.cpus_max, used(i).0),
-                gpus_left: left(t.gpus_max, used(i).1),
-            })
-            .collect()
+        let of = |sums: &[(i64, i64)], i: usize| sums.get(i).copied().unwrap_or_default();
+        let known = config.teams.iter().enumerate().map(|(i, t)| {
+            let (taken, claimed) = (of(&self.teams, i), of(&self.claims, i));
+            TeamView {
+                cpus_left: left(t.cpus_max, taken.0 + claimed.0),
+                gpus_left: left(t.gpus_max, taken.1 + claimed.1),
+            }
+        });
+        // Nothing is placed of teams that are not in the settings.
+        let unknown = TeamView {
+            cpus_left: 0.0,
+            gpus_left: 0.0,
+        };
+        known.chain([unknown]).collect()
     }
 }
 
@@ -376,6 +386,7 @@
         for place in self.machines.take_marked() {
             self.refresh_machine(ctx, place);
         }
+        self.index.sums.claims = self.claims(ctx.config);
     }
 
     /// Builds everything anew and tells what was not as it should have been.
@@ -456,6 +467,7 @@
         let now = ctx.now.steady;
         let waits = job.cancelled.is_none()
             && !job.held
+            && job.team < ctx.config.teams.len()
             && job.placeable() > 0
             && now >= job.blocked_until
             && job.record.may_start(job.placed(), now);
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -176,13 +176,14 @@
             }
             let Some(open) = state::read::<OpenJob>(value) else {
                 log::error!("{key}: not a job's description");
-                return;
+                return self.undescribed(ctx, id, value);
             };
-            // A team that has gone from the settings keeps its jobs waiting.
-            let Some(team) = ctx.config.team(&open.spec.team) else {
+            // A team that has gone from the settings, perhaps from this node's only, keeps
+            // its jobs waiting (`standing`). What of them is on machines goes on.
+            let team = ctx.config.team(&open.spec.team).unwrap_or_else(|| {
                 log::error!("{id}: its team {} is not in the settings", open.spec.team);
-                return;
-            };
+                ctx.config.teams.len()
+            });
             let version = open.mark_version(version);
             let guess = self.guess(ctx.config, &open.spec.class);
             self.service_came |= open.spec.kind == Kind::Service;
@@ -194,10 +195,10 @@
             self.pass_at = ctx.now.steady;
             self.joins(ctx, &id);
         } else if let Some(id) = key.strip_prefix(store::CANCELLED) {
+            let at = confirmed(ctx, value);
             let Some(id) = self.jobs.name(id).cloned() else {
-                return;
+                return self.orphan_cancelled(id, at);
             };
-            let at = confirmed(ctx, value);
             if let Some(job) = self.jobs.get_mut(&id) {
                 // A write may have met its mark before, which says not since when. That
                 // is read yet, perhaps for long: this row is proof enough.
@@ -214,14 +215,12 @@
             return;
         };
         let Some(id) = self.jobs.name(id) else {
-            // The job has ended; only the clearing was not finished.
-            self.ledger.push(Item::Drop(row.key.clone()));
-            return;
+            return self.orphan_row(id, row);
         };
         let id = id.clone();
         let Some(chunk) = row.read::<Chunk>() else {
             log::error!("{}: not a chunk of tasks", row.key);
-            return;
+            return self.set_aside(ctx, &id, span, &row.key);
         };
         let now = ctx.now.steady;
         let types = self.types.clone();
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod late;
 mod load;
+mod orphans;
 mod pass;
 mod pushes;
 mod recall;
@@ -19,6 +20,7 @@
 
 use self::boots::Boots;
 use self::index::Index;
+use self::orphans::Orphan;
 use self::pushes::Pushes;
 use self::spans::Spans;
 use self::waits::Proofs;
@@ -38,11 +40,12 @@
 use crate::workers::{Machine, SlotEvent, Source, TaskKey};
 use crate::{Answer, CallId, Config, Counts, MILLISECOND, Micros, SECOND, micros, seconds};
 use dillcleat_mesh::Progress;
+use dillcleat_sched::units;
 use dillcleat_wire::TaskName;
 use dillcleat_wire::cloud::{CloudReply, Condition, MachineList, MachineType, Rent};
 use dillcleat_wire::state::{self, Change, Event, Page, Row, StateCall, StateReply, Txn, Value};
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
-use dillcleat_wire::worker::{Orders, Report, ReportAnswer, Why};
+use dillcleat_wire::worker::{Command, Orders, Report, ReportAnswer, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -109,6 +112,7 @@
 struct Job {
     spec: JobSpec,
     image: Rc<str>,
+    /// Its place among the teams of the settings; one past the last if it is not there.
     team: usize,
     /// The version of its mark as long as it is open.
     version: u64,
@@ -289,6 +293,8 @@
     graph: Graph,
     /// Jobs that others wait for and that are not open here.
     proofs: Proofs,
+    /// Jobs that have placements in the store and can't be taken up.
+    orphans: BTreeMap<Rc<str>, Orphan>,
     machines: Slab<Machine>,
     index: Index,
     /// What ageing has taken off any job that was active all the time, in
@@ -372,6 +378,7 @@
             jobs: Slab::default(),
             graph: Graph::default(),
             proofs: Proofs::default(),
+            orphans: BTreeMap::new(),
             machines: Slab::default(),
             index: Index::new(ctx.config),
             clock: 0.0,
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -52,7 +52,8 @@
     fn expires(&self, ctx: &Ctx, m: &Machine) -> bool {
         let held = m.slots.iter().filter(|(_, s)| s.cancelled && s.stored);
         let jobs = held.filter_map(|((id, _), _)| self.jobs.get(id));
-        let since = jobs.filter_map(|job| job.cancelled).min();
+        let since = jobs.filter_map(|job| job.cancelled);
+        let since = since.chain(self.orphan_cancelled_on(m)).min();
         since.is_some_and(|at| ctx.now.steady >= at + ctx.config.blind_limit())
     }
 
@@ -170,7 +171,7 @@
         let known = self.jobs.place(&task.job).and_then(|p| self.jobs.at(p));
         let Some((id, job)) = known else {
             // Its end is stored, or it never was a job.
-            return true;
+            return !self.stays(task);
         };
         let Some(t) = job.tasks.get(task.index as usize) else {
             return true;
@@ -188,11 +189,13 @@
     /// can prove that it leads, and without a read of a moment ago nothing is launched or
     /// reaped. The stop of what is cancelled needs neither: no cancellation is taken back,
     /// and this answer renews the lease of what it doesn't stop.
-    pub(super) fn commands(&self, ctx: &Ctx, m: &Machine) -> Vec<dillcleat_wire::worker::Command> {
+    pub(super) fn commands(&self, ctx: &Ctx, m: &Machine) -> Vec<Command> {
         if !self.fresh(ctx) {
-            return m.cancelled().collect();
+            return m.cancelled().chain(self.orphan_stops(m)).collect();
         }
         let lasting = self.proof.proved(ctx.config, ctx.now.steady);
-        m.commands(lasting, |task, attempt| self.settled(task, attempt))
+        let mut commands = m.commands(lasting, |task, attempt| self.settled(task, attempt));
+        commands.retain(|c| !matches!(c, Command::Stop { task, .. } if self.stays(task)));
+        commands
     }
 }
--- a/crates/core/src/leader/waits.rs
+++ b/crates/core/src/leader/waits.rs
@@ -25,6 +25,11 @@
 }
 
 impl Proofs {
+    /// The mark of a job is to be read.
+    pub fn look_for(&mut self, id: Rc<str>) {
+        self.wanted.insert(id, 0);
+    }
+
     fn next(&mut self, now: Micros, per_s: f64) -> Option<Rc<str>> {
         if self.wanted.is_empty() || self.under_way >= PROOFS_AT_ONCE {
             return None;
@@ -95,7 +100,7 @@
     pub(super) fn look_for_proofs(&mut self, ctx: &mut Ctx) {
         let per_s = ctx.config.state_rps * PROOFS_PART;
         while let Some(id) = self.proofs.next(ctx.now.steady, per_s) {
-            if self.graph.needed(&id) {
+            if self.graph.needed(&id) || self.is_orphan(&id) {
                 let key = store::job_key(&id);
                 let waiter = self.waiter(Step::Dependency { id });
                 ctx.state(StateCall::Get { key }, waiter);
@@ -113,14 +118,26 @@
             _ => None,
         };
         match mark {
-            Some(Mark::Done) => self.dependency_done(ctx, &id),
-            Some(Mark::Cancelled) => self.cancel_dependents(&id),
+            Some(Mark::Done) => {
+                self.orphan_ended(&id);
+                self.dependency_done(ctx, &id);
+            }
+            Some(Mark::Cancelled) => {
+                self.orphan_ended(&id);
+                self.cancel_dependents(&id);
+            }
             Some(Mark::Open) | None => {
                 let pause = match reply {
                     Ok(StateReply::Absent { .. } | StateReply::Found(_)) => AGAIN,
                     _ => RETRY,
                 };
-                if self.graph.needed(&id) && !self.jobs.contains_key(&id) {
+                let orphan = self.is_orphan(&id);
+                if orphan || self.graph.needed(&id) && !self.jobs.contains_key(&id) {
+                    let pause = if orphan {
+                        pause.max(orphans::AGAIN)
+                    } else {
+                        pause
+                    };
                     self.proofs.wanted.insert(id, ctx.now.steady + pause);
                 }
             }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -19,7 +19,7 @@
 //! A new leader so reads what is unfinished only, however many jobs have ended.
 
 use dillcleat_wire::cloud::MachineType;
-use dillcleat_wire::user::{JobSpec, JobState};
+use dillcleat_wire::user::{Claim, JobSpec, JobState};
 use serde::{Deserialize, Serialize};
 
 pub const SHARED: &str = "s/";
@@ -146,6 +146,13 @@
     }
 }
 
+/// What of a description tells what its tasks count against which limit, be the rest in
+/// a form that is not known here.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct OpenClaim {
+    pub spec: Claim,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CancelledJob {
     /// Time of day of the cancellation, in microseconds.
--- /dev/null
+++ b/crates/core/tests/orphans.rs
@@ -0,0 +1,316 @@
+//! Stored placements of jobs that a new leader can't take up. Nothing of them may be
+//! cleared but what a mark in the store says has ended.
+
+mod common;
+
+use common::{Around, config_with_team, machine_type, recorded, row, step_with};
+use dillcleat_core::store::{self, CancelledJob, Chunk, JobMark, Mark, OpenJob, Span};
+use dillcleat_core::{Config, Input, MILLISECOND, Micros, Node, RequestId, SECOND};
+use dillcleat_wire::encode;
+use dillcleat_wire::state::{Change, Changes, Event, Row, StateReply, Value, read, value};
+use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::worker::{
+    Command, REPORT_PATH, Report, ReportAnswer, TaskReport, TaskState, Why,
+};
+
+const START: Micros = 1000 * SECOND;
+const JOB: &str = "req-000001";
+
+fn described(id: &str, tasks: u32) -> Row {
+    let spec = JobSpec {
+        team: "t".into(),
+        ..JobSpec::plain(id, Kind::Batch, tasks, 1.0)
+    };
+    let open = OpenJob {
+        spec,
+        at: START,
+        chunk: 25,
+        unmarked: true,
+        at_most: None,
+    };
+    row(store::open_key(id), &open)
+}
+
+/// The same in a form of a version to come: it is known what each task takes of which
+/// team's limit, and nothing else.
+fn undescribed(id: &str) -> Row {
+    let mut row = described(id, 1);
+    if let Value::Map(record) = &mut row.value
+        && let Some((_, Value::Map(spec))) = record.iter_mut().find(|(k, _)| k == &"spec".into())
+    {
+        for (key, value) in spec {
+            if *key == "binding".into() {
+                *value = "of a new kind".into();
+            }
+        }
+    }
+    assert!(row.read::<OpenJob>().is_none());
+    row
+}
+
+struct Day {
+    node: Node,
+    around: Around,
+    rows: Vec<Row>,
+    seq: u64,
+    /// What machines have seen.
+    token: u64,
+}
+
+impl Day {
+    /// A node that is about to lead, with `placed` tasks of a job on the machine m.
+    fn new(config: Config, queue: Vec<Row>, placed: u32) -> Day {
+        let chunk = Chunk {
+            p: (0..placed).map(|i| (i, 1, "m".into(), 1)).collect(),
+            ..Chunk::default()
+        };
+        Day {
+            node: Node::new(config),
+            around: Around {
+                queue,
+                tasks: vec![row(store::tasks_key(JOB, Span::Chunk(0)), &chunk)],
+                types: vec![machine_type(8.0)],
+                ..Around::default()
+            },
+            rows: vec![recorded("m", "a"), recorded("n", "a")],
+            seq: 0,
+            token: 1,
+        }
+    }
+
+    fn step(&mut self, at: Micros, input: Input) -> Vec<u16> {
+        let now = START + at;
+        step_with(&mut self.node, now, input, &self.rows, &mut self.around).0
+    }
+
+    /// Ticks until then, with watches that tell of nothing and a machine that is empty.
+    fn pass(&mut self, from: Micros, to: Micros) {
+        for at in (from..to).step_by(100 * MILLISECOND as usize) {
+            self.step(at, Input::Tick);
+            self.watched(at, Vec::new());
+            if at.is_multiple_of(SECOND) {
+                self.reports(at, "n", None);
+            }
+        }
+    }
+
+    fn watched(&mut self, at: Micros, events: Vec<Event>) {
+        for id in std::mem::take(&mut self.around.watches) {
+            let changes = Changes {
+                revision: 3,
+                events: events.clone(),
+            };
+            let reply = Ok(StateReply::Changes(changes));
+            self.step(at, Input::State { id, reply });
+        }
+    }
+
+    /// The machine reports its only task; the commands of the answer, if there is one.
+    fn reports(
+        &mut self,
+        at: Micros,
+        machine: &str,
+        of: Option<TaskState>,
+    ) -> Option<Vec<Command>> {
+        self.seq += 1;
+        let task = of.map(|state| TaskReport {
+            task: format!("{JOB}/0").parse().expect("a task's name"),
+            attempt: 1,
+            state,
+            why: (state == TaskState::Exited).then_some(Why::Done),
+            saved: None,
+        });
+        let report = Report {
+            machine: machine.into(),
+            addr: "127.0.0.1:7".into(),
+            machine_type: "t".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: task.into_iter().collect(),
+        };
+        let input = Input::Request {
+            id: RequestId(self.seq),
+            method: "POST".into(),
+            target: REPORT_PATH.into(),
+            body: encode(&report),
+        };
+        self.around.bodies.clear();
+        match self.step(at, input)[..] {
+            [200] => {
+                let body = self.around.bodies.pop().expect("an answer");
+                let answer: ReportAnswer = dillcleat_wire::decode(&body).expect("an answer");
+                Some(answer.commands)
+            }
+            _ => None,
+        }
+    }
+
+    /// Keys that were dropped.
+    fn dropped(&self) -> Vec<&str> {
+        let changes = self.around.writes.iter().flat_map(|t| &t.then);
+        changes
+            .filter_map(|c| match c {
+                Change::Delete { key } => Some(key.as_str()),
+                Change::Put { .. } => None,
+            })
+            .collect()
+    }
+
+    /// How many tasks of the job were placed.
+    fn placed(&self, id: &str) -> usize {
+        let key = store::tasks_key(id, Span::Chunk(0));
+        let changes = self.around.writes.iter().flat_map(|t| &t.then);
+        let mut records = changes.filter_map(|c| match c {
+            Change::Put { key: k, value, .. } if *k == key => read::<Chunk>(value),
+            _ => None,
+        });
+        records.next_back().map_or(0, |c| c.p.len())
+    }
+}
+
+/// A team is missing from the settings, or from those of this node alone; or only a newer
+/// version can read the description, or the record of the tasks. Whoever leads next may
+/// know the job: what is placed has to be found then, and results as well.
+#[test]
+fn what_an_unknown_job_has_on_machines_stays() {
+    let teamless = Config {
+        teams: Vec::new(),
+        ..config_with_team()
+    };
+    let other_teams = Day::new(teamless, vec![described(JOB, 2)], 1);
+    let other_form = Day::new(config_with_team(), vec![undescribed(JOB)], 1);
+    let mut other_record = Day::new(config_with_team(), vec![described(JOB, 2)], 1);
+    other_record.around.tasks[0].value = value(&"of a new form");
+    for (of, mut day) in [other_teams, other_form, other_record]
+        .into_iter()
+        .enumerate()
+    {
+        day.pass(0, 2 * SECOND);
+        assert_eq!(day.node.leading(), Some(1));
+        let running = Some(TaskState::Running);
+        assert_eq!(day.reports(2 * SECOND, "m", running), Some(vec![]), "{of}");
+        day.pass(2 * SECOND, 8 * SECOND);
+        assert_eq!(day.placed(JOB), 0, "{of}");
+        assert_eq!(day.node.counts().passes, 0, "nothing is in line");
+        assert_eq!(day.reports(8 * SECOND, "m", running), Some(vec![]), "{of}");
+        assert_eq!(day.dropped(), [""; 0], "{of}");
+        let exited = Some(TaskState::Exited);
+        let answer = day.reports(9 * SECOND, "m", exited);
+        // The end is stored before it is reaped; where it can't be, it is not reaped.
+        assert_eq!(answer, Some(vec![]), "{of}");
+        day.pass(9 * SECOND, 10 * SECOND);
+        let answer = day.reports(10 * SECOND, "m", exited);
+        assert_eq!(answer.is_some_and(|c| c.is_empty()), of > 0, "{of}");
+    }
+}
+
+/// What is left of a job without a description is dropped once its mark is read.
+#[test]
+fn records_are_dropped_only_once_a_mark_says_that_their_job_has_ended() {
+    for mark in [None, Some(Mark::Done), Some(Mark::Cancelled)] {
+        let mut day = Day::new(config_with_team(), Vec::new(), 1);
+        day.around.found = mark.map(|s| row(store::job_key(JOB), &JobMark { s, n: 1 }));
+        day.pass(0, 5 * SECOND);
+        let key = store::tasks_key(JOB, Span::Chunk(0));
+        assert_eq!(day.dropped().contains(&key.as_str()), mark.is_some());
+        let commands = day.reports(5 * SECOND, "m", Some(TaskState::Running));
+        let stopped = matches!(commands.as_deref(), Some([Command::Stop { .. }]));
+        assert_eq!(stopped, mark.is_some());
+    }
+}
+
+/// Another job waits for it, so its mark is read: it is cancelled, which says nothing of
+/// where its tasks are.
+#[test]
+fn records_of_a_cancelled_job_stay_while_its_description_does() {
+    let mut waits = described("req-000002", 1);
+    let mut open = waits.read::<OpenJob>().expect("a description");
+    open.spec.awaits = vec![JOB.into()];
+    waits.value = value(&open);
+    let mut day = Day::new(config_with_team(), vec![undescribed(JOB), waits], 1);
+    let mark = JobMark {
+        s: Mark::Cancelled,
+        n: 1,
+    };
+    day.around.found = Some(row(store::job_key(JOB), &mark));
+    day.pass(0, 5 * SECOND);
+    let key = store::open_key("req-000002");
+    assert_eq!(day.dropped(), [key], "it is cancelled with the other");
+}
+
+/// The cancellation of a job that can't be read here is obeyed all the same, by a stop
+/// and, if that doesn't arrive, by the lease.
+#[test]
+fn a_cancelled_job_that_can_not_be_read_is_stopped() {
+    let limit = config_with_team().blind_limit();
+    let mut day = Day::new(config_with_team(), vec![undescribed(JOB)], 1);
+    day.around.cloud = false;
+    day.pass(0, SECOND);
+    let running = Some(TaskState::Running);
+    assert_eq!(day.reports(SECOND, "m", running), Some(vec![]));
+    let at = START + SECOND;
+    let cancelled = row(store::cancelled_key(JOB), &CancelledJob { at });
+    let event = Event::Put {
+        key: cancelled.key,
+        value: cancelled.value,
+        version: 3,
+    };
+    day.watched(SECOND, vec![event]);
+    let commands = day.reports(2 * SECOND, "m", running).expect("an answer");
+    assert!(matches!(&commands[..], [Command::Stop { .. }]));
+    // Without a read for a while as well.
+    for s in 2..10 {
+        day.step(s * SECOND, Input::Tick);
+        day.reports(s * SECOND, "n", None);
+    }
+    let commands = day.reports(10 * SECOND, "m", running).expect("an answer");
+    assert!(matches!(&commands[..], [Command::Stop { .. }]));
+    let last = SECOND + limit;
+    day.pass(10 * SECOND, last + SECOND);
+    assert_eq!(day.reports(last + SECOND, "m", running), None);
+    assert!(day.reports(last + SECOND, "n", None).is_some());
+    assert!(
+        day.reports(last + SECOND, "m", None).is_some(),
+        "it is gone"
+    );
+}
+
+/// It may hold the task, as long as it has not shown that it doesn't.
+#[test]
+fn a_machine_that_has_yet_to_show_the_token_may_hold_a_cancelled_job() {
+    let limit = config_with_team().blind_limit();
+    let at = START - limit;
+    let cancelled = row(store::cancelled_key(JOB), &CancelledJob { at });
+    for readable in [true, false] {
+        let queue = vec![cancelled.clone(), undescribed(JOB)];
+        let mut day = Day::new(config_with_team(), queue, 1);
+        if !readable {
+            day.around.tasks[0].value = value(&"of a new form");
+        }
+        day.pass(0, SECOND);
+        day.token = 0;
+        assert_eq!(day.reports(SECOND, "m", None), None);
+        assert_eq!(day.reports(SECOND, "o", None).is_some(), readable);
+        day.token = 1;
+        assert!(
+            day.reports(2 * SECOND, "m", None).is_some(),
+            "nothing there"
+        );
+    }
+}
+
+/// What it may run counts against its team's limit.
+#[test]
+fn an_unknown_job_takes_of_its_teams_limit() {
+    let mut config = config_with_team();
+    config.teams[0].cpus_max = 4.0;
+    let other = "req-000002";
+    let queue = vec![undescribed(JOB), described(other, 9)];
+    let mut day = Day::new(config, queue, 3);
+    day.pass(0, 4 * SECOND);
+    assert_eq!(day.placed(other), 1);
+}
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -37,6 +37,17 @@
     Production,
 }
 
+/// What each task of a job takes of its team's limit.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Claim {
+    #[serde(rename = "desk")]
+    pub team: String,
+    #[serde(rename = "vcpus")]
+    pub cpus: f64,
+    #[serde(rename = "accelerators")]
+    pub gpus: f64,
+}
+
 /// A job as its user describes it, checked.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
