One task of a job that starves may take what is kept from it

Ordinary room is kept for services in a hurry from what may run on spot machines, without a bound in time: with spot machines refused for good such a job waited for ever beside free machines. So did one that had failed on every machine that fits, since nothing took it off their lists.

A job that has had no room for 45 s (starve_s) now has one task placed where nothing else of its like may go, if there is no other room; with that it starves no more. What it takes of the reserve counts as kept when room is rented ahead, and is given back to replicas by the usual way. A new leader counts from its own start.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -41,6 +41,11 @@
     pub late_factor: f64,
     /// Pause after a rental was refused for want of machines, in seconds.
     pub refused_pause_s: f64,
+    /// Time without room after which one task of a job may go where it otherwise may
+    /// not: into room kept for services, or to a machine on which it has failed. In
+    /// seconds; half of the 90 s that no job may wait beside a machine that fits, since
+    /// its launch and its image take time as well.
+    pub starve_s: f64,
     /// Share of the fleet that one call may delete: a call that is held up on its
     /// way may be carried out when nobody wants it any more.
     pub delete_share: f64,
@@ -66,6 +71,7 @@
             late_share: 0.95,
             late_factor: 1.5,
             refused_pause_s: 15.0,
+            starve_s: 45.0,
             delete_share: 0.02,
             again_s: 0.06,
         }
@@ -105,6 +111,7 @@
             ("late_share", t.late_share, 0.0, 1.0),
             ("late_factor", t.late_factor, 0.0, 100.0),
             ("refused_pause_s", t.refused_pause_s, 0.5, 3600.0),
+            ("starve_s", t.starve_s, 1.0, 3600.0),
             ("delete_share", t.delete_share, 0.0, 1.0),
             ("again_s", t.again_s, 0.0, 60.0),
         ] {
--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -60,6 +60,8 @@
     ready: i64,
     /// CPUs, if it was rented and is not up.
     coming: i64,
+    /// CPUs of what was kept for services and is lent.
+    lent: i64,
 }
 
 /// Sums over all jobs and all machines, in millionths where they are amounts.
@@ -79,6 +81,8 @@
     reserves: Vec<BTreeMap<i64, usize>>,
     ready: i64,
     coming: i64,
+    /// CPUs by zone of what was kept for services and is lent.
+    lent: BTreeMap<Rc<str>, i64>,
     pub recorded: usize,
     /// Machines that are up, by zone.
     pub up: BTreeMap<Rc<str>, usize>,
@@ -96,6 +100,7 @@
             reserves: vec![BTreeMap::new(); config.waits.len()],
             ready: 0,
             coming: 0,
+            lent: BTreeMap::new(),
             recorded: 0,
             up: BTreeMap::new(),
         }
@@ -109,6 +114,12 @@
         amount(self.coming)
     }
 
+    pub fn lent_cpus(&self) -> BTreeMap<Rc<str>, f64> {
+        let lent = self.lent.iter();
+        lent.map(|(zone, cpus)| (zone.clone(), amount(*cpus)))
+            .collect()
+    }
+
     pub fn training_cpus(&self) -> f64 {
         amount(self.training)
     }
@@ -349,6 +360,13 @@
     fn add_machine(&mut self, p: &MachinePart, sign: i64) {
         self.ready += sign * p.ready;
         self.coming += sign * p.coming;
+        if p.lent != 0 {
+            let lent = self.lent.entry(p.zone.clone()).or_default();
+            *lent += sign * p.lent;
+            if *lent == 0 {
+                self.lent.remove(&p.zone);
+            }
+        }
         if p.recorded {
             self.recorded = self.recorded.saturating_add_signed(sign as isize);
         }
@@ -426,6 +444,7 @@
     fn refresh_job(&mut self, ctx: &Ctx, place: Place) {
         if let Some(job) = self.jobs.quiet(place) {
             job.pace(self.clock);
+            job.hunger(ctx);
         }
         let (part, standing, due) = match self.jobs.at(place) {
             Some((id, job)) => {
@@ -504,6 +523,7 @@
             Some(job.blocked_until),
             job.record.next_try(),
             useless.filter(|_| !job.waiting.is_empty()),
+            job.starves_at(ctx.config),
         ]
         .into_iter()
         .flatten()
@@ -563,6 +583,12 @@
         recorded: m.recorded && !m.leaving,
         ready: if m.ready { cpus } else { 0 },
         coming: if booting && m.expected { cpus } else { 0 },
+        lent: m
+            .slots
+            .values()
+            .filter(|s| s.of_reserve)
+            .map(|s| units(s.room.cpus))
+            .sum(),
     }
 }
 
@@ -584,6 +610,24 @@
         }
     }
 
+    /// Notes since when the job waits, and whether it is starving. A pause after an
+    /// error is a part of its wait.
+    fn hunger(&mut self, ctx: &Ctx) {
+        let waits = self.cancelled.is_none() && !self.held && self.placeable() > 0;
+        let now = ctx.now.steady;
+        self.waits_since = waits.then(|| self.waits_since.unwrap_or(now));
+        let starves_at = self.starves_at(ctx.config);
+        let starving = starves_at.is_some_and(|at| now >= at);
+        if self.shape.starving() != starving {
+            self.shape = Rc::new(self.shape.when(starving));
+        }
+    }
+
+    /// When it is starving, if it gets no room until then.
+    fn starves_at(&self, config: &Config) -> Option<Micros> {
+        Some(self.waits_since? + micros(config.tuning.starve_s))
+    }
+
     /// The reading of the clock at which an ageing job's virtual size is zero.
     fn aged_at(&self) -> f64 {
         self.size - self.credit + self.ageing_since.unwrap_or(0.0)
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -145,6 +145,9 @@
     credit: f64,
     /// The reading of the leader's clock since which it ages.
     ageing_since: Option<f64>,
+    /// Since when it could have had room for a task and got none, as far as this leader
+    /// knows.
+    waits_since: Option<Micros>,
     shape: Rc<Shape>,
     trained: bool,
     record: Record,
@@ -184,6 +187,7 @@
             size,
             credit: 0.0,
             ageing_since: None,
+            waits_since: None,
             shape: Rc::new(Shape::of(&open.spec)),
             trained: open.spec.kind == Kind::Service,
             record: Record::default(),
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -160,6 +160,7 @@
             zones: self.zones(job, &BTreeSet::new()),
             training: job.training(ctx.config),
             late: 0,
+            starving: job.shape.starving(),
         })
     }
 
@@ -295,7 +296,8 @@
                 session: m.session,
                 stored: false,
             };
-            let slot = Machine::slot(task.attempt, m.session, (a.job, &job.spec), false);
+            let mut slot = Machine::slot(task.attempt, m.session, (a.job, &job.spec), false);
+            slot.of_reserve = a.of_reserve;
             let held = m.images.iter().any(|(i, _)| *i == job.image);
             let image = if held { "held" } else { "missing" };
             log::debug!("placing {id}/{i} on {machine}, image {} {image}", job.image);
@@ -305,6 +307,8 @@
             m.place(key.clone(), slot, image, cache);
             touched.push(key);
         }
+        // Whoever gets room does not starve.
+        job.waits_since = None;
         self.counts.placed += touched.len() as u64;
         for key in touched {
             self.touch(&key);
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -68,6 +68,7 @@
             dark: self.dark.keys().cloned().collect(),
             slow,
             there,
+            lent: self.index.sums.lent_cpus(),
             now,
         };
         let reserve = self.reserve(ctx.config);
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -24,6 +24,8 @@
     pub room: Room,
     /// A replica of a service.
     pub service: bool,
+    /// It takes room that was kept for services.
+    pub of_reserve: bool,
     /// The number of its job, for estimates: a job that has gone gives it on.
     pub job: Place,
     /// The placement is in the store; before that nothing is sent.
@@ -190,6 +192,7 @@
             session,
             room: Room::of_task(spec),
             service: spec.kind == Kind::Service,
+            of_reserve: false,
             job,
             stored,
             cancelled: false,
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use dillcleat_core::store::{self, MachineRecord, Types};
 use dillcleat_core::{
     CallError, CallId, Config, Input, Micros, Node, Now, Output, RequestId, Tuning,
--- a/crates/sched/src/floor.rs
+++ b/crates/sched/src/floor.rs
@@ -245,6 +245,14 @@
         self.ordinary(&m.zone) - job.spec.cpus + EPS >= reserve
     }
 
+    /// Whether what is left in the machine's zone, with a task of the job on it, is
+    /// less than what is kept for services.
+    pub fn short(&self, place: Place, reserve: f64, job: &JobView) -> bool {
+        let bound = !job.service() && reserve > 0.0;
+        let there = self.view(place).filter(|m| bound && !m.spot);
+        there.is_some_and(|m| self.ordinary(&m.zone) + EPS < reserve)
+    }
+
     /// Machines that take nothing but tasks without CPUs.
     pub fn without_cpus(&self) -> Vec<Place> {
         self.full.iter().copied().collect()
@@ -271,13 +279,14 @@
     }
 
     /// Puts as many of the job's tasks as the machine takes, `most` at the most,
-    /// and returns how many.
+    /// and returns how many. Without a `reserve` nothing is kept from the job: neither
+    /// the room of services nor a machine on which it has failed.
     pub fn put(
         &mut self,
         place: Place,
         job: &mut JobView,
         teams: &mut [crate::TeamView],
-        reserve: f64,
+        reserve: Option<f64>,
         most: u32,
     ) -> u32 {
         let need = job.room();
@@ -287,8 +296,8 @@
         };
         while made < most
             && m.free.holds(&need)
-            && job.allows(&m)
-            && self.spares(reserve, job, &m)
+            && job.permits(&m)
+            && reserve.is_none_or(|reserve| !job.avoids(&m) && self.spares(reserve, job, &m))
             && job.team_allows(teams)
             && job.put(&mut m, teams)
         {
--- a/crates/sched/src/pass.rs
+++ b/crates/sched/src/pass.rs
@@ -13,6 +13,8 @@
     pub job: Place,
     pub machine: Place,
     pub tasks: u32,
+    /// It takes room that was kept for services.
+    pub of_reserve: bool,
 }
 
 /// What bounds a pass besides teams and room.
@@ -27,7 +29,13 @@
     pub reserve: f64,
 }
 
-/// Places up to `most` tasks of the job, each on the best machine there is.
+/// Places up to `most` tasks of the job, each on the best machine there is. `made` is
+/// told where, how many, and whether that takes room that was kept for services.
+///
+/// A starving job that finds no other room has one task placed in what is kept from its
+/// like: for services, or for having failed there. Kept without a bound in time, that
+/// room once left it waiting for ever beside free machines. One task is enough for it to
+/// starve no more, and leaves the rest of the reserve to whom it is for.
 ///
 /// A machine that has taken a task ranks higher than before, so it stays the
 /// best while it may take more; and taking one never opens a machine that was
@@ -39,9 +47,34 @@
     teams: &mut [TeamView],
     reserve: f64,
     most: u32,
-    mut made: impl FnMut(Place, u32),
+    mut made: impl FnMut(Place, u32, bool),
 ) {
-    let mut left = most.min(job.waiting);
+    let placed = fill_with(job, floor, teams, Some(reserve), most, |machine, tasks| {
+        made(machine, tasks, false);
+    });
+    if placed == 0 && job.starving {
+        let last = most.min(1);
+        let mut at = None;
+        fill_with(job, floor, teams, None, last, |machine, _| {
+            at = Some(machine)
+        });
+        if let Some(machine) = at {
+            made(machine, 1, floor.short(machine, reserve, job));
+        }
+    }
+}
+
+/// The same for one way of filling; returns how many it placed.
+fn fill_with(
+    job: &mut JobView,
+    floor: &mut Floor,
+    teams: &mut [TeamView],
+    reserve: Option<f64>,
+    most: u32,
+    mut made: impl FnMut(Place, u32),
+) -> u32 {
+    let wanted = most.min(job.waiting);
+    let mut left = wanted;
     let mut tour = Tour::new(job);
     while left > 0 && job.team_allows(teams) {
         let Some(machine) = tour.next(floor, job) else {
@@ -63,6 +96,7 @@
             }
         }
     }
+    wanted - left
 }
 
 struct Pass<'a, 'f, V> {
@@ -123,19 +157,23 @@
                 self.teams,
                 reserve,
                 most,
-                |machine, tasks| {
+                |machine, tasks, of_reserve| {
                     placed += tasks;
                     made.push(Assignment {
                         job: turn.place,
                         machine,
                         tasks,
+                        of_reserve,
                     });
                 },
             );
+            job.starving &= placed == 0;
             if training {
                 self.terms.training_cpus -= f64::from(placed) * cpus;
             }
             let short = placed < most && job.waiting > 0 && job.team_allows(self.teams);
+            // Of a starving one nothing is kept.
+            let reserve = if turn.shape.starving() { 0.0 } else { reserve };
             if short && !self.floor.any(job, reserve) {
                 self.closed.insert(turn.shape.clone());
                 continue;
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -41,6 +41,9 @@
     pub slow: BTreeSet<(Rc<str>, Rc<str>)>,
     /// Machines by zone, those that are coming included.
     pub there: BTreeMap<Rc<str>, u32>,
+    /// CPUs by zone of what was kept for services and is lent to work that may make
+    /// room for them.
+    pub lent: BTreeMap<Rc<str>, f64>,
     /// In microseconds of the steady clock.
     pub now: u64,
 }
@@ -209,15 +212,18 @@
 
     /// Rents ordinary room ahead of the services that must start sooner than
     /// any machine boots, until each zone has `ahead` CPUs of it free: kept from
-    /// other work alone, the room is used up by the first service that comes.
-    fn spare(&mut self, floor: &Floor, ahead: f64) {
+    /// other work alone, the room is used up by the first service that comes. What is
+    /// lent counts as free: rented anew, it would be lent again to the next that
+    /// starves, and so on for as long as any does.
+    fn spare(&mut self, floor: &Floor, lent: &BTreeMap<Rc<str>, f64>, ahead: f64) {
         if ahead <= 0.0 {
             return;
         }
         let choices = &self.choices;
         let zones: BTreeSet<Rc<str>> = choices.iter().map(|c| c.machine.zone.clone()).collect();
         for zone in zones {
-            let missing = ahead - floor.ordinary(&zone);
+            let lent = lent.get(&zone).copied().unwrap_or(0.0);
+            let missing = ahead - floor.ordinary(&zone) - lent;
             if missing <= 1e-6 {
                 continue;
             }
@@ -262,6 +268,7 @@
     let mut kinds: BTreeMap<Rc<Shape>, Kind> = BTreeMap::new();
     // Rented machines with room to spare.
     let mut added = 0;
+    let mut lent = market.lent.clone();
     for (mut job, shape) in jobs {
         let need = job.room();
         let job = &mut job;
@@ -272,7 +279,15 @@
             continue;
         };
         if kind.closed != Some(added) && job.team_allows(teams) {
-            fill(job, floor, teams, reserve, u32::MAX, |_, _| {});
+            let mut on = Vec::new();
+            fill(job, floor, teams, reserve, u32::MAX, |machine, _, of| {
+                on.extend(of.then_some(machine));
+            });
+            for m in on.into_iter().filter_map(|machine| floor.view(machine)) {
+                *lent.entry(m.zone.clone()).or_default() += need.cpus;
+            }
+            // Of a starving job nothing is kept.
+            let reserve = if shape.starving() { 0.0 } else { reserve };
             if job.waiting > 0 && !floor.any(job, reserve) {
                 kind.closed = Some(added);
             }
@@ -303,7 +318,7 @@
             }
         }
     }
-    plan.spare(floor, ahead);
+    plan.spare(floor, &lent, ahead);
     let wanted = &plan.wanted;
     let rest = (0..wanted.len()).filter(|c| wanted[*c] > 0 && !first.contains(c));
     let order: Vec<usize> = first.iter().copied().chain(rest).collect();
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/view.rs
@@ -51,6 +51,7 @@
     service: bool,
     types: Option<Vec<String>>,
     zone: Option<String>,
+    starving: bool,
 }
 
 impl Shape {
@@ -63,8 +64,21 @@
             service: spec.kind == Kind::Service,
             types: spec.types.clone(),
             zone: spec.zone.clone(),
+            starving: false,
         }
     }
+
+    /// The same of a job that is starving or not ([`JobView::starving`]).
+    pub fn when(&self, starving: bool) -> Shape {
+        Shape {
+            starving,
+            ..self.clone()
+        }
+    }
+
+    pub fn starving(&self) -> bool {
+        self.starving
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -84,6 +98,9 @@
     /// it is, so that ordinary machines may be rented for them where spot
     /// machines are not to be had. This changes what is rented, never the order.
     pub late: u32,
+    /// It has waited for so long that one of its tasks may go where nothing else of
+    /// its like may: into room that is kept for services, or where it has failed.
+    pub starving: bool,
 }
 
 impl JobView<'_> {
@@ -119,10 +136,18 @@
             && self.spec.zone.as_ref().is_none_or(|z| **z == *m.zone)
     }
 
+    /// Whether the job's own rules permit one more task there.
+    pub fn permits(&self, m: &MachineView) -> bool {
+        self.kind_allows(m) && self.zone_allowed(&m.zone)
+    }
+
+    /// Whether it has failed there.
+    pub fn avoids(&self, m: &MachineView) -> bool {
+        m.avoid.iter().any(|j| **j == *self.id)
+    }
+
     pub fn allows(&self, m: &MachineView) -> bool {
-        self.kind_allows(m)
-            && self.zone_allowed(&m.zone)
-            && !m.avoid.iter().any(|j| **j == *self.id)
+        self.permits(m) && !self.avoids(m)
     }
 
     pub fn team_allows(&self, teams: &[TeamView]) -> bool {
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -25,6 +25,7 @@
     pub remaining: f64,
     pub submitted: u64,
     pub late: u32,
+    pub starving: bool,
 }
 
 impl Job {
@@ -40,6 +41,7 @@
             remaining: 0.0,
             submitted: 0,
             late: 0,
+            starving: false,
         }
     }
 
@@ -54,6 +56,7 @@
             zones: BTreeMap::new(),
             training: self.training,
             late: self.late,
+            starving: self.starving,
         }
     }
 
@@ -77,7 +80,7 @@
         };
         Standing {
             team: self.team,
-            shape: Rc::new(Shape::of(&self.spec)),
+            shape: Rc::new(Shape::of(&self.spec).when(self.starving)),
             pace,
             rank: rank(true, size, remaining),
             training: (self.training > 0).then(|| rank(false, self.initial_size, 0.0)),
--- a/crates/sched/tests/order.rs
+++ b/crates/sched/tests/order.rs
@@ -159,7 +159,7 @@
 type Plain<'a> = (&'a Job, JobView<'a>);
 
 /// The best machine for the job's next task, looked for among all.
-fn best(job: &JobView, machines: &[MachineView], reserve: f64) -> Option<usize> {
+fn best(job: &JobView, machines: &[MachineView], reserve: f64, last: bool) -> Option<usize> {
     let need = job.room();
     let kept = |m: &MachineView| {
         let ordinary = |o: &&MachineView| !o.spot && o.zone == m.zone;
@@ -179,8 +179,8 @@
     let mut found: Option<usize> = None;
     for (i, view) in machines.iter().enumerate() {
         if view.free.holds(&need)
-            && job.allows(view)
-            && kept(view)
+            && (last || (!job.avoids(view) && kept(view)))
+            && job.permits(view)
             && found.is_none_or(|b| rank(i, view) > rank(b, &machines[b]))
         {
             found = Some(i);
@@ -219,7 +219,10 @@
         if job.waiting == 0 || !job.team_allows(teams) {
             return None;
         }
-        let m = best(job, machines, reserve)?;
+        let other = best(job, machines, reserve, false);
+        let last = || best(job, machines, reserve, true).filter(|_| job.starving);
+        let m = other.or_else(last)?;
+        job.starving = false;
         job.put(&mut machines[m], teams);
         Some((i as Place, m as Place))
     };
@@ -289,6 +292,7 @@
         job.training = 0;
     }
     job.submitted = rng.u64(..3);
+    job.starving = rng.u8(..4) == 0;
     job
 }
 
--- a/crates/sched/tests/plan.rs
+++ b/crates/sched/tests/plan.rs
@@ -56,6 +56,7 @@
         slow: BTreeSet::new(),
         dark: dark.iter().map(|z| Rc::from(*z)).collect::<BTreeSet<_>>(),
         there: BTreeMap::new(),
+        lent: BTreeMap::new(),
         now: 1,
     };
     let mut teams = vec![TeamView {
