--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -3,6 +3,7 @@
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
+pub mod fleet;
 pub mod users;
 
 use dillcleat_core::store::{self, MachineRecord, Types};
