--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cloud;
 pub mod fleet;
 pub mod loopback;
+mod meetings;
 pub mod objects;
 pub mod processes;
 pub mod rules;
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -109,6 +109,30 @@
         machines: usize,
         time: Micros,
     },
+    /// These machines, all or those of one zone, open no connection to any node, while
+    /// orders reach them.
+    Mute {
+        machines: usize,
+        zone: Option<usize>,
+        time: Micros,
+    },
+    /// So many of a hundred transactions are carried out at once, and only their answer
+    /// is lost.
+    AnswersLost {
+        percent: u8,
+        time: Micros,
+    },
+    /// Of so many of a hundred reports a copy is kept, and arrives at every node just as
+    /// the next leader begins.
+    ReportsForNext {
+        percent: u8,
+        time: Micros,
+    },
+    /// So many machines of a zone die without a word.
+    ZoneDies {
+        machines: usize,
+        zone: usize,
+    },
     /// All nodes end. One is back soon, the others after a while.
     AllEnd {
         back: usize,
@@ -143,8 +167,11 @@
             | Fault::SlowState { time }
             | Fault::LateWrites { time }
             | Fault::LateReports { time }
+            | Fault::AnswersLost { time, .. }
+            | Fault::ReportsForNext { time, .. }
+            | Fault::Mute { time, .. }
             | Fault::Deaf { time, .. } => *time,
-            Fault::Die { .. } | Fault::Faulty => 0,
+            Fault::Die { .. } | Fault::ZoneDies { .. } | Fault::Faulty => 0,
             Fault::SpotTaken { notice } => notice.unwrap_or(0),
         }
     }
@@ -312,42 +339,6 @@
         scenario
     }
 
-    /// A day on which two or three troubles meet, several times: they begin within
-    /// seconds of each other or as long after as a lease or a cancellation lasts, and
-    /// most are aimed at whoever leads.
-    pub fn meetings(seed: u64) -> Scenario {
-        let mut rng = Rng::with_seed(seed.rotate_left(23) ^ 0x3ee7);
-        let mut scenario = Scenario::quiet(seed);
-        let mut at = rng.u64(20 * SECOND..40 * SECOND);
-        while at < scenario.busy {
-            let mut first = at;
-            for _ in 0..rng.usize(2..4) {
-                // Near a node's lease, a worker's, the blind limit, and a cancellation's.
-                let near = [2, 10, 14, 26, 30, 44, 60];
-                let time = near[rng.usize(..near.len())] * SECOND + rng.u64(..3 * SECOND);
-                let node = match rng.u8(..4) {
-                    0 => rng.usize(..3),
-                    _ => LEADER,
-                };
-                scenario.faults.extend(met(&mut rng, first, time, node));
-                let after = [0, 1, 1, 2, 5, 12];
-                first += after[rng.usize(..after.len())] * SECOND + rng.u64(..2 * SECOND);
-            }
-            at = first + rng.u64(20 * SECOND..70 * SECOND);
-        }
-        // A third of the days while versions change, or with pipelines alone.
-        let first = rng.u64(10 * SECOND..50 * SECOND);
-        match rng.u8(..6) {
-            0 => scenario.upgrade = Some((first, rng.u64(SECOND..15 * SECOND))),
-            1 => scenario.pipelines = rng.usize(2..6),
-            _ => {}
-        }
-        scenario.small = true;
-        scenario.jobs = rng.usize(14..26);
-        scenario.end = scenario.busy + 1000 * SECOND;
-        scenario
-    }
-
     /// A small day on which a process ends at one call to the state service: of three
     /// seeds in a row each has another moment of the same call.
     pub fn ends_at_call(seed: u64) -> Scenario {
@@ -505,51 +496,3 @@
         }
     }
 }
-
-/// One of the troubles that meet, or what always comes with it.
-fn met(rng: &mut Rng, at: Micros, time: Micros, node: usize) -> Vec<(Micros, Fault)> {
-    let machines = rng.usize(1..7);
-    let back = rng.usize(..3);
-    let fault = match rng.u8(..18) {
-        0 => Fault::StateOutage { time },
-        1 => Fault::Refused { node, time },
-        // Cut off from the store and the other nodes, not from workers or users.
-        2 | 3 => {
-            let cut = Fault::CutState { node, time };
-            return vec![(at, cut), (at, Fault::CutMesh { node, time })];
-        }
-        4 => {
-            let alone = Fault::Refused { node, time };
-            let then = rng.u64(SECOND / 2..4 * SECOND);
-            return vec![(at, alone), (at + then, Fault::StateOutage { time })];
-        }
-        5 | 6 => Fault::LateWrites { time },
-        7 => Fault::LateReports { time },
-        8 | 9 => Fault::Deaf { machines, time },
-        10 => Fault::Hang { machines, time },
-        11 => Fault::SlowState { time },
-        12 => Fault::AllEnd {
-            back,
-            soon: rng.u64(SECOND / 10..SECOND),
-            others: rng.u64(SECOND..20 * SECOND),
-        },
-        13 => {
-            let down = rng.u64(SECOND / 10..8 * SECOND);
-            let nodes = vec![node];
-            return vec![(at, Fault::Crash { nodes, down })];
-        }
-        // Over to another and back.
-        14 => {
-            let end = |nodes| Fault::Crash {
-                nodes,
-                down: SECOND / 5,
-            };
-            let ends = (0..4).map(|n| (at + n * 3 * SECOND / 2, end(vec![LEADER])));
-            return ends.collect();
-        }
-        15 => Fault::CutWorkers { node, time },
-        16 => Fault::Pause { node, time },
-        _ => Fault::CutZone { zone: back, time },
-    };
-    vec![(at, fault)]
-}
--- a/crates/rehearsal/src/troubles.rs
+++ b/crates/rehearsal/src/troubles.rs
@@ -1,18 +1,34 @@
 //! The troubles of a day, as they begin.
 
 use crate::scenario::{Fault, LEADER};
-use crate::world::{Boots, Ev, Host, SiteCut, World};
+use crate::worker::Worker;
+use crate::world::{Boots, Ev, Host, SiteCut, Spell, World, ZONES};
 use dillcleat_core::Micros;
 use std::collections::BTreeSet;
 
 impl World {
     fn some_machines(&mut self, n: usize) -> Vec<String> {
-        let mut names: Vec<String> = self.workers.keys().cloned().collect();
+        self.some_machines_of(n, None)
+    }
+
+    /// The same, of one zone if one is given.
+    fn some_machines_of(&mut self, n: usize, zone: Option<usize>) -> Vec<String> {
+        let zone = zone.map(|z| ZONES[z % ZONES.len()]);
+        let there = |w: &&Worker| zone.is_none_or(|z| w.place.zone == z);
+        let workers = self.workers.values().filter(there);
+        let mut names: Vec<String> = workers.map(|w| w.name.clone()).collect();
         self.rng.shuffle(&mut names);
         names.truncate(n);
         names
     }
 
+    fn die(&mut self, machines: Vec<String>) {
+        for machine in machines {
+            self.cloud.remove(&machine);
+            self.machine_ends(&machine);
+        }
+    }
+
     /// A node ends, and is back at the given time.
     fn ends(&mut self, node: usize, back: Micros) {
         self.nodes[node].node = None;
@@ -70,12 +86,25 @@
                     }
                 }
             }
-            Fault::Die { machines } => {
-                for machine in self.some_machines(machines) {
-                    self.cloud.remove(&machine);
-                    self.machine_ends(&machine);
+            Fault::Mute {
+                machines,
+                zone,
+                time,
+            } => {
+                for name in self.some_machines_of(machines, zone) {
+                    if let Some(w) = self.workers.get_mut(&name) {
+                        w.mute_until = now + time;
+                    }
                 }
             }
+            Fault::Die { machines } => {
+                let names = self.some_machines(machines);
+                self.die(names);
+            }
+            Fault::ZoneDies { machines, zone } => {
+                let names = self.some_machines_of(machines, Some(zone));
+                self.die(names);
+            }
             Fault::SpotTaken { notice } => {
                 let spot: Vec<String> = self
                     .workers
@@ -110,6 +139,12 @@
             Fault::SlowState { time } => self.slow_state_until = now + time,
             Fault::LateWrites { time } => self.late_writes_until = now + time,
             Fault::LateReports { time } => self.late_reports_until = now + time,
+            Fault::AnswersLost { percent, time } => {
+                self.answers_lost = Spell::new(now + time, percent);
+            }
+            Fault::ReportsForNext { percent, time } => {
+                self.reports_for_next = Spell::new(now + time, percent);
+            }
             Fault::Faulty => {
                 for name in self.some_machines(1) {
                     if let Some(w) = self.workers.get_mut(&name) {
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -53,6 +53,8 @@
     pub hung_until: Micros,
     /// Until then answers and orders to it are lost.
     pub deaf_until: Micros,
+    /// Until then it reaches no node.
+    pub mute_until: Micros,
     pub recall_at: Option<Micros>,
     pub faulty: bool,
 }
@@ -73,6 +75,7 @@
             under_way: None,
             hung_until: 0,
             deaf_until: 0,
+            mute_until: 0,
             recall_at: None,
             faulty: false,
         }
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -145,6 +145,11 @@
         node: usize,
         report: Box<Report>,
     },
+    /// A copy of a report arrives. Nobody hears the answer.
+    Copy {
+        node: usize,
+        report: Box<Report>,
+    },
     CheckinAnswer {
         machine: String,
         session: u64,
@@ -212,6 +217,8 @@
         seq: u64,
         sent: Micros,
     },
+    /// Whoever asked is gone.
+    Nobody,
     Submission {
         job: usize,
     },
@@ -302,6 +309,19 @@
     pub never: u64,
 }
 
+/// Until when something befalls so many of a hundred.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Spell {
+    until: Micros,
+    percent: u8,
+}
+
+impl Spell {
+    pub(crate) fn new(until: Micros, percent: u8) -> Spell {
+        Spell { until, percent }
+    }
+}
+
 pub struct World {
     pub(crate) now: Micros,
     order: u64,
@@ -328,6 +348,11 @@
     pub(crate) slow_state_until: Micros,
     pub(crate) late_writes_until: Micros,
     pub(crate) late_reports_until: Micros,
+    pub(crate) answers_lost: Spell,
+    pub(crate) reports_for_next: Spell,
+    /// Copies of reports for the next leader, and the last term that one had.
+    kept_reports: Vec<Report>,
+    last_term: u64,
     pub(crate) boots: Boots,
     checker: Checker,
     scenario: Scenario,
@@ -460,6 +485,10 @@
             slow_state_until: 0,
             late_writes_until: 0,
             late_reports_until: 0,
+            answers_lost: Spell::default(),
+            reports_for_next: Spell::default(),
+            kept_reports: Vec::new(),
+            last_term: 0,
             boots: Boots::default(),
             checker: Checker::new(config.cancel, limits),
             config,
@@ -505,6 +534,11 @@
         w
     }
 
+    /// Whether a spell befalls this one.
+    fn befalls(&mut self, spell: Spell) -> bool {
+        self.now < spell.until && self.side.u8(..100) < spell.percent
+    }
+
     pub(crate) fn at(&mut self, at: Micros, ev: Ev) {
         self.order += 1;
         self.events.push(Reverse((at.max(self.now), self.order)));
@@ -716,6 +750,10 @@
                 let body = dillcleat_wire::encode(&*report);
                 self.ask(node, asker, "POST", REPORT_PATH.into(), body);
             }
+            Ev::Copy { node, report } => {
+                let body = dillcleat_wire::encode(&*report);
+                self.ask(node, Asker::Nobody, "POST", REPORT_PATH.into(), body);
+            }
             Ev::CheckinAnswer {
                 machine,
                 session,
--- a/crates/rehearsal/src/world/services.rs
+++ b/crates/rehearsal/src/world/services.rs
@@ -49,6 +49,12 @@
         let late = self.now < self.late_writes_until
             && matches!(call, StateCall::Txn(_))
             && self.side.u8(..3) == 0;
+        let lost =
+            matches!(call, StateCall::Txn(_)) && !caller.waited && self.befalls(self.answers_lost);
+        let caller = Caller {
+            heard: caller.heard && !lost,
+            ..caller
+        };
         let slow = self.now < self.slow_state_until;
         if (late || slow) && !caller.waited {
             let wait = match late {
@@ -75,6 +81,7 @@
             Some(answer) => {
                 let reply = Ok(answer);
                 self.reply(caller, Input::State { id, reply });
+                self.next_leader();
             }
             None => {
                 if let Some((watch, time)) = self.watches.open(caller, call) {
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -118,7 +118,8 @@
         self.at(self.now + USER_TIMEOUT, Ev::UserTimeout { request });
         let epoch = self.nodes[node].epoch;
         let mut at = self.now + self.delay() / 4;
-        let from_region = !matches!(self.asked.get(&request), Some(Asker::Worker { .. }));
+        let asker = self.asked.get(&request);
+        let from_region = !matches!(asker, Some(Asker::Worker { .. } | Asker::Nobody));
         if from_region {
             let Some(held) = self.held(None, Self::site(node), at) else {
                 return;
@@ -166,6 +167,7 @@
                     );
                 }
             }
+            Asker::Nobody => {}
             asker if self.way(Self::site(node), None) != Way::Open => {
                 // It never comes: whoever asked gives it up.
                 self.asked.insert(request, asker);
@@ -275,7 +277,7 @@
             self.served.count(class, team, add);
         }
         match asker {
-            Asker::Worker { .. } | Asker::Object { .. } | Asker::Watcher => {}
+            Asker::Worker { .. } | Asker::Object { .. } | Asker::Watcher | Asker::Nobody => {}
             Asker::Stranger { id } => self.checker.answered_poll(&id, status, state, now),
             Asker::Submission { job } => {
                 let u = &mut self.users[job];
--- a/crates/rehearsal/src/world/workers.rs
+++ b/crates/rehearsal/src/world/workers.rs
@@ -20,7 +20,12 @@
                     w.node = (w.node + 1) % self.nodes.len();
                     w.report_at = self.now + SECOND;
                 }
-                if w.under_way.is_none() && self.now >= w.report_at {
+                let due = w.under_way.is_none() && self.now >= w.report_at;
+                if due && self.now < w.mute_until {
+                    // No connection opens: it tries the next node.
+                    w.node = (w.node + 1) % self.nodes.len();
+                    w.report_at = self.now + SECOND;
+                } else if due {
                     let report = w.report(self.now);
                     w.under_way = Some((report.session, report.seq, self.now));
                     w.report_at = self.now + self.rng.u64(15..25) * SECOND / 10;
@@ -39,13 +44,11 @@
                     if self.now < self.late_reports_until && self.side.bool() {
                         let again = self.side.u64(2 * SECOND..2 * lease);
                         let node = self.side.usize(..self.nodes.len());
-                        let (machine, report) = (machine.clone(), report.clone());
-                        let copy = Ev::Checkin {
-                            machine,
-                            node,
-                            report,
-                        };
-                        self.at(at + again, copy);
+                        let report = report.clone();
+                        self.at(at + again, Ev::Copy { node, report });
+                    }
+                    if self.befalls(self.reports_for_next) {
+                        self.kept_reports.push(Report::clone(&report));
                     }
                     self.at(
                         at,
@@ -62,6 +65,23 @@
         self.at(self.now + 100 * MILLISECOND, Ev::Workers);
     }
 
+    /// The copies of reports that were kept for the next leader arrive once there is one.
+    pub(super) fn next_leader(&mut self) {
+        let term = self.state.term();
+        if term <= self.last_term {
+            return;
+        }
+        self.last_term = term;
+        for report in std::mem::take(&mut self.kept_reports) {
+            // While it reads the store, or when it has just begun to answer.
+            let at = self.now + self.side.u64(..600 * MILLISECOND);
+            for node in 0..self.nodes.len() {
+                let report = Box::new(report.clone());
+                self.at(at, Ev::Copy { node, report });
+            }
+        }
+    }
+
     pub(super) fn orders(&mut self, caller: Caller, addr: String, orders: Box<Orders>) {
         let machine = addr.trim_end_matches(":9000").to_string();
         let Some(worker) = self.workers.get_mut(&machine) else {
