What meets a change of leader is tested, and three decisions are mended

- A report of a session before came first to a new leader, which knew of a later session by a stored placement: it took the session back, and under the current token what was absent from it as gone.
Now it is older than what is known (Machine::report).
- A placement was stored, its answer lost, and a user cancelled the job before the second try: that the mark had changed was in the answer, and passed over, since the try was looked for.
The task was launched, and stopped once the watch told.
Now nothing of it is launched.
- What ran of a job whose mark had changed went on until the mark or its row was read.
Now it is stopped at once, whichever end it was.

Removed: a cancellation that a write meets counted from the last read. Until its row is read all answers end with that read, and the row says when; that the earlier of both counts has its test now.

The harness of gap.rs moves to common/, and can lose answers of transactions.

--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -198,6 +198,11 @@
                 if let Some(key) = own.filter(|_| batch.uncertain) {
                     // Only this leader writes chunks: the earlier try was
                     // applied. Every key of it has the same version; read one.
+                    // A user's cancellation may have come after it, and be told later than
+                    // what was placed would be launched.
+                    for id in failed.iter().filter_map(|k| k.strip_prefix("j/")) {
+                        self.mark_changed(ctx, &Rc::from(id));
+                    }
                     self.ledger.batch = Some(batch);
                     let waiter = self.waiter(Step::Reread { key: key.clone() });
                     ctx.state(StateCall::Get { key }, waiter);
@@ -330,18 +335,7 @@
     pub(super) fn conflict(&mut self, ctx: &mut Ctx, batch: Batch, failed: &[String]) {
         for key in failed {
             if let Some(id) = key.strip_prefix("j/") {
-                let id: Rc<str> = Rc::from(id);
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    log::info!("{id}: its record has changed, reading it");
-                    // No placement of it is written from now on.
-                    // When it was confirmed is not known: after the last read, or it
-                    // would be known.
-                    let since = self.last_consistent_read.unwrap_or(ctx.now.steady);
-                    job.cancelled.get_or_insert(since);
-                    job.ending = false;
-                }
-                let waiter = self.waiter(Step::Ended { id });
-                ctx.state(StateCall::Get { key: key.clone() }, waiter);
+                self.mark_changed(ctx, &Rc::from(id));
             } else {
                 log::error!("{key}: written by somebody else");
                 self.notes.push(Note::Outdated);
@@ -351,6 +345,23 @@
         self.write(ctx);
     }
 
+    /// A job has ended, be it by its cancellation or by an earlier try of this leader's:
+    /// nothing of it is to run, whichever it was.
+    fn mark_changed(&mut self, ctx: &mut Ctx, id: &Rc<str>) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            log::info!("{id}: its record has changed, reading it");
+            // No placement of it is written from now on. When it was confirmed is not
+            // known. Until its row is read answers end with the last read, which is
+            // older, and then the row says when.
+            job.cancelled.get_or_insert(ctx.now.steady);
+            job.ending = false;
+            self.mark_cancelled(id);
+        }
+        let waiter = self.waiter(Step::Ended { id: id.clone() });
+        let key = store::job_key(id);
+        ctx.state(StateCall::Get { key }, waiter);
+    }
+
     /// The record of a job whose end came from elsewhere, or from an earlier
     /// try of the batch that ended it.
     pub(super) fn ended(
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -240,7 +240,13 @@
     /// Takes a report in. Nothing but a newer one changes anything.
     pub fn report(&mut self, r: &Report, source: Source, term: u64, now: Micros) -> Vec<SlotEvent> {
         let mut events = Vec::new();
-        if self.up && (r.session, r.seq) <= (self.session, self.seq) {
+        // Of a machine that has yet to report to this leader a stored placement may tell
+        // the session: a report of one before is old, though it is the first to come.
+        let older = match self.up {
+            true => (r.session, r.seq) <= (self.session, self.seq),
+            false => r.session < self.session,
+        };
+        if older {
             return events;
         }
         if r.session > self.session || !self.up {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
+pub mod gap;
+
 use dillcleat_core::store::{self, MachineRecord, Types};
 use dillcleat_core::{
     CallError, CallId, Config, Input, Micros, Node, Now, Output, RequestId, Tuning,
@@ -121,6 +123,8 @@
     pub cloud: bool,
     /// What the cloud says that it rents; in fact it has nothing.
     pub types: Vec<MachineType>,
+    /// The records of the lead, the term and the machine types.
+    pub shared: Vec<Row>,
     /// Rows of the queue.
     pub queue: Vec<Row>,
     /// Rows of tasks.
@@ -133,14 +137,25 @@
     /// Transactions that compare this key fail for it, and reads of single keys are
     /// refused. Without it there is no such key.
     pub conflict: Option<String>,
+    /// What fails beside it.
+    pub fails_too: Option<String>,
+    /// Transactions wait for their answers.
+    pub held_txns: bool,
+    pub txns: Vec<CallId>,
+    /// Transactions that compare this key have no answer.
+    pub lost: Option<&'static str>,
     /// Reads of single keys that were refused.
     pub refused: usize,
+    /// How many leases were made.
+    pub leases: u64,
     /// Leases that were let go.
     pub let_go: Vec<u64>,
     /// Transactions that were sent.
     pub writes: Vec<Txn>,
     /// Bodies of the answers that were given.
     pub bodies: Vec<Vec<u8>>,
+    /// The revision after which the queue was watched last.
+    pub queue_after: Option<u64>,
     /// Watches that wait for an answer.
     pub watches: Vec<CallId>,
 }
@@ -151,16 +166,23 @@
             state: true,
             cloud: true,
             types: Vec::new(),
+            shared: Vec::new(),
             queue: Vec::new(),
             tasks: Vec::new(),
             held: None,
             listings: Vec::new(),
             found: None,
             conflict: None,
+            fails_too: None,
+            held_txns: false,
+            txns: Vec::new(),
+            lost: None,
             refused: 0,
+            leases: 0,
             let_go: Vec::new(),
             writes: Vec::new(),
             bodies: Vec::new(),
+            queue_after: None,
             watches: Vec::new(),
         }
     }
@@ -190,14 +212,38 @@
                 }
                 Output::State {
                     id,
-                    call: StateCall::Watch { .. },
+                    call: StateCall::Watch { prefix, after, .. },
                     ..
-                } => around.watches.push(id),
+                } => {
+                    if prefix == store::QUEUE {
+                        around.queue_after = Some(after);
+                    }
+                    around.watches.push(id);
+                }
                 Output::State {
                     id,
                     call: StateCall::List { prefix, .. },
                     ..
                 } if around.held.is_some_and(|held| held == prefix) => around.listings.push(id),
+                Output::State {
+                    id,
+                    call: StateCall::Txn(_),
+                    ..
+                } if around.held_txns => around.txns.push(id),
+                Output::State {
+                    id,
+                    call: StateCall::Txn(txn),
+                    ..
+                } if around
+                    .lost
+                    .is_some_and(|k| txn.compare.iter().any(|c| c.key == k)) =>
+                {
+                    around.writes.push(txn);
+                    inputs.push(Input::State {
+                        id,
+                        reply: Err(CallError::NoAnswer),
+                    });
+                }
                 Output::State { id, .. } if !around.state => inputs.push(Input::State {
                     id,
                     reply: Err(CallError::NoAnswer),
@@ -209,12 +255,18 @@
                                 store::MACHINES => machines.to_vec(),
                                 store::QUEUE => around.queue.clone(),
                                 store::TASKS => around.tasks.clone(),
+                                store::SHARED => around.shared.clone(),
                                 _ => vec![],
                             },
                             more: false,
                             revision: 1,
                         }),
-                        StateCall::NewLease { .. } => StateReply::Lease { lease: 1 },
+                        StateCall::NewLease { .. } => {
+                            around.leases += 1;
+                            StateReply::Lease {
+                                lease: around.leases,
+                            }
+                        }
                         StateCall::Txn(txn) => {
                             around.writes.push(txn.clone());
                             let failed = txn.compare.into_iter().map(|c| c.key);
@@ -223,7 +275,10 @@
                                 .find(|k| around.conflict.as_ref() == Some(k))
                             {
                                 Some(key) => StateReply::Conflict {
-                                    failed: vec![key],
+                                    failed: [key]
+                                        .into_iter()
+                                        .chain(around.fails_too.clone())
+                                        .collect(),
                                     revision: 2,
                                 },
                                 None => StateReply::Committed { revision: 2 },
--- /dev/null
+++ b/crates/core/tests/handover.rs
@@ -0,0 +1,337 @@
+//! What meets the change from one leader to the next: cancellations, answers that get
+//! lost, reports of long ago.
+
+mod common;
+
+use common::gap::{Gap, JOB, START, at_most, cancelled};
+use common::{machine_type, row};
+use dillcleat_core::store::{self, Chunk, Lead, Span, Term};
+use dillcleat_core::{Input, MILLISECOND, Micros, SECOND};
+use dillcleat_mesh::Message;
+use dillcleat_wire::state::{Change, Page, Row, StateReply, read};
+use dillcleat_wire::worker::Command;
+
+/// Answers the listing that waits.
+fn listed(gap: &mut Gap, at: Micros, rows: &[Row], more: bool, revision: u64) {
+    let id = gap.around.listings.pop().expect("a listing");
+    let reply = Ok(StateReply::Page(Page {
+        rows: rows.to_vec(),
+        more,
+        revision,
+    }));
+    gap.step(at, Input::State { id, reply });
+}
+
+fn tasks() -> String {
+    store::tasks_key(JOB, Span::Chunk(0))
+}
+
+/// Placements of the job in what was written last of its tasks.
+fn placed(gap: &Gap) -> Vec<(u32, u64, String, u64)> {
+    let key = tasks();
+    let changes = gap.around.writes.iter().rev().flat_map(|t| &t.then);
+    let mut records = changes.filter_map(|c| match c {
+        Change::Put { key: k, value, .. } if *k == key => read::<Chunk>(value),
+        _ => None,
+    });
+    records.next().map_or(Vec::new(), |c| c.p)
+}
+
+fn drops(gap: &Gap, key: &str) -> bool {
+    let mut changes = gap.around.writes.iter().flat_map(|t| &t.then);
+    changes.any(|c| matches!(c, Change::Delete { key: k } if k == key))
+}
+
+fn stops(commands: Option<Vec<Command>>) -> bool {
+    matches!(commands.as_deref(), Some([Command::Stop { .. }]))
+}
+
+/// Rows come in the order of keys: a cancellation may land on a page already read, one
+/// that is read comes before its job. While there are more, nobody is answered.
+#[test]
+fn cancellations_are_known_whatever_page_they_land_on() {
+    let other = row(store::cancelled_key("req-000009"), &row_of(START));
+    for read_first in [false, true] {
+        let mut gap = Gap::new();
+        gap.around.held = Some(store::QUEUE);
+        gap.step(0, Input::Tick);
+        let mut first = vec![other.clone()];
+        if read_first {
+            first.insert(0, cancelled(START));
+        }
+        listed(&mut gap, SECOND, &first, true, 5);
+        assert!(gap.reports(SECOND).is_none(), "more may be cancelled");
+        let jobs = gap.around.queue.clone();
+        listed(&mut gap, 2 * SECOND, &jobs, false, 9);
+        assert!(gap.node.fence().is_some());
+        if !read_first {
+            assert_eq!(gap.around.queue_after, Some(5), "from the first page on");
+            gap.watched(2 * SECOND, vec![Gap::event(cancelled(START + SECOND))]);
+        }
+        assert!(stops(gap.reports(3 * SECOND)));
+    }
+}
+
+fn row_of(at: Micros) -> store::CancelledJob {
+    store::CancelledJob { at }
+}
+
+/// None of them leads for long enough to delete the machine, the stop doesn't arrive:
+/// the lease ends it, counted from the cancellation and from no leader's beginning.
+#[test]
+fn leaders_that_change_all_the_time_keep_no_cancelled_task() {
+    let mut gap = Gap::leading();
+    gap.around.cloud = false;
+    let told = SECOND;
+    gap.around.queue.insert(0, cancelled(START + told));
+    let (mut last, mut terms) = (0, Vec::new());
+    for t in 10..900 {
+        let at = t * 100 * MILLISECOND;
+        if t % 50 == 0 {
+            let message = Message::Beat {
+                term: 1000,
+                leads: false,
+                served: true,
+                hears: false,
+                asked: 0,
+            };
+            let from = "n1".to_string();
+            gap.step(at, Input::Mesh { from, message });
+        }
+        gap.step(at, Input::Tick);
+        gap.watched(at, Vec::new());
+        gap.token = gap.node.leading().unwrap_or(gap.token);
+        terms.push(gap.token);
+        if t % 10 == 0 && gap.reports(at).is_some() {
+            last = at;
+        }
+    }
+    terms.dedup();
+    assert!(terms.len() > 10, "{terms:?}");
+    assert!(last > 10 * SECOND);
+    let ends = at_most(last + gap.config.lease - told);
+    assert!(ends < gap.config.cancel, "answered until {last}");
+}
+
+/// Nobody led for longer than a lease: what was placed is over with its session, also
+/// that of a job that was cancelled meanwhile.
+#[test]
+fn what_was_placed_before_all_leases_ended_is_over() {
+    for is_cancelled in [false, true] {
+        let mut gap = Gap::new();
+        gap.around.types = vec![machine_type(8.0)];
+        if is_cancelled {
+            gap.around.queue.insert(0, cancelled(START));
+        }
+        (gap.session, gap.has_task) = (2, false);
+        for t in 0..30 {
+            gap.step(t * 100 * MILLISECOND, Input::Tick);
+            if t % 10 == 5 {
+                gap.reports(t * 100 * MILLISECOND);
+            }
+        }
+        let again = [(0, 2, "m".to_string(), 2)];
+        assert_eq!(placed(&gap) == again, !is_cancelled);
+        assert_eq!(drops(&gap, &store::cancelled_key(JOB)), is_cancelled);
+    }
+}
+
+/// It was sent in a session before, and arrives first at a new leader, that knows of a
+/// later session by a placement alone. To take it for the latest once took the session
+/// back, and absence from it as proof.
+#[test]
+fn an_old_report_takes_no_session_back() {
+    let mut gap = Gap::new();
+    let chunk = Chunk {
+        p: vec![(0, 1, "m".into(), 3)],
+        ..Chunk::default()
+    };
+    gap.around.tasks = vec![row(tasks(), &chunk)];
+    gap.around.queue.insert(0, cancelled(START));
+    gap.step(0, Input::Tick);
+    (gap.session, gap.has_task) = (2, false);
+    assert_eq!(gap.reports(SECOND), Some(vec![]));
+    gap.step(2 * SECOND, Input::Tick);
+    assert!(!drops(&gap, &store::cancelled_key(JOB)));
+    (gap.session, gap.has_task) = (3, true);
+    assert!(stops(gap.reports(2 * SECOND)));
+}
+
+/// A copy of a report is kept until a new leader has acted, and arrives there: it says
+/// nothing of what was launched since, whatever token it shows.
+#[test]
+fn a_report_that_was_kept_for_the_next_leader_ends_nothing() {
+    for token in [0, 1] {
+        let mut gap = Gap::leading();
+        gap.seq = 7;
+        assert!(gap.reports(SECOND).is_some());
+        gap.watched(SECOND, vec![Gap::event(cancelled(START + SECOND))]);
+        (gap.seq, gap.token, gap.has_task) = (3, token, false);
+        assert_eq!(gap.reports(2 * SECOND), Some(vec![]));
+        gap.step(2 * SECOND, Input::Tick);
+        assert!(!drops(&gap, &store::cancelled_key(JOB)));
+    }
+}
+
+/// The record of the term was written and the answer lost: whoever sees that the lead is
+/// its own begins anew in a later term.
+#[test]
+fn an_election_without_an_answer_is_never_led() {
+    let mut gap = Gap::new();
+    gap.around.lost = Some(store::LEAD);
+    gap.step(0, Input::Tick);
+    assert_eq!(gap.node.leading(), None);
+    gap.around.lost = None;
+    let lead = Lead {
+        member: "n0".into(),
+        lease: 1,
+        term: 1,
+    };
+    let mut term = row(store::TERM.into(), &Term { term: 1 });
+    term.version = 5;
+    gap.around.shared = vec![row(store::LEAD.into(), &lead), term];
+    gap.around.let_go.clear();
+    gap.step(SECOND / 2, Input::Tick);
+    assert_eq!(gap.around.let_go, [1], "it may be its own");
+    assert_eq!(gap.node.leading(), None, "the key is there still");
+    gap.around.shared.remove(0);
+    gap.around.writes.clear();
+    gap.step(3 * SECOND / 2, Input::Tick);
+    assert_eq!(gap.node.leading(), Some(2));
+    let compared = &gap.around.writes[0].compare;
+    assert!(
+        compared
+            .iter()
+            .any(|c| c.key == store::TERM && c.version == 5)
+    );
+    assert!(
+        compared
+            .iter()
+            .any(|c| c.key == store::LEAD && c.version == 0)
+    );
+}
+
+/// It was not running while the answer came: by then somebody else may lead.
+#[test]
+fn an_election_is_not_led_by_who_was_not_running_meanwhile() {
+    let mut gap = Gap::new();
+    gap.around.held_txns = true;
+    gap.step(0, Input::Tick);
+    let take = gap.around.txns.pop().expect("a transaction");
+    gap.step(2 * SECOND, Input::Tick);
+    let reply = Ok(StateReply::Committed { revision: 2 });
+    gap.step(2 * SECOND, Input::State { id: take, reply });
+    assert_eq!(gap.node.leading(), None);
+}
+
+/// The placement is in the store, its answer was lost, and a user cancels the job before
+/// the second try: it is never launched, though nobody has told of the cancellation yet.
+#[test]
+fn what_is_cancelled_beside_a_lost_answer_is_not_launched() {
+    for is_cancelled in [false, true] {
+        let mut gap = Gap::of(2);
+        gap.around.types = vec![machine_type(8.0)];
+        gap.step(0, Input::Tick);
+        gap.around.lost = Some("t/req-000001/00000");
+        gap.reports(SECOND / 10);
+        gap.step(SECOND / 5, Input::Tick);
+        gap.around.lost = None;
+        let stored = placed(&gap);
+        assert_eq!(stored.len(), 2, "the second task");
+        gap.around.conflict = Some(tasks());
+        gap.around.fails_too = is_cancelled.then(|| store::job_key(JOB));
+        let chunk = Chunk {
+            p: stored,
+            ..Chunk::default()
+        };
+        let mut found = row(tasks(), &chunk);
+        found.version = 7;
+        gap.around.found = Some(found);
+        for t in 3..8 {
+            gap.step(t * 100 * MILLISECOND, Input::Tick);
+        }
+        let commands = gap.reports(SECOND).expect("an answer");
+        let starts = |c: &Command| matches!(c, Command::Start { task, .. } if task.index == 1);
+        assert_eq!(commands.iter().any(starts), !is_cancelled);
+        assert_eq!(stops(Some(commands)), is_cancelled);
+    }
+}
+
+/// A write shows that a job has ended; how, and since when, can't be read for a while.
+#[test]
+fn what_runs_of_a_job_whose_mark_has_changed_is_stopped_at_once() {
+    let mut gap = Gap::of(2);
+    gap.around.types = vec![machine_type(8.0)];
+    gap.around.conflict = Some(store::job_key(JOB));
+    gap.step(0, Input::Tick);
+    gap.reports(SECOND / 2);
+    gap.step(SECOND, Input::Tick);
+    assert!(gap.around.refused > 0, "a placement of the second task");
+    assert!(stops(gap.reports(2 * SECOND)));
+}
+
+/// The write came long after the cancellation, which its row tells later still.
+#[test]
+fn a_cancellation_counts_from_its_own_time_whatever_was_seen_of_it_before() {
+    let mut gap = Gap::of(2);
+    gap.around.types = vec![machine_type(8.0)];
+    gap.around.conflict = Some(store::job_key(JOB));
+    let (told, met) = (4 * SECOND, 95 * SECOND / 10);
+    gap.step(0, Input::Tick);
+    for t in 1..95 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+        if t < 40 {
+            gap.watched(t * 100 * MILLISECOND, Vec::new());
+        }
+    }
+    gap.reports(met);
+    gap.step(met, Input::Tick);
+    gap.step(met + SECOND / 10, Input::Tick);
+    assert!(gap.around.refused > 0, "a placement meets the mark");
+    gap.around.cloud = false;
+    gap.watched(10 * SECOND, vec![Gap::event(cancelled(START + told))]);
+    let mut last = 0;
+    for s in 11..60 {
+        gap.step(s * SECOND, Input::Tick);
+        gap.watched(s * SECOND, Vec::new());
+        if gap.reports(s * SECOND).is_some() {
+            last = s * SECOND;
+        }
+    }
+    let ends = at_most(last + gap.config.lease - told);
+    assert!(last > 20 * SECOND && ends < gap.config.cancel, "{last}");
+}
+
+/// What is launched without a read of a moment ago may be cancelled already.
+#[test]
+fn nothing_is_launched_without_a_read_of_a_moment_ago() {
+    let mut gap = Gap::leading();
+    gap.has_task = false;
+    let starts = |commands: Option<Vec<Command>>| match commands.as_deref() {
+        Some([Command::Start { .. }]) => true,
+        Some([]) => false,
+        other => panic!("{other:?}"),
+    };
+    assert!(starts(gap.reports(SECOND)));
+    for s in 2..8 {
+        gap.step(s * SECOND, Input::Tick);
+    }
+    assert!(!starts(gap.reports(8 * SECOND)));
+    gap.watched(8 * SECOND, Vec::new());
+    gap.watched(9 * SECOND, Vec::new());
+    assert!(starts(gap.reports(9 * SECOND)));
+}
+
+/// Its placement would fail for its mark, and hold room and its team's limit until then.
+#[test]
+fn a_cancelled_job_leaves_the_line() {
+    let mut gap = Gap::of(2);
+    gap.around.types = vec![machine_type(8.0)];
+    gap.step(0, Input::Tick);
+    gap.watched(SECOND / 2, vec![Gap::event(cancelled(START + SECOND / 2))]);
+    for t in 6..20 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+        gap.reports(t * 100 * MILLISECOND);
+    }
+    assert_eq!(gap.node.counts().placed, 0);
+}
