--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -278,10 +278,10 @@
         Some(due)
     }
 
-    fn set_job(&mut self, place: Place, part: Option<JobPart>) -> Option<Rc<str>> {
+    fn set_job(&mut self, place: Place, part: Option<JobPart>) -> Vec<Rc<str>> {
         let old = slot(&mut self.jobs, place, None);
         if *old == part {
-            return None;
+            return Vec::new();
         }
         let old = std::mem::replace(old, part.clone());
         member(
@@ -308,12 +308,17 @@
             self.sums.add_job(&p, 1);
         }
         if before == after {
-            return None;
+            return Vec::new();
         }
-        // An image that services began or ceased to use.
+        // Images that services began or ceased to use: a place that passes from one
+        // service to another between two looks may bring one of each (seed 8 of meetings).
         let new = |i: &Rc<str>| self.sums.images.get(i) == Some(&1);
         let gone = |i: &Rc<str>| !self.sums.images.contains_key(i);
-        after.filter(new).or(before.filter(gone))
+        after
+            .filter(new)
+            .into_iter()
+            .chain(before.filter(gone))
+            .collect()
     }
 
     fn set_machine(&mut self, place: Place, part: Option<MachinePart>) {
@@ -471,7 +476,7 @@
             None => (None, None, None),
         };
         self.index.line.set(place, standing);
-        if let Some(image) = self.index.set_job(place, part) {
+        for image in self.index.set_job(place, part) {
             for machine in self.index.floor.holders(&image) {
                 self.machines.mark(machine);
             }
