A leader stops what its own process sees cancelled, without waiting for its watch

Cause: admission confirms the cancellation to its user, and the leader half of the same node heard of it some milliseconds later by its watch of the queue.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -47,6 +47,8 @@
     /// Users' requests since the last beat, and how many come in a second.
     asked: u32,
     asked_per_s: f64,
+    /// Jobs that were seen to be cancelled, for the leader of this process.
+    cancelled: Vec<String>,
     /// The leader's word on how far jobs are, for display.
     pub progress: HashMap<String, (u32, u32)>,
 }
@@ -98,6 +100,7 @@
             last_naming: 0,
             asked: 0,
             asked_per_s: 0.0,
+            cancelled: Vec::new(),
             progress: HashMap::new(),
         }
     }
@@ -151,6 +154,19 @@
         self.cache.put(&job.spec.id, known);
     }
 
+    /// What a read or write of the store has said of a job's end is known from now on.
+    fn learn(&mut self, id: &str, known: Known) {
+        if known.mark.s == Mark::Cancelled {
+            self.cancelled.push(id.to_string());
+        }
+        self.cache.put(id, known);
+    }
+
+    /// The jobs that were seen to be cancelled since this was last asked.
+    pub fn take_cancelled(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.cancelled)
+    }
+
     /// The leader of this process has stored a job's end.
     pub fn ended(&mut self, id: &str, mark: JobMark) {
         self.cache.put(id, Known::ended(mark));
--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -102,7 +102,7 @@
             Ok(StateReply::Found(row)) => match row.read::<JobMark>() {
                 Some(mark) => {
                     let known = Known::marked(mark, row.version);
-                    self.cache.put(id, known);
+                    self.learn(id, known);
                     self.settle(ctx, id, Some(known), ask);
                 }
                 None => {
@@ -220,7 +220,7 @@
                     s: Mark::Cancelled,
                     n,
                 };
-                self.cache.put(&id, Known::ended(mark));
+                self.learn(&id, Known::ended(mark));
                 log::info!("cancelled {id}");
                 let status = self.status(&id, mark);
                 ctx.answer(request, Answer::body(200, &status));
--- a/crates/core/src/leader/jobs.rs
+++ b/crates/core/src/leader/jobs.rs
@@ -36,6 +36,25 @@
         self.check_clear(id);
     }
 
+    /// This process has seen in the store that these jobs are cancelled: each stops as if
+    /// the queue had told it. When that was confirmed is not known here, and until the row
+    /// says so answers end with the last read, which is older.
+    pub fn cancelled(&mut self, ctx: &mut Ctx, ids: &[String]) {
+        for id in ids {
+            let Some(id) = self.jobs.name(id).cloned() else {
+                continue;
+            };
+            let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.stopped) else {
+                continue;
+            };
+            job.cancelled.get_or_insert(ctx.now.steady);
+            // One that still loads stops its cancelled jobs as it starts.
+            if self.stage == Stage::Ready {
+                self.stop_job(ctx, &id);
+            }
+        }
+    }
+
     pub(super) fn mark_cancelled(&mut self, id: &Rc<str>) -> Vec<u32> {
         let mut unstored = Vec::new();
         let Some(job) = self.jobs.get(id) else {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -211,6 +211,15 @@
                 match ctx.calls.close(id, failed) {
                     Some((Waiter::Admission(step), _)) => {
                         self.admission.reply(&mut ctx, step, reply);
+                        let cancelled = self.admission.take_cancelled();
+                        if let Some(leader) = &mut self.leader
+                            && !cancelled.is_empty()
+                        {
+                            // Its own watch says so a moment later. In that moment it once
+                            // launched what its user had been told is cancelled.
+                            leader.cancelled(&mut ctx, &cancelled);
+                            leader.go_on(&mut ctx);
+                        }
                     }
                     Some((Waiter::Leadership(step), sent)) => {
                         change = self.leadership.reply(&mut ctx, step, sent, reply);
