--- a/crates/core/src/blame.rs
+++ b/crates/core/src/blame.rs
@@ -39,9 +39,11 @@
         self.proven
     }
 
-    /// Whether a task of it may be placed, with `placed` of them on machines.
-    pub fn may_start(&self, placed: usize, now: Micros) -> bool {
-        !self.doubtful() || (placed == 0 && now >= self.next_try)
+    /// Whether a task of it may be placed, with `placed` of them on machines. One that
+    /// runs well for long proves nothing until it ends, so a starving job is tried with
+    /// one more: it once waited for as long as that one ran.
+    pub fn may_start(&self, placed: usize, starving: bool, now: Micros) -> bool {
+        !self.doubtful() || ((placed == 0 || starving) && now >= self.next_try)
     }
 
     /// When a doubtful job may be tried again.
@@ -106,16 +108,16 @@
         let mut job = Record::default();
         assert_eq!(job.failed(&m(0), 0), None);
         assert_eq!(job.failed(&m(0), 0), None);
-        assert!(job.may_start(9, 0), "one machine may be to blame");
+        assert!(job.may_start(9, false, 0), "one machine may be to blame");
         assert_eq!(job.failed(&m(1), 0), Some(SECOND));
         // The rest of the array fails as well, which is no news.
         assert_eq!(job.failed(&m(2), SECOND / 2), None);
-        assert!(!job.may_start(0, SECOND / 2));
+        assert!(!job.may_start(0, false, SECOND / 2));
         let mut now = SECOND;
         let mut tries = 0;
         while now < 600 * SECOND {
-            if job.may_start(0, now) {
-                assert!(!job.may_start(1, now), "one at a time");
+            if job.may_start(0, false, now) {
+                assert!(!job.may_start(1, false, now), "one at a time");
                 tries += 1;
                 job.failed(&m(3), now);
             }
@@ -132,7 +134,7 @@
         assert!(job.doubtful());
         assert_eq!(job.ran(), BTreeSet::from([m(0), m(1)]));
         assert_eq!(job.failed(&m(2), 0), None);
-        assert!(job.may_start(50, 0));
+        assert!(job.may_start(50, false, 0));
         let mut machine = Strikes::default();
         machine.add(&Rc::from("job"));
         machine.add(&Rc::from("job"));
--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -477,7 +477,9 @@
             && !job.held
             && job.placeable() > 0
             && now >= job.blocked_until
-            && job.record.may_start(job.placed(), now);
+            && job
+                .record
+                .may_start(job.placed(), job.shape.starving(), now);
         if !waits {
             return None;
         }
@@ -540,7 +542,7 @@
                 let part = m_part(m, total, now, missing);
                 // A launch to a machine that is gone, or behind a cut, would
                 // hold its task until there is proof that it did not arrive.
-                let there = m.open(now) && now < m.heard_at + missing;
+                let there = m.usable(now) && now < m.heard_at + missing;
                 let view = total.filter(|_| there).map(|total| {
                     let mut view = Self::view_with(m, m.free(total));
                     if !m.spot {
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -232,6 +232,7 @@
             images: m.images.clone(),
             warm: 0,
             avoid: m.error_jobs.iter().cloned().collect(),
+            condemned: m.condemned,
         }
     }
 
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -100,7 +100,7 @@
     pub gone_by: Option<Micros>,
     /// Being returned: takes no more tasks.
     pub leaving: bool,
-    /// Takes no more tasks and is returned when empty.
+    /// Takes no more tasks, but as a last resort, and is returned when empty.
     pub condemned: bool,
     pub blocked_until: Micros,
     pub slots: BTreeMap<TaskKey, Slot>,
@@ -214,9 +214,13 @@
 
     /// May take a new task.
     pub fn open(&self, now: Micros) -> bool {
+        !self.condemned && self.usable(now)
+    }
+
+    /// May take a new task if there is no other place for it.
+    pub fn usable(&self, now: Micros) -> bool {
         self.ready
             && !self.leaving
-            && !self.condemned
             && self.gone_by.is_none()
             && self.strays.is_empty()
             && now >= self.blocked_until
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -77,6 +77,60 @@
     assert_eq!(fleet.workers.len(), 1);
 }
 
+/// A job that failed on two faulty machines is tried with one task at a time. That one
+/// may run for long, and proves nothing meanwhile.
+#[test]
+fn a_doubtful_job_waits_no_longer_than_others_beside_free_machines() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(4.0)]);
+    fleet.machine("m0", "a", false).faulty = true;
+    fleet.machine("m1", "a", false).faulty = true;
+    fleet.submit(batch("req-000001", 3));
+    fleet.pass(10 * SECOND);
+    let failed = fleet.starts_of("req-000001");
+    assert!(
+        ["m0", "m1"]
+            .iter()
+            .all(|m| failed.iter().any(|s| s.1 == *m))
+    );
+    fleet.machine("m2", "a", false);
+    for running in [2, 3] {
+        fleet.pass(BOUND);
+        assert_eq!(
+            fleet.cpus_of(&["req-000001"]),
+            running,
+            "{:?}",
+            fleet.starts
+        );
+    }
+}
+
+/// The only machines that fit have failed the job, or several: a bad day of theirs, with
+/// replicas on them that stay. Nothing once took them off their lists.
+#[test]
+fn a_job_is_tried_again_where_it_or_others_failed() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(8.0)]);
+    fleet.machine("m0", "a", false);
+    fleet.machine("m1", "b", false);
+    fleet.submit(service(1));
+    fleet.pass(5 * SECOND);
+    let name = fleet.running("req-000900").remove(0);
+    let bad_day = |fleet: &mut Fleet, bad| fleet.worker(&name).faulty = bad;
+    // They run elsewhere, and so tell against the machine on which they fail.
+    for id in ["req-000001", "req-000002"] {
+        fleet.runs.insert(id.into(), 12 * SECOND);
+    }
+    bad_day(&mut fleet, true);
+    fleet.submit(batch("req-000001", 12));
+    fleet.submit(batch("req-000002", 12));
+    fleet.pass(60 * SECOND);
+    bad_day(&mut fleet, false);
+    let other = if name == "m0" { "m1" } else { "m0" };
+    fleet.workers.remove(other);
+    fleet.submit(batch("req-000003", 1));
+    fleet.pass(BOUND);
+    assert_eq!(fleet.running("req-000003"), [name], "{:?}", fleet.starts);
+}
+
 fn with_spot(cpus: f64) -> dillcleat_wire::cloud::MachineType {
     dillcleat_wire::cloud::MachineType {
         spot_price: Some(0.3),
--- a/crates/sched/src/floor.rs
+++ b/crates/sched/src/floor.rs
@@ -14,7 +14,7 @@
 //! every task.
 
 use crate::room::{EPS, amount, units};
-use crate::view::{JobView, MachineView, Place};
+use crate::view::{JobView, MachineView, Place, Shape};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
 use std::rc::Rc;
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Free CPUs of the machine, in millionths, as far as they can be counted on.
+    fn counts(&self, m: &MachineView) -> i64 {
+        if m.condemned { 0 } else { self.cpus }
+    }
+
     /// A machine without CPUs left takes nothing but tasks that need none.
     fn full(&self) -> bool {
         self.cpus == 0
@@ -140,11 +145,12 @@
 
     fn leave(&mut self, place: Place, m: &MachineView) {
         let keys = Keys::of(m);
-        self.free[usize::from(m.spot)] -= keys.cpus;
+        let counts = keys.counts(m);
+        self.free[usize::from(m.spot)] -= counts;
         if !m.spot
             && let Some(free) = self.ordinary.get_mut(&m.zone)
         {
-            *free -= keys.cpus;
+            *free -= counts;
         }
         if keys.full() {
             self.full.remove(&place);
@@ -167,9 +173,10 @@
 
     fn enter(&mut self, place: Place, m: &MachineView) {
         let keys = Keys::of(m);
-        self.free[usize::from(m.spot)] += keys.cpus;
+        let counts = keys.counts(m);
+        self.free[usize::from(m.spot)] += counts;
         if !m.spot {
-            *self.ordinary.entry(m.zone.clone()).or_default() += keys.cpus;
+            *self.ordinary.entry(m.zone.clone()).or_default() += counts;
         }
         if keys.full() {
             self.full.insert(place);
@@ -238,18 +245,28 @@
 
     /// Whether `reserve` CPUs of ordinary room in the machine's zone are left
     /// to services if the job takes its next task's there.
-    pub fn spares(&self, reserve: f64, job: &JobView, m: &MachineView) -> bool {
+    fn spares(&self, reserve: f64, job: &JobView, m: &MachineView) -> bool {
         if reserve <= 0.0 || m.spot || !job.spec.spot || job.service() {
             return true;
         }
         self.ordinary(&m.zone) - job.spec.cpus + EPS >= reserve
     }
 
+    fn open(&self, kept: Kept, job: &JobView, m: &MachineView) -> bool {
+        match kept {
+            Kept::Reserve(reserve) => !job.avoids(m) && self.spares(reserve, job, m),
+            Kept::Faulty => !job.avoids(m),
+            Kept::Nothing => true,
+        }
+    }
+
     /// Whether what is left in the machine's zone, with a task of the job on it, is
     /// less than what is kept for services.
     pub fn short(&self, place: Place, reserve: f64, job: &JobView) -> bool {
         let bound = !job.service() && reserve > 0.0;
-        let there = self.view(place).filter(|m| bound && !m.spot);
+        let there = self
+            .view(place)
+            .filter(|m| bound && !m.spot && !m.condemned);
         there.is_some_and(|m| self.ordinary(&m.zone) + EPS < reserve)
     }
 
@@ -259,12 +276,18 @@
     }
 
     /// Whether any job like this one would find room.
-    pub fn any(&self, job: &JobView, reserve: f64) -> bool {
+    pub fn any(&self, job: &JobView, kept: Kept) -> bool {
         let need = job.room();
         let least = units(need.cpus);
         let fits = |place: &Place| {
             self.view(*place).is_some_and(|m| {
-                m.free.holds(&need) && job.kind_allows(m) && self.spares(reserve, job, m)
+                // Where it has failed itself is of no matter to others like it.
+                let open = match kept {
+                    Kept::Reserve(reserve) => !m.condemned && self.spares(reserve, job, m),
+                    Kept::Faulty => !m.condemned,
+                    Kept::Nothing => true,
+                };
+                m.free.holds(&need) && job.kind_allows(m) && open
             })
         };
         let kinds = if job.spec.spot {
@@ -279,14 +302,13 @@
     }
 
     /// Puts as many of the job's tasks as the machine takes, `most` at the most,
-    /// and returns how many. Without a `reserve` nothing is kept from the job: neither
-    /// the room of services nor a machine on which it has failed.
+    /// and returns how many.
     pub fn put(
         &mut self,
         place: Place,
         job: &mut JobView,
         teams: &mut [crate::TeamView],
-        reserve: Option<f64>,
+        kept: Kept,
         most: u32,
     ) -> u32 {
         let need = job.room();
@@ -297,13 +319,14 @@
         while made < most
             && m.free.holds(&need)
             && job.permits(&m)
-            && reserve.is_none_or(|reserve| !job.avoids(&m) && self.spares(reserve, job, &m))
+            && self.open(kept, job, &m)
             && job.team_allows(teams)
             && job.put(&mut m, teams)
         {
             made += 1;
             // What the zone has left for services goes down with each.
             if !m.spot
+                && !m.condemned
                 && let Some(free) = self.ordinary.get_mut(&m.zone)
             {
                 *free -= units(need.cpus);
@@ -311,6 +334,7 @@
         }
         if made > 0 {
             if !m.spot
+                && !m.condemned
                 && let Some(free) = self.ordinary.get_mut(&m.zone)
             {
                 // The change of the view counts it once more.
@@ -322,6 +346,28 @@
     }
 }
 
+/// What is kept from a job.
+#[derive(Debug, Clone, Copy)]
+pub enum Kept {
+    /// So many CPUs of ordinary room in each zone, and machines on which it or others
+    /// failed.
+    Reserve(f64),
+    /// Only such machines.
+    Faulty,
+    Nothing,
+}
+
+impl Kept {
+    /// What is kept from the jobs of a shape, beside the reserve.
+    pub fn from(shape: &Shape, reserve: f64) -> Kept {
+        if shape.starving() {
+            Kept::Nothing
+        } else {
+            Kept::Reserve(reserve)
+        }
+    }
+}
+
 /// How far a tour has come in one set of machines.
 #[derive(Debug, Clone, Copy)]
 enum At {
--- a/crates/sched/src/pass.rs
+++ b/crates/sched/src/pass.rs
@@ -1,6 +1,6 @@
 //! One pass: fills free room.
 
-use crate::floor::{Floor, Tour};
+use crate::floor::{Floor, Kept, Tour};
 use crate::line::{Line, Part, Walk};
 use crate::room::EPS;
 use crate::view::{JobView, Place, Shape, TeamView};
@@ -33,7 +33,7 @@
 /// told where, how many, and whether that takes room that was kept for services.
 ///
 /// A starving job that finds no other room has one task placed in what is kept from its
-/// like: for services, or for having failed there. Kept without a bound in time, that
+/// like: for services, or else for having failed there. Kept without a bound in time, that
 /// room once left it waiting for ever beside free machines. One task is enough for it to
 /// starve no more, and leaves the rest of the reserve to whom it is for.
 ///
@@ -49,17 +49,20 @@
     most: u32,
     mut made: impl FnMut(Place, u32, bool),
 ) {
-    let placed = fill_with(job, floor, teams, Some(reserve), most, |machine, tasks| {
+    let kept = Kept::Reserve(reserve);
+    let placed = fill_with(job, floor, teams, kept, most, |machine, tasks| {
         made(machine, tasks, false);
     });
-    if placed == 0 && job.starving {
-        let last = most.min(1);
+    if placed > 0 || !job.starving {
+        return;
+    }
+    for kept in [Kept::Faulty, Kept::Nothing] {
         let mut at = None;
-        fill_with(job, floor, teams, None, last, |machine, _| {
-            at = Some(machine)
+        fill_with(job, floor, teams, kept, most.min(1), |machine, _| {
+            at = Some(machine);
         });
         if let Some(machine) = at {
-            made(machine, 1, floor.short(machine, reserve, job));
+            return made(machine, 1, floor.short(machine, reserve, job));
         }
     }
 }
@@ -69,7 +72,7 @@
     job: &mut JobView,
     floor: &mut Floor,
     teams: &mut [TeamView],
-    reserve: Option<f64>,
+    kept: Kept,
     most: u32,
     mut made: impl FnMut(Place, u32),
 ) -> u32 {
@@ -80,7 +83,7 @@
         let Some(machine) = tour.next(floor, job) else {
             break;
         };
-        let tasks = floor.put(machine, job, teams, reserve, left);
+        let tasks = floor.put(machine, job, teams, kept, left);
         if tasks > 0 {
             left -= tasks;
             made(machine, tasks);
@@ -89,7 +92,7 @@
     if left > 0 && crate::units(job.spec.cpus) == 0 {
         // What needs no CPUs may go where none are left.
         for machine in floor.without_cpus() {
-            let tasks = floor.put(machine, job, teams, reserve, left);
+            let tasks = floor.put(machine, job, teams, kept, left);
             if tasks > 0 {
                 left -= tasks;
                 made(machine, tasks);
@@ -172,9 +175,7 @@
                 self.terms.training_cpus -= f64::from(placed) * cpus;
             }
             let short = placed < most && job.waiting > 0 && job.team_allows(self.teams);
-            // Of a starving one nothing is kept.
-            let reserve = if turn.shape.starving() { 0.0 } else { reserve };
-            if short && !self.floor.any(job, reserve) {
+            if short && !self.floor.any(job, Kept::from(turn.shape, reserve)) {
                 self.closed.insert(turn.shape.clone());
                 continue;
             }
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -1,6 +1,6 @@
 //! What to rent for work that finds no room.
 
-use crate::floor::Floor;
+use crate::floor::{Floor, Kept};
 use crate::pass::fill;
 use crate::room::{Real, Room};
 use crate::view::{Images, JobView, MachineView, Shape, TeamView};
@@ -81,6 +81,7 @@
                         images: Images::default(),
                         warm: 0,
                         avoid: Vec::new(),
+                        condemned: false,
                     },
                 });
             }
@@ -286,9 +287,7 @@
             for m in on.into_iter().filter_map(|machine| floor.view(machine)) {
                 *lent.entry(m.zone.clone()).or_default() += need.cpus;
             }
-            // Of a starving job nothing is kept.
-            let reserve = if shape.starving() { 0.0 } else { reserve };
-            if job.waiting > 0 && !floor.any(job, reserve) {
+            if job.waiting > 0 && !floor.any(job, Kept::from(shape, reserve)) {
                 kind.closed = Some(added);
             }
         }
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/view.rs
@@ -24,6 +24,8 @@
     pub warm: u32,
     /// Jobs that failed on it.
     pub avoid: Vec<Rc<str>>,
+    /// It has failed several jobs: room there counts for nothing but as a last resort.
+    pub condemned: bool,
 }
 
 impl MachineView {
@@ -99,7 +101,7 @@
     /// machines are not to be had. This changes what is rented, never the order.
     pub late: u32,
     /// It has waited for so long that one of its tasks may go where nothing else of
-    /// its like may: into room that is kept for services, or where it has failed.
+    /// its like may: into room that is kept for services, or where it or others failed.
     pub starving: bool,
 }
 
@@ -141,9 +143,9 @@
         self.kind_allows(m) && self.zone_allowed(&m.zone)
     }
 
-    /// Whether it has failed there.
+    /// Whether it has failed there, or others have.
     pub fn avoids(&self, m: &MachineView) -> bool {
-        m.avoid.iter().any(|j| **j == *self.id)
+        m.condemned || m.avoid.iter().any(|j| **j == *self.id)
     }
 
     pub fn allows(&self, m: &MachineView) -> bool {
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -118,6 +118,7 @@
         images: Images::default(),
         warm: 0,
         avoid: Vec::new(),
+        condemned: false,
     }
 }
 
--- a/crates/sched/tests/order.rs
+++ b/crates/sched/tests/order.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Job, floor, line, machine, team};
+use dillcleat_sched::floor::Kept;
 use dillcleat_sched::yields::{Victim, make_room};
 use dillcleat_sched::{Floor, JobView, MachineView, Place, Room, TeamView, Terms, assign};
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
@@ -159,10 +160,10 @@
 type Plain<'a> = (&'a Job, JobView<'a>);
 
 /// The best machine for the job's next task, looked for among all.
-fn best(job: &JobView, machines: &[MachineView], reserve: f64, last: bool) -> Option<usize> {
+fn best(job: &JobView, machines: &[MachineView], kept: Kept) -> Option<usize> {
     let need = job.room();
-    let kept = |m: &MachineView| {
-        let ordinary = |o: &&MachineView| !o.spot && o.zone == m.zone;
+    let spared = |m: &MachineView, reserve: f64| {
+        let ordinary = |o: &&MachineView| !o.spot && !o.condemned && o.zone == m.zone;
         let free: f64 = machines.iter().filter(ordinary).map(|o| o.free.cpus).sum();
         let bound = !m.spot && job.spec.spot && job.spec.kind == Kind::Batch;
         reserve <= 0.0 || !bound || free - need.cpus + 1e-6 >= reserve
@@ -179,7 +180,11 @@
     let mut found: Option<usize> = None;
     for (i, view) in machines.iter().enumerate() {
         if view.free.holds(&need)
-            && (last || (!job.avoids(view) && kept(view)))
+            && match kept {
+                Kept::Reserve(reserve) => job.allows(view) && spared(view, reserve),
+                Kept::Faulty => job.allows(view),
+                Kept::Nothing => true,
+            }
             && job.permits(view)
             && found.is_none_or(|b| rank(i, view) > rank(b, &machines[b]))
         {
@@ -219,9 +224,11 @@
         if job.waiting == 0 || !job.team_allows(teams) {
             return None;
         }
-        let other = best(job, machines, reserve, false);
-        let last = || best(job, machines, reserve, true).filter(|_| job.starving);
-        let m = other.or_else(last)?;
+        let ways = [Kept::Reserve(reserve), Kept::Faulty, Kept::Nothing];
+        let ways = ways.into_iter().take(if job.starving { 3 } else { 1 });
+        let m = ways
+            .into_iter()
+            .find_map(|kept| best(job, machines, kept))?;
         job.starving = false;
         job.put(&mut machines[m], teams);
         Some((i as Place, m as Place))
@@ -302,6 +309,7 @@
     m.free.memory_gb = f64::from(rng.u32(4..40));
     m.warm = if m.spot { 0 } else { rng.u32(..3) };
     m.images = Rc::new(vec![(Rc::from(format!("i{}", rng.u8(..3))), 1.0)]);
+    m.condemned = rng.u8(..9) == 0;
     if rng.u8(..6) == 0 {
         m.machine_type = "other".into();
     }
--- a/crates/sched/tests/waiting.rs
+++ b/crates/sched/tests/waiting.rs
@@ -71,6 +71,18 @@
     assert!(made.iter().all(|a| a.machine == 1), "{made:?}");
 }
 
+/// A machine that fails others comes after the reserve, and only when all else is full.
+#[test]
+fn a_starving_job_goes_to_a_condemned_machine_last() {
+    let mut condemned = machine("a", 8.0, true);
+    condemned.condemned = true;
+    let alone = [condemned.clone()];
+    assert_eq!(placed(&[job("b", false)], &alone).0, [0]);
+    assert_eq!(placed(&[job("b", true)], &alone).0, [1]);
+    let beside = [condemned, machine("a", RESERVE, false)];
+    assert_eq!(placed(&[job("b", true)], &beside), (vec![1], 1));
+}
+
 /// Without a slot for training its tasks compete as the others do.
 #[test]
 fn the_training_share_keeps_no_room() {
