Tests: team limits and new machines while leaders change

A team at its limit, by CPUs or accelerators, of arrays or replicas: what a cancelled task holds is freed by its machine's deletion or report, by the leader and the next. Machines that are up in a second while writes, rentals and the list lag, with the leader ending at forty moments: nothing runs twice, none is forgotten, none deleted at work.

--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -140,6 +140,12 @@
         }
     }
 
+    /// How many tasks run here.
+    pub fn running(&self) -> usize {
+        let running = |t: &&Task| t.state == TaskState::Running;
+        self.tasks.values().filter(running).count()
+    }
+
     /// Whether a task of the job runs here.
     pub fn runs(&self, job: &str) -> bool {
         let running = |t: &Task| t.state == TaskState::Running;
@@ -158,6 +164,10 @@
     pub workers: BTreeMap<String, Worker>,
     pub starts: Vec<Started>,
     pub deleted: Vec<(Micros, String)>,
+    /// Tasks that ran on machines as these were deleted.
+    pub killed: Vec<String>,
+    /// No more tasks may run at once.
+    pub limit: usize,
     /// What the cloud has left to rent, by zone and kind (spot or ordinary).
     pub stock: BTreeMap<(String, bool), u32>,
     pub boot: Micros,
@@ -193,6 +203,8 @@
             workers: BTreeMap::new(),
             starts: Vec::new(),
             deleted: Vec::new(),
+            killed: Vec::new(),
+            limit: usize::MAX,
             stock: BTreeMap::new(),
             boot: 5 * SECOND,
             list_lag: 4 * SECOND,
@@ -452,9 +464,10 @@
                     };
                     w.tasks.insert(key, task_now);
                     w.report_at = w.report_at.min(at + SECOND / 2);
-                    let used = w.tasks.values().filter(|t| t.state == TaskState::Running);
-                    assert!(used.count() as f64 <= w.cpus, "tasks of a CPU each");
+                    assert!(w.running() as f64 <= w.cpus, "tasks of a CPU each");
                     self.starts.push((at, name.into(), task.to_string()));
+                    let running = self.workers.values().map(Worker::running).sum::<usize>();
+                    assert!(running <= self.limit, "{running} tasks run, at {at}");
                 }
                 Command::Stop { task, attempt, .. } => {
                     let w = self.worker(name);
@@ -610,7 +623,11 @@
             }
             CloudCall::Delete(names) => {
                 for name in names {
-                    self.workers.remove(&name);
+                    let w = self.workers.remove(&name);
+                    let tasks = w.into_iter().flat_map(|w| w.tasks.into_iter());
+                    let running = tasks.filter(|(_, t)| t.state == TaskState::Running);
+                    let running = running.map(|((task, _), _)| task.to_string());
+                    self.killed.extend(running);
                     self.deleted.push((self.at, name));
                 }
                 CloudReply::Deleted
