A submission that is tried again is charged like the first try

A try whose call failed was followed by the next one at once and at no charge, for 4 s. Where the state service refuses connections that was a loop of up to 256 submissions as fast as connections fail, and after lost answers the budget knew of half of the changes. Each try takes a call and a change now; if there is none, the user is told to come back.

a_store_out_of_reach_is_not_tried_without_end failed before.

--- a/crates/core/src/admission/replies.rs
+++ b/crates/core/src/admission/replies.rs
@@ -187,8 +187,11 @@
                 self.ask(ctx, id, Ask::Tell(request));
             }
             // It may yet be carried out. The same transaction again settles
-            // it: it either commits or finds the record.
-            Err(_) if ctx.now.steady < since + CREATE_TIME => {
+            // it: it either commits or finds the record. It costs as much again.
+            Err(_)
+                if ctx.now.steady < since + CREATE_TIME
+                    && self.grant(1.0, 1.0, Need::Change, ctx.now.steady) =>
+            {
                 self.create(ctx, request, job, since);
             }
             Ok(StateReply::Malformed) => {
--- a/crates/core/tests/lost_answers.rs
+++ b/crates/core/tests/lost_answers.rs
@@ -146,6 +146,24 @@
     assert_eq!(node.answer(submission), Some(QUEUED));
 }
 
+/// A submission tried again is a call and a change like the first. Where no connection
+/// comes about at all, tries once followed one another without a pause for 4 s.
+#[test]
+fn a_store_out_of_reach_is_not_tried_without_end() {
+    let mut node = node();
+    let submission = node.submit(&spec(JOB));
+    let mut tries = 0;
+    while node.answer(submission).is_none() {
+        tries += 1;
+        assert!(tries < 20, "no end of tries");
+        let (id, _) = node.take();
+        node.reply(id, Err(CallError::NotSent));
+    }
+    assert_eq!(node.answer(submission), Some((503, None)));
+    // Of 18 changes a second.
+    assert_eq!(tries, 18);
+}
+
 /// Every kind of request, of a known job and of an unknown one, with one of its calls
 /// lost or refused, or none, more often than requests may be under way at once: nothing of that
 /// stays taken, or is given back twice.
