Every controller tells the same of a job's tasks, also one that started late

How many tasks are done and run was told when it changed, and that alone: a controller that started later, or was out of reach, called a service that runs pending for as long as nothing of it changed. A new leader says nothing of a job of which nothing runs, so the word of the leader before it stood for ever; a leader that had a successor and did not know it yet overwrote its word. The leader's own list was not bounded (cancelled jobs stayed in it), the others' was emptied as a whole at 20,000 jobs, whatever ran.

It tells of ends, so that nobody keeps them. The list is bounded everywhere, and jobs of which nothing runs are forgotten first.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -12,6 +12,7 @@
 use crate::budget::{Budget, Need};
 use crate::calls::{CallError, Ctx};
 use crate::known::{Cache, Known};
+use crate::progress::TaskCounts;
 use crate::store::{self, CancelledJob, JobMark, Mark, OpenJob};
 use crate::waiters::{Admitting as Step, Ask, Waiter};
 use crate::{Answer, Config, MILLISECOND, Micros, RequestId, SECOND};
@@ -48,7 +49,7 @@
     asked: u32,
     asked_per_s: f64,
     /// The leader's word on how far jobs are, for display.
-    pub progress: HashMap<String, (u32, u32)>,
+    pub(crate) progress: TaskCounts,
 }
 
 /// Why a job can never run here; None if it can.
@@ -98,7 +99,7 @@
             last_naming: 0,
             asked: 0,
             asked_per_s: 0.0,
-            progress: HashMap::new(),
+            progress: TaskCounts::default(),
         }
     }
 
@@ -154,11 +155,11 @@
     /// The leader of this process has stored a job's end.
     pub fn ended(&mut self, id: &str, mark: JobMark) {
         self.cache.put(id, Known::ended(mark));
-        self.progress.remove(id);
+        self.progress.ended(id);
     }
 
     fn status(&self, id: &str, mark: JobMark) -> JobStatus {
-        let (done, running) = self.progress.get(id).copied().unwrap_or((0, 0));
+        let (done, running) = self.progress.get(id).unwrap_or((0, 0));
         let (state, done, running) = match mark.s {
             Mark::Done => (JobState::Done, mark.n, 0),
             Mark::Cancelled => (JobState::Cancelled, done, 0),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ledger;
 pub mod node;
 pub mod permit;
+mod progress;
 mod siblings;
 pub mod slab;
 pub mod store;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -30,8 +30,6 @@
 const PAUSE: Micros = SECOND;
 /// How long a word about silent zones counts. It comes with each beat.
 const HINT: Micros = 10 * SECOND;
-/// Progress that a node keeps for display.
-const MAX_PROGRESS: usize = 20_000;
 
 #[derive(Debug)]
 pub struct Node {
@@ -93,7 +91,7 @@
 
     /// How many tasks of a job are done and run, as last heard, for display.
     pub fn progress(&self, job: &str) -> Option<(u32, u32)> {
-        self.admission.progress.get(job).copied()
+        self.admission.progress.get(job)
     }
 
     /// Why a job can never run here; None while the machine types are unknown.
@@ -298,6 +296,7 @@
                     leader.expect_silence(std::mem::take(&mut self.silent));
                 }
                 self.leader = Some(leader);
+                self.admission.progress.elected(now.steady);
                 self.beat_at = now.steady;
             }
             Some(Change::Deposed) => {
@@ -552,14 +551,13 @@
                 });
             }
             let progress = leader.progress();
-            for p in &progress {
-                self.admission
-                    .progress
-                    .insert(p.job.clone(), (p.done, p.running));
-            }
-            if !progress.is_empty() {
+            self.admission.progress.shown(&progress);
+            let all = progress.len() < dillcleat_mesh::MAX_PROGRESS;
+            let more = self.admission.progress.tell(all, now.steady);
+            let changed = Some(progress).filter(|p| !p.is_empty());
+            for told in more.into_iter().chain(changed) {
                 out.push(Output::Mesh {
-                    message: Message::Progress(progress),
+                    message: Message::Progress(told),
                 });
             }
         }
@@ -583,6 +581,9 @@
                     hears,
                     asked,
                 };
+                if !self.siblings.is_heard(&from, now.steady) {
+                    self.admission.progress.tell_all();
+                }
                 self.siblings.told(from, sibling);
                 let mut ctx = Ctx {
                     now,
@@ -604,12 +605,10 @@
             Message::Learned(learned) => {
                 self.learned.take(&self.config, learned, now.steady);
             }
+            // A leader that has a successor may not know it yet.
             Message::Progress(jobs) => {
-                if self.admission.progress.len() > MAX_PROGRESS {
-                    self.admission.progress.clear();
-                }
-                for p in jobs {
-                    self.admission.progress.insert(p.job, (p.done, p.running));
+                if self.leader.is_none() && !self.siblings.has_successor(&from, now.steady) {
+                    self.admission.progress.heard(jobs);
                 }
             }
         }
--- a/crates/core/src/siblings.rs
+++ b/crates/core/src/siblings.rs
@@ -62,6 +62,12 @@
         leads.max_by_key(|(_, s)| s.term).map(|(name, _)| name)
     }
 
+    /// Whether another sibling says that it leads in a later term than this one knows of.
+    pub fn has_successor(&self, name: &str, now: Micros) -> bool {
+        let term = self.known.get(name).map_or(0, |s| s.term);
+        self.leads_after(term, now).is_some()
+    }
+
     /// Whether this sibling says that it leads no more, knowing of the term.
     pub fn has_let_go(&self, name: &str, term: u64, now: Micros) -> bool {
         let word = self.known.get(name).filter(|s| now < s.heard + FRESH);
--- /dev/null
+++ b/crates/core/tests/progress.rs
@@ -0,0 +1,225 @@
+//! How many tasks of a job are done and run is told alike by every controller, soon after
+//! it began to serve, and after a change of leader.
+
+mod common;
+
+use common::{Around, config_with_team, recorded, row, step_with};
+use dillcleat_core::store::{self, Chunk, OpenJob};
+use dillcleat_core::{Input, MILLISECOND, Micros, Node, Now, Output, RequestId, SECOND};
+use dillcleat_mesh::{Message, Progress};
+use dillcleat_wire::encode;
+use dillcleat_wire::state::{StateCall, StateReply};
+use dillcleat_wire::user::{JobSpec, Kind};
+use dillcleat_wire::worker::{REPORT_PATH, Report, TaskReport, TaskState, Why};
+
+const START: Micros = 1000 * SECOND;
+const JOB: &str = "req-1";
+
+fn told(job: &str, done: u32, running: u32) -> Progress {
+    let job = job.into();
+    Progress { job, done, running }
+}
+
+fn beat(term: u64, leads: bool) -> Message {
+    Message::Beat {
+        term,
+        leads,
+        served: true,
+        hears: true,
+        asked: 0,
+    }
+}
+
+fn hear(node: &mut Node, at: Micros, from: &str, message: Message) {
+    let (from, now) = (
+        from.to_string(),
+        Now {
+            steady: at,
+            wall: at,
+        },
+    );
+    node.handle(now, Input::Mesh { from, message });
+}
+
+/// What the beats of half a second tell. The lead is kept, other calls go unanswered.
+fn tells(node: &mut Node, at: &mut Micros, around: &mut Around) -> Vec<Progress> {
+    let mut all = Vec::new();
+    for _ in 0..10 {
+        *at += 50 * MILLISECOND;
+        let now = Now {
+            steady: *at,
+            wall: *at,
+        };
+        for output in node.handle(now, Input::Tick) {
+            match output {
+                Output::Mesh {
+                    message: Message::Progress(jobs),
+                } => all.extend(jobs),
+                Output::State {
+                    id,
+                    call: StateCall::Extend { .. },
+                    ..
+                } => {
+                    let reply = Ok(StateReply::Extended);
+                    step_with(node, *at, Input::State { id, reply }, &[], around);
+                }
+                _ => {}
+            }
+        }
+    }
+    all
+}
+
+/// A leader of a job with one task, which runs on a machine.
+fn leader() -> (Node, Micros, Around) {
+    let mut node = Node::new(config_with_team());
+    let open = OpenJob {
+        spec: JobSpec::plain(JOB, Kind::Batch, 1, 1.0),
+        at: START,
+        chunk: 25,
+        unmarked: true,
+        at_most: None,
+    };
+    let chunk = Chunk {
+        p: vec![(0, 1, "m".into(), 1)],
+        ..Chunk::default()
+    };
+    let tasks = store::tasks_key(JOB, store::Span::Chunk(0));
+    let mut around = Around {
+        queue: vec![row(store::open_key(JOB), &open)],
+        tasks: vec![row(tasks, &chunk)],
+        ..Around::default()
+    };
+    step_with(
+        &mut node,
+        START,
+        Input::Tick,
+        &[recorded("m", "a")],
+        &mut around,
+    );
+    assert_eq!(node.leading(), Some(1));
+    (node, START, around)
+}
+
+fn reports(node: &mut Node, at: Micros, seq: u64, state: TaskState, around: &mut Around) {
+    let task = TaskReport {
+        task: format!("{JOB}/0").parse().expect("a task's name"),
+        attempt: 1,
+        state,
+        why: (state == TaskState::Exited).then_some(Why::Done),
+        saved: None,
+    };
+    let report = Report {
+        machine: "m".into(),
+        addr: "127.0.0.1:7".into(),
+        machine_type: "t".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: 1,
+        notice_s: None,
+        tasks: vec![task],
+    };
+    let input = Input::Request {
+        id: RequestId(seq),
+        method: "POST".into(),
+        target: REPORT_PATH.into(),
+        body: encode(&report),
+    };
+    step_with(node, at, input, &[], around);
+}
+
+/// Nothing changes while a replica runs: who started later told its user for hours that
+/// none does.
+#[test]
+fn a_controller_that_is_heard_anew_is_told_everything() {
+    let (mut node, mut at, mut around) = leader();
+    reports(&mut node, at, 1, TaskState::Running, &mut around);
+    let running = [told(JOB, 0, 1)];
+    assert_eq!(tells(&mut node, &mut at, &mut around), running);
+    // It is told again until the next pass.
+    while !tells(&mut node, &mut at, &mut around).is_empty() {
+        assert!(at < START + 3 * SECOND);
+    }
+    hear(&mut node, at, "n1", beat(1, false));
+    assert_eq!(tells(&mut node, &mut at, &mut around), running);
+    hear(&mut node, at, "n1", beat(1, false));
+    assert_eq!(tells(&mut node, &mut at, &mut around), []);
+    // Its end is told as well, or nobody else would ever forget it.
+    reports(&mut node, at, 2, TaskState::Exited, &mut around);
+    assert_eq!(tells(&mut node, &mut at, &mut around), [told(JOB, 0, 0)]);
+    assert_eq!(node.progress(JOB), None);
+}
+
+/// A new leader tells what changes, and of a job of which nothing runs nothing does: the
+/// word of the leader before it stood for ever.
+#[test]
+fn a_new_leader_takes_back_what_is_so_no_more() {
+    let mut node = Node::new(config_with_team());
+    let others = vec![told(JOB, 0, 3), told("req-2", 1, 1)];
+    hear(&mut node, START, "n1", Message::Progress(others));
+    let (mut at, mut around) = (START, Around::default());
+    step_with(&mut node, at, Input::Tick, &[], &mut around);
+    assert_eq!(node.leading(), Some(1));
+    let mut all = Vec::new();
+    // Whoever is heard anew is told nothing either that may be so no more.
+    hear(&mut node, at, "n1", beat(1, false));
+    while at < START + 9 * SECOND {
+        all.extend(tells(&mut node, &mut at, &mut around));
+    }
+    assert_eq!((all, node.progress(JOB)), (vec![], Some((0, 3))));
+    while at < START + 11 * SECOND {
+        hear(&mut node, at, "n1", beat(1, false));
+        let more = tells(&mut node, &mut at, &mut around);
+        if !more.is_empty() {
+            assert_eq!(more, [told(JOB, 0, 0), told("req-2", 0, 0)]);
+            assert_eq!(node.progress(JOB), None);
+            return;
+        }
+    }
+    panic!("not taken back");
+}
+
+#[test]
+fn the_word_of_a_leader_with_a_successor_does_not_count() {
+    let mut node = Node::new(config_with_team());
+    let one = |done, running| Message::Progress(vec![told(JOB, done, running)]);
+    hear(&mut node, START, "n1", beat(1, true));
+    hear(&mut node, START, "n1", one(0, 3));
+    assert_eq!(node.progress(JOB), Some((0, 3)));
+    hear(&mut node, START, "n2", beat(2, true));
+    hear(&mut node, START, "n2", one(1, 2));
+    hear(&mut node, START, "n1", one(0, 3));
+    assert_eq!(node.progress(JOB), Some((1, 2)));
+    // Nor does it for the successor itself.
+    let (mut node, at, mut around) = leader();
+    reports(&mut node, at, 1, TaskState::Running, &mut around);
+    tells(&mut node, &mut at.clone(), &mut around);
+    hear(&mut node, at, "n1", one(0, 0));
+    assert_eq!(node.progress(JOB), Some((0, 1)));
+}
+
+/// What is kept is bounded, and what runs is kept longest: all of it was once forgotten
+/// at a time, whatever ran.
+#[test]
+fn jobs_of_which_nothing_runs_are_forgotten_first() {
+    let mut node = Node::new(config_with_team());
+    hear(
+        &mut node,
+        START,
+        "n1",
+        Message::Progress(vec![told(JOB, 0, 3)]),
+    );
+    let mut known = 0;
+    for i in 0..60_000 {
+        let job = format!("req-9{i}");
+        let progress = Message::Progress(vec![told(&job, 1, 0)]);
+        hear(&mut node, START, "n1", progress);
+    }
+    for i in 0..60_000 {
+        known += usize::from(node.progress(&format!("req-9{i}")).is_some());
+    }
+    assert_eq!(node.progress(JOB), Some((0, 3)));
+    assert!(known < 20_000, "{known}");
+}
