Late answers to a node that leads again, and to one that is about to

- A watch's answer that was overtaken by a read of all keys was taken for news: a leader whose key had gone before that read stood as the present one, and a node that made way for a sibling in that moment waited for its end for ever.
- That a lease of an earlier term had ended, told late, ended the present term.
- A node that had led once no longer made way for a sibling that workers reach: its vacancy counted from the first one.
- A job whose mark had changed was cleared once nothing of it was left, also before the mark was read: whoever waits for it was then never cancelled.
It is cleared once its cancellation was read.
- The record of the machine types compares its version: it was the one that a try carried out late could set back.

Tests: handover.rs, one for each, and one that silence alone places nothing again; each failed without its guard.

--- a/crates/core/src/leader/jobs.rs
+++ b/crates/core/src/leader/jobs.rs
@@ -75,9 +75,11 @@
         }
     }
 
+    /// Clears a job that was seen to be cancelled once nothing of it is left. That its mark
+    /// has changed is not enough: whoever waits for it is told once the mark is read.
     pub(super) fn check_clear(&mut self, id: &Rc<str>) {
         if let Some(job) = self.jobs.get_mut(id)
-            && job.cancelled.is_some()
+            && job.stopped
             && !job.ending
             && job.placed() == 0
         {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -69,6 +69,13 @@
 /// Bound of a transaction's size; the rest of the limit is for its frame.
 const BATCH_BYTES: usize = state::TXN_BYTES * 3 / 4;
 
+/// The machine types as they are in the store, and the version of their record.
+#[derive(Debug, Clone, Default)]
+pub struct TypesRecord {
+    pub types: Option<Rc<Vec<MachineType>>>,
+    pub version: u64,
+}
+
 /// What the node has to do for the leader.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
@@ -322,6 +329,8 @@
     silent_before: HashMap<String, Micros>,
     types: Option<Rc<Vec<MachineType>>>,
     types_stored: bool,
+    /// The version of their record.
+    types_version: u64,
     /// Mean run time per class, learned from finished tasks, in seconds.
     guesses: HashMap<String, f64>,
     /// What the leader before has learned, for jobs that are taken up.
@@ -359,7 +368,7 @@
         ctx: &mut Ctx,
         term: u64,
         term_version: u64,
-        types: Option<Rc<Vec<MachineType>>>,
+        TypesRecord { types, version }: TypesRecord,
         inherited: Inherited,
     ) -> Leader {
         let now = ctx.now.steady;
@@ -395,6 +404,7 @@
             dark: BTreeMap::new(),
             silent_before: HashMap::new(),
             types_stored: types.is_some(),
+            types_version: version,
             types,
             guesses: inherited.classes.clone(),
             inherited,
@@ -445,6 +455,7 @@
             Step::Watch => self.watched(ctx, sent, reply),
             Step::Ledger => self.written(ctx, reply),
             Step::Reread { key } => self.reread(ctx, key, reply),
+            Step::TypesVersion => self.types_version(ctx, reply),
             Step::Ended { id } => self.ended(ctx, id, reply),
             Step::Dependency { id } => self.proved(ctx, id, reply),
             Step::Push { .. } | Step::Cloud(_) => {}
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -174,7 +174,11 @@
                     let record = store::Types {
                         types: types.to_vec(),
                     };
-                    (txn.put(store::TYPES, &record), true)
+                    // An earlier try that is carried out late would set it back.
+                    let txn = txn
+                        .compare(store::TYPES, self.types_version)
+                        .put(store::TYPES, &record);
+                    (txn, true)
                 }
                 None => (txn, false),
             },
@@ -332,10 +336,15 @@
 
     /// Some job's record has changed: it was cancelled, or its end is stored.
     /// Nothing of the batch was applied, and it never can be.
-    pub(super) fn conflict(&mut self, ctx: &mut Ctx, batch: Batch, failed: &[String]) {
+    pub(super) fn conflict(&mut self, ctx: &mut Ctx, mut batch: Batch, failed: &[String]) {
         for key in failed {
             if let Some(id) = key.strip_prefix("j/") {
                 self.mark_changed(ctx, &Rc::from(id));
+            } else if key == store::TYPES {
+                // By an earlier try, or by the leader before, later than this one has read.
+                batch.items.retain(|item| *item != Item::Types);
+                let waiter = self.waiter(Step::TypesVersion);
+                ctx.state(StateCall::Get { key: key.clone() }, waiter);
             } else {
                 log::error!("{key}: written by somebody else");
                 self.notes.push(Note::Outdated);
@@ -345,6 +354,17 @@
         self.write(ctx);
     }
 
+    /// The machine types are written again once the version of their record is known.
+    pub(super) fn types_version(&mut self, ctx: &Ctx, reply: Result<StateReply, CallError>) {
+        match reply {
+            Ok(StateReply::Found(row)) => {
+                self.types_version = row.version;
+                self.ledger.push(Item::Types);
+            }
+            _ => self.read_later(ctx, store::TYPES.to_string(), Step::TypesVersion),
+        }
+    }
+
     /// A job has ended, be it by its cancellation or by an earlier try of this leader's:
     /// nothing of it is to run, whichever it was.
     fn mark_changed(&mut self, ctx: &mut Ctx, id: &Rc<str>) {
@@ -411,7 +431,10 @@
                 }
                 Item::Cancel(id) => self.cancelled_with(ctx, id),
                 Item::Clear(id) => self.forget_job(ctx, id),
-                Item::Types => self.types_stored = true,
+                Item::Types => {
+                    self.types_stored = true;
+                    self.types_version = revision;
+                }
                 Item::Machine(_) | Item::Drop(_) => {}
             }
         }
--- a/crates/core/src/leadership.rs
+++ b/crates/core/src/leadership.rs
@@ -69,6 +69,8 @@
     term: u64,
     term_version: u64,
     pub types: Option<Rc<Vec<MachineType>>>,
+    /// The version of their record.
+    pub types_version: u64,
     extend_at: Micros,
     /// Not to be elected before: this node could not reach the workers.
     abstain_until: Micros,
@@ -93,6 +95,7 @@
             term: 0,
             term_version: 0,
             types: None,
+            types_version: 0,
             extend_at: 0,
             abstain_until: 0,
             better: Better::Nobody,
@@ -110,6 +113,10 @@
         }
     }
 
+    fn leads_by(&self, lease: u64) -> bool {
+        matches!(self.phase, Phase::Leading { lease: own, .. } if own == lease)
+    }
+
     /// When the call was sent by whose answer this node was last proved to lead.
     pub fn proved(&self) -> Micros {
         self.proved
@@ -134,7 +141,7 @@
             Phase::Waiting => self.consider(ctx),
             Phase::Leading { lease, .. } if now >= self.extend_at => {
                 self.extend_at = now + micros(ctx.config.tuning.lead_ttl_s) / 4;
-                let waiter = Waiter::Leadership(Step::Extend);
+                let waiter = Waiter::Leadership(Step::Extend { lease });
                 ctx.state(StateCall::Extend { lease }, waiter);
             }
             _ => {}
@@ -227,7 +234,10 @@
                                 (self.term, self.term_version) = (t.term, row.version);
                             }
                         }
-                        store::TYPES => self.types = row.read::<Types>().map(|t| Rc::new(t.types)),
+                        store::TYPES => {
+                            self.types = row.read::<Types>().map(|t| Rc::new(t.types));
+                            self.types_version = row.version;
+                        }
                         _ => {}
                     }
                 }
@@ -280,6 +290,8 @@
                 if self.taking == Some(lease) =>
             {
                 self.phase = Phase::Leading { lease, term };
+                // When nobody leads again, that is a vacancy of its own.
+                self.vacant_since = None;
                 self.proved = since;
                 self.term = term;
                 self.term_version = revision;
@@ -310,19 +322,21 @@
                 self.reread(ctx, RETRY);
                 None
             }
-            (Step::Extend, Ok(StateReply::LeaseGone)) => {
+            // Of a term before: this node was elected again meanwhile.
+            (Step::Extend { lease }, _) if !self.leads_by(lease) => None,
+            (Step::Extend { .. }, Ok(StateReply::LeaseGone)) => {
                 self.step_down(ctx, "the lease has ended", 0)
             }
-            (Step::Extend, Ok(StateReply::Extended)) => {
+            (Step::Extend { .. }, Ok(StateReply::Extended)) => {
                 self.proved = self.proved.max(sent);
                 None
             }
-            (Step::Extend, Err(_) | Ok(StateReply::TooMany | StateReply::Unavailable)) => {
+            (Step::Extend { .. }, Err(_) | Ok(StateReply::TooMany | StateReply::Unavailable)) => {
                 // Try again soon: after an outage the lease has its full time.
                 self.extend_at = self.extend_at.min(sent + micros(0.4).max(RETRY));
                 None
             }
-            (Step::Extend | Step::Drop, _) => None,
+            (Step::Extend { .. } | Step::Drop, _) => None,
             (Step::Watch, reply) => {
                 self.watching = false;
                 self.watched(ctx, reply)
@@ -339,9 +353,16 @@
             }
             return None;
         };
-        self.revision = self.revision.max(changes.revision);
+        // Its connection may have been slow, and all keys been read meanwhile: what is
+        // older than that read was once taken for news, and a leader whose key had gone
+        // before for the present one, of whom nothing is heard any more.
+        let seen = self.revision;
+        self.revision = seen.max(changes.revision);
         let mut change = None;
-        for event in changes.events {
+        let new = |event: &Event| match event {
+            Event::Put { version, .. } | Event::Delete { version, .. } => *version > seen,
+        };
+        for event in changes.events.into_iter().filter(new) {
             match event {
                 Event::Put {
                     key,
@@ -360,6 +381,7 @@
                         if let Some(t) = dillcleat_wire::state::read::<Types>(&value) {
                             self.types = Some(Rc::new(t.types));
                         }
+                        self.types_version = version;
                     }
                     _ => {}
                 },
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -4,7 +4,7 @@
 use crate::admission::{Admission, unfit};
 use crate::budget::Need;
 use crate::calls::{Calls, Ctx};
-use crate::leader::{Leader, Note};
+use crate::leader::{self, Leader, Note};
 use crate::leadership::{Better, Change, Leadership};
 use crate::learned::Heard;
 use crate::permit::LeadershipProof;
@@ -289,7 +289,10 @@
         };
         match change {
             Some(Change::Elected { term, term_version }) => {
-                let types = self.leadership.types.clone();
+                let types = leader::TypesRecord {
+                    types: self.leadership.types.clone(),
+                    version: self.leadership.types_version,
+                };
                 let inherited = self.learned.inherit(term, now.steady);
                 let mut leader = Leader::new(&mut ctx, term, term_version, types, inherited);
                 leader.proof.proved = self.leadership.proved();
--- a/crates/core/src/waiters.rs
+++ b/crates/core/src/waiters.rs
@@ -75,7 +75,9 @@
         term: u64,
         since: Micros,
     },
-    Extend,
+    Extend {
+        lease: u64,
+    },
     Watch,
     Drop,
 }
@@ -91,6 +93,8 @@
     Reread {
         key: String,
     },
+    /// The version of the record of the machine types.
+    TypesVersion,
     Ended {
         id: Rc<str>,
     },
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -142,6 +142,9 @@
     /// Transactions wait for their answers.
     pub held_txns: bool,
     pub txns: Vec<CallId>,
+    /// Renewals of leases wait for their answers.
+    pub held_renewals: bool,
+    pub renewals: Vec<CallId>,
     /// Transactions that compare this key have no answer.
     pub lost: Option<&'static str>,
     /// Reads of single keys that were refused.
@@ -176,6 +179,8 @@
             fails_too: None,
             held_txns: false,
             txns: Vec::new(),
+            held_renewals: false,
+            renewals: Vec::new(),
             lost: None,
             refused: 0,
             leases: 0,
@@ -225,6 +230,11 @@
                     call: StateCall::List { prefix, .. },
                     ..
                 } if around.held.is_some_and(|held| held == prefix) => around.listings.push(id),
+                Output::State {
+                    id,
+                    call: StateCall::Extend { .. },
+                    ..
+                } if around.held_renewals => around.renewals.push(id),
                 Output::State {
                     id,
                     call: StateCall::Txn(_),
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -4,11 +4,12 @@
 mod common;
 
 use common::gap::{Gap, JOB, START, at_most, cancelled};
-use common::{machine_type, row};
-use dillcleat_core::store::{self, Chunk, Lead, Span, Term};
+use common::{machine_type, recorded, report, row, step_with, types};
+use dillcleat_core::store::{self, Chunk, JobMark, Lead, Mark, OpenJob, Span, Term};
 use dillcleat_core::{Input, MILLISECOND, Micros, SECOND};
 use dillcleat_mesh::Message;
-use dillcleat_wire::state::{Change, Page, Row, StateReply, read};
+use dillcleat_wire::cloud::CloudCall;
+use dillcleat_wire::state::{Change, Event, Page, Row, StateReply, read};
 use dillcleat_wire::worker::Command;
 
 /// Answers the listing that waits.
@@ -136,6 +137,32 @@
     }
 }
 
+/// A zone is cut off for longer than a lease, with a controller that answers its workers:
+/// silence proves nothing, not even a long one, only the end of the machine does.
+#[test]
+fn what_is_silent_is_placed_again_only_once_its_machine_is_gone() {
+    let mut gap = Gap::new();
+    gap.rows.push(recorded("n", "a"));
+    gap.around.types = vec![machine_type(8.0)];
+    let mut deleted = false;
+    // Machines that are idle are returned after a minute.
+    for t in 0..540 {
+        let at = t * 100 * MILLISECOND;
+        gap.around.cloud = !(10..450).contains(&t);
+        let now = START + at;
+        let (_, calls) = step_with(&mut gap.node, now, Input::Tick, &gap.rows, &mut gap.around);
+        deleted |= gap.around.cloud && calls.iter().any(|c| matches!(c, CloudCall::Delete(_)));
+        gap.watched(at, Vec::new());
+        if t % 10 == 0 {
+            gap.step(at, report("n", "a", t + 1));
+        }
+        let again = placed(&gap).iter().any(|p| (p.0, p.1) == (0, 2));
+        assert!(deleted || !again, "{at}");
+    }
+    assert_eq!(gap.node.leading(), Some(1));
+    assert_eq!(placed(&gap), [(0, 2, "n".to_string(), 1)]);
+}
+
 /// It was sent in a session before, and arrives first at a new leader, that knows of a
 /// later session by a placement alone. To take it for the latest once took the session
 /// back, and absence from it as proof.
@@ -335,3 +362,129 @@
     }
     assert_eq!(gap.node.counts().placed, 0);
 }
+
+/// Dependents are cancelled with it once the mark is read, though nothing of it is left by
+/// then.
+#[test]
+fn a_job_is_cleared_only_once_its_cancellation_is_read() {
+    let mut gap = Gap::of(2);
+    let mut waits = gap.around.queue[0].read::<OpenJob>().expect("a job");
+    (waits.spec.id, waits.spec.awaits) = ("req-000002".into(), vec![JOB.into()]);
+    gap.around
+        .queue
+        .push(row(store::open_key("req-000002"), &waits));
+    gap.around.types = vec![machine_type(8.0)];
+    gap.around.conflict = Some(store::job_key(JOB));
+    gap.step(0, Input::Tick);
+    gap.reports(SECOND / 2);
+    gap.step(SECOND, Input::Tick);
+    assert!(stops(gap.reports(SECOND)));
+    gap.has_task = false;
+    gap.reports(3 * SECOND / 2);
+    gap.step(2 * SECOND, Input::Tick);
+    assert!(!drops(&gap, &store::open_key(JOB)));
+    let mark = JobMark {
+        s: Mark::Cancelled,
+        n: 2,
+    };
+    gap.around.found = Some(row(store::job_key(JOB), &mark));
+    gap.step(5 * SECOND / 2, Input::Tick);
+    gap.step(3 * SECOND, Input::Tick);
+    assert!(drops(&gap, &store::open_key(JOB)));
+    assert!(drops(&gap, &store::open_key("req-000002")));
+}
+
+/// A try without an answer may be carried out after a later change of the types.
+#[test]
+fn the_machine_types_compare_their_version() {
+    let mut gap = Gap::new();
+    let mut stored = types(4.0);
+    stored.version = 4;
+    gap.around.shared = vec![stored.clone()];
+    gap.around.types = vec![machine_type(8.0)];
+    gap.around.conflict = Some(store::TYPES.into());
+    gap.step(0, Input::Tick);
+    gap.step(SECOND / 10, Input::Tick);
+    // It was written by the leader before, after this one had looked.
+    stored.version = 9;
+    gap.around.found = Some(stored);
+    for t in 2..10 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    gap.around.conflict = None;
+    for t in 10..15 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    assert_eq!(gap.node.leading(), Some(1));
+    let compared = gap.around.writes.iter().flat_map(|t| &t.compare);
+    let types = compared.filter(|c| c.key == store::TYPES);
+    let versions: Vec<u64> = types.map(|c| c.version).collect();
+    assert_eq!(versions[..2], [4, 9], "not tried again before it is read");
+    assert_eq!(versions.last(), Some(&9));
+}
+
+/// What the watch tells may arrive after a later read: of a leader whose key had gone by
+/// then nothing more would be heard, and nobody would be elected.
+#[test]
+fn news_of_before_a_read_are_none() {
+    let mut gap = Gap::leading();
+    // It makes way for a sibling that workers reach, for a while.
+    let message = Message::Beat {
+        term: 7,
+        leads: false,
+        served: true,
+        hears: true,
+        asked: 0,
+    };
+    let from = "n1".to_string();
+    gap.step(SECOND, Input::Mesh { from, message });
+    for t in 11..15 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    assert_eq!(gap.node.leading(), None, "also when it has led before");
+    let lead = Lead {
+        member: "n1".into(),
+        lease: 8,
+        term: 1,
+    };
+    let event = Event::Put {
+        key: store::LEAD.into(),
+        value: row(store::LEAD.into(), &lead).value,
+        // All keys were read as of this revision.
+        version: 1,
+    };
+    gap.watched(15 * 100 * MILLISECOND, vec![event]);
+    for t in 16..30 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    assert!(gap.node.leading().is_some());
+}
+
+/// The lease of a term before has ended, which is told late.
+#[test]
+fn the_end_of_an_earlier_lease_ends_no_later_term() {
+    let mut gap = Gap::leading();
+    gap.around.held_renewals = true;
+    for t in 1..5 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    let renewal = gap.around.renewals.pop().expect("a renewal");
+    let message = Message::Beat {
+        term: 7,
+        leads: false,
+        served: true,
+        hears: false,
+        asked: 0,
+    };
+    let from = "n1".to_string();
+    gap.step(SECOND / 2, Input::Mesh { from, message });
+    assert_eq!(gap.node.leading(), None);
+    for t in 6..10 {
+        gap.step(t * 100 * MILLISECOND, Input::Tick);
+    }
+    let term = gap.node.leading();
+    assert!(term.is_some());
+    let reply = Ok(StateReply::LeaseGone);
+    gap.step(SECOND, Input::State { id: renewal, reply });
+    assert_eq!(gap.node.leading(), term);
+}
