--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -68,6 +68,7 @@
         AtomicUsize::new(0),
         AtomicUsize::new(0),
     );
+    let [launches, starts, odd] = [const { AtomicU64::new(0) }; 3];
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get());
     std::thread::scope(|scope| {
         for _ in 0..threads {
@@ -98,6 +99,9 @@
                         }
                     }
                     late.fetch_add(o.late_hits, Ordering::Relaxed);
+                    launches.fetch_add(o.late.launches, Ordering::Relaxed);
+                    starts.fetch_add(o.late.starts, Ordering::Relaxed);
+                    odd.fetch_add(o.odd_requests, Ordering::Relaxed);
                     refused.fetch_add(o.refused, Ordering::Relaxed);
                     let clean = o.violations.is_empty()
                         && o.malformed.is_empty()
@@ -128,6 +132,16 @@
     if late > 0 {
         println!("{late} machines went by calls that came late");
     }
+    let (launches, starts) = (launches.into_inner(), starts.into_inner());
+    if launches + starts > 0 {
+        println!(
+            "after a confirmed cancellation {launches} starts were sent, and {starts} tasks started"
+        );
+    }
+    let odd = odd.into_inner();
+    if odd > 0 {
+        println!("{odd} odd requests were made");
+    }
     if let Some((name, share, seed)) = least.into_inner().expect("no holder panics") {
         println!("least served: {name}, {share:.3}, on day {seed}");
     }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -345,7 +345,7 @@
             };
             self.cloud.hosts.insert(name.clone(), host);
             self.names.insert(name, i);
-            let worker = Worker::new(place, CPUS, self.now, 0);
+            let worker = Worker::new(place, CPUS, 0.0, self.now, 0);
             self.workers.push(worker);
             self.planned.push(Micros::MAX);
         }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod world;
 
 pub use fleet::{Fleet, Measured, Setting};
-pub use rules::{Checker, Rule, Violation};
+pub use rules::{Checker, Late, Rule, Violation};
 pub use scenario::{Cut, Fault, Form, LEADER, Moment, Scenario};
 pub use served::Shares;
 pub use world::{Outcome, World};
--- a/crates/rehearsal/src/loopback.rs
+++ b/crates/rehearsal/src/loopback.rs
@@ -204,7 +204,9 @@
                 zone: h.zone,
                 spot: h.spot,
             };
-            inner.workers.insert(name, Worker::new(place, cpus, now, 0));
+            inner
+                .workers
+                .insert(name, Worker::new(place, cpus, 0.0, now, 0));
         }
         match reply {
             CloudReply::Types(types) => {
--- a/crates/rehearsal/src/meetings.rs
+++ b/crates/rehearsal/src/meetings.rs
@@ -36,18 +36,46 @@
             _ => {}
         }
         scenario.small = true;
+        scenario.varied = true;
+        scenario.tight = rng.u8(..4) == 0;
+        if rng.u8(..8) == 0 {
+            let from = rng.u64(10 * SECOND..100 * SECOND);
+            scenario.stream = Some((from, rng.u64(60 * SECOND..90 * SECOND)));
+        }
+        scenario.faults.extend(pressing(&mut rng, scenario.busy));
         scenario.jobs = rng.usize(14..26);
         scenario.end = scenario.busy + 1000 * SECOND;
         scenario
     }
 }
 
+/// Spells in which users press: each on every second or third day, for long, so that
+/// they meet the other troubles.
+fn pressing(rng: &mut Rng, busy: Micros) -> Vec<(Micros, Fault)> {
+    let mut faults = Vec::new();
+    for kind in 0..4 {
+        let at = rng.u64(5 * SECOND..busy / 2);
+        let time = rng.u64(60 * SECOND..busy);
+        let percent = rng.u8(10..50);
+        let fault = match kind {
+            0 => Fault::CloseLooks { time },
+            1 => Fault::OddRequests { time },
+            2 => Fault::CancelsAtOnce { percent, time },
+            _ => Fault::CancelsAtEnd { percent, time },
+        };
+        if rng.usize(..2 + kind / 2) == 0 {
+            faults.push((at, fault));
+        }
+    }
+    faults
+}
+
 /// One of the troubles that meet, or what always comes with it.
 fn met(rng: &mut Rng, at: Micros, time: Micros, node: usize) -> Vec<(Micros, Fault)> {
     let machines = rng.usize(1..7);
     let back = rng.usize(..3);
     let percent = rng.u8(10..60);
-    let fault = match rng.u8(..26) {
+    let fault = match rng.u8(..28) {
         0 => Fault::StateOutage { time },
         1 => Fault::Refused { node, time },
         // Cut off from the store and the other nodes, not from workers or users.
@@ -117,10 +145,19 @@
             };
             let mut all: Vec<_> = (0..10).map(|n| (at + n * every, ends(n))).collect();
             if rng.bool() {
+                let time = rng.u64(5 * SECOND..20 * SECOND);
                 all.push((at + 3 * every, Fault::StateOutage { time }));
             }
             return all;
         }
+        25 => Fault::CancelsNow {
+            jobs: rng.usize(2..8),
+            hang: 0,
+        },
+        26 => Fault::CancelsNow {
+            jobs: rng.usize(2..8),
+            hang: time,
+        },
         _ => Fault::ZoneDies {
             machines: usize::MAX,
             zone: back,
--- a/crates/rehearsal/src/rules.rs
+++ b/crates/rehearsal/src/rules.rs
@@ -1,7 +1,12 @@
 //! The rules of the protocol, checked against what really happens.
 
+mod waiting;
+
+pub use waiting::Room;
+
 use dillcleat_core::{Micros, SECOND};
 use dillcleat_wire::TaskName;
+use dillcleat_wire::platform::Team;
 use dillcleat_wire::user::{JobSpec, JobState};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,6 +31,12 @@
     Deposed,
     /// One of the largest jobs of a class has not begun in four minutes.
     LateBegin,
+    /// A submission that can't run or lacks a field is accepted, or refused as another.
+    Admitted,
+    /// A job is left waiting for long although a machine that fits has room.
+    LeftWaiting,
+    /// A leader that had read of a cancellation has a task of the job started.
+    LaunchedCancelled,
     /// What Kubernetes-shaped clients are told.
     Object,
 }
@@ -54,14 +65,26 @@
     /// When its user first asked to cancel it.
     cancel_asked: bool,
     cancel_told: Option<Micros>,
-    done_told: bool,
+    done_told: Option<Micros>,
     done: BTreeSet<u32>,
     began: Option<Micros>,
+    /// Since when one of its tasks waits although a machine has room, as far as looks
+    /// tell.
+    could_start: Option<Micros>,
     /// Since when every poll for it has failed, and what the polls of all jobs had
     /// come to by then.
     failing_since: Option<(Micros, Polls)>,
 }
 
+/// What happened to jobs after their users had been told that they are cancelled.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Late {
+    /// Commands to start a task that were sent.
+    pub launches: u64,
+    /// Tasks that started. Whose command was under way, nobody can call back.
+    pub starts: u64,
+}
+
 /// Polls that were answered, and that were not.
 #[derive(Debug, Clone, Copy, Default)]
 struct Polls {
@@ -69,15 +92,38 @@
     failed: u64,
 }
 
+/// What a team's tasks may take at once; 0: whatever there is.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Limit {
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
+impl Limit {
+    pub fn of(team: &Team) -> Limit {
+        Limit {
+            cpus: team.cpus_max,
+            gpus: team.gpus_max,
+        }
+    }
+
+    /// Whether so much is within it.
+    fn holds(&self, cpus: f64, gpus: f64) -> bool {
+        let within = |used: f64, limit: f64| limit <= 0.0 || used <= limit + 1e-6;
+        within(cpus, self.cpus) && within(gpus, self.gpus)
+    }
+}
+
 /// Watches a whole run. Every method is called as things happen.
 #[derive(Debug, Clone)]
 pub struct Checker {
     cancel: Micros,
-    /// CPU limit per team.
-    limits: BTreeMap<String, f64>,
+    /// Of the teams that have any.
+    limits: BTreeMap<String, Limit>,
     jobs: BTreeMap<String, Job>,
     on: BTreeMap<TaskName, Place>,
     starts: u64,
+    late: Late,
     polls: Polls,
     /// From this time on there are no troubles: whoever asks is to be answered.
     pub troubles_end: Micros,
@@ -85,13 +131,14 @@
 }
 
 impl Checker {
-    pub fn new(cancel: Micros, limits: BTreeMap<String, f64>) -> Self {
+    pub fn new(cancel: Micros, limits: BTreeMap<String, Limit>) -> Self {
         Checker {
             cancel,
             limits,
             jobs: BTreeMap::new(),
             on: BTreeMap::new(),
             starts: 0,
+            late: Late::default(),
             polls: Polls::default(),
             troubles_end: Micros::MAX,
             violations: Vec::new(),
@@ -113,9 +160,10 @@
             accepted: None,
             cancel_asked: false,
             cancel_told: None,
-            done_told: false,
+            done_told: None,
             done: BTreeSet::new(),
             began: None,
+            could_start: None,
             failing_since: None,
         });
     }
@@ -126,22 +174,28 @@
         }
     }
 
-    /// A submission was answered.
+    /// A submission that was sent at `asked` was answered. What was told before it was
+    /// sent is known to every node.
     pub fn answered_submission(
         &mut self,
         id: &str,
         status: u16,
         state: Option<JobState>,
+        asked: Micros,
         now: Micros,
     ) {
+        let known = |job: &Job| job.accepted.is_some_and(|at| at <= asked);
         match (status, self.jobs.get_mut(id)) {
+            (201, Some(job)) if known(job) => {
+                self.violation(Rule::Forgotten, now, format!("{id}: accepted anew"));
+            }
             (200 | 201, Some(job)) => {
                 job.accepted.get_or_insert(now);
                 if let Some(state) = state {
-                    self.told(id, state, now);
+                    self.told(id, state, asked, now);
                 }
             }
-            (400 | 422, Some(job)) if job.accepted.is_some() => {
+            (400 | 422, Some(job)) if known(job) => {
                 self.violation(
                     Rule::Forgotten,
                     now,
@@ -152,8 +206,25 @@
         }
     }
 
-    /// A poll or a cancellation was answered, or was not (status 0).
-    pub fn answered_poll(&mut self, id: &str, status: u16, state: Option<JobState>, now: Micros) {
+    /// A submission was answered that was to be refused with the status `right`. A node
+    /// that can't decide, or has no time for it, says so.
+    pub fn answered_refused(&mut self, id: &str, status: u16, right: u16, now: Micros) {
+        if status != right && !matches!(status, 0 | 429 | 503) {
+            let what = format!("{id}: answered {status} instead of {right}");
+            self.violation(Rule::Admitted, now, what);
+        }
+    }
+
+    /// A poll or a cancellation that was sent at `asked` was answered, or was not (status
+    /// 0).
+    pub fn answered_poll(
+        &mut self,
+        id: &str,
+        status: u16,
+        state: Option<JobState>,
+        asked: Micros,
+        now: Micros,
+    ) {
         let Some(job) = self.jobs.get_mut(id) else {
             if status == 200 {
                 self.violation(Rule::Invented, now, format!("{id} was never submitted"));
@@ -165,12 +236,14 @@
                 self.polls.answered += 1;
                 job.failing_since = None;
                 if let Some(state) = state {
-                    self.told(id, state, now);
+                    self.told(id, state, asked, now);
                 }
             }
-            404 if job.accepted.is_some() => {
+            404 if job.accepted.is_some_and(|at| at <= asked) => {
                 self.violation(Rule::Forgotten, now, format!("{id}: answered 404"));
             }
+            // Asked before the acceptance was told.
+            404 if job.accepted.is_some() => {}
             _ => {
                 self.polls.failed += 1;
                 let (since, then) = *job.failing_since.get_or_insert((now, self.polls));
@@ -186,7 +259,7 @@
         }
     }
 
-    fn told(&mut self, id: &str, state: JobState, now: Micros) {
+    fn told(&mut self, id: &str, state: JobState, asked: Micros, now: Micros) {
         let before = self.before(id);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -199,10 +272,10 @@
                 } else if (job.done.len() as u32) < job.spec.tasks {
                     broken = Some((Rule::NotDone, "told done too early"));
                 }
-                job.done_told = true;
+                job.done_told.get_or_insert(now);
             }
             JobState::Cancelled => {
-                if job.done_told {
+                if job.done_told.is_some() {
                     broken = Some((Rule::WentBack, "done, then cancelled"));
                 } else if !job.cancel_asked && !before.1 {
                     broken = Some((Rule::WentBack, "cancelled without being asked to"));
@@ -210,7 +283,9 @@
                 job.cancel_told.get_or_insert(now);
             }
             JobState::Queued | JobState::Running => {
-                if job.done_told || job.cancel_told.is_some() {
+                let ended = job.done_told.or(job.cancel_told);
+                // Answers to questions of before may cross on their way.
+                if ended.is_some_and(|at| at <= asked) {
                     broken = Some((Rule::WentBack, "ended, then open"));
                 } else if before.0.is_some_and(|at| {
                     // Submitted later, it was accepted all the same.
@@ -250,6 +325,19 @@
         self.before(id).0.is_some()
     }
 
+    /// A command to start a task is sent; `knows` if the sender had read before that the
+    /// job is cancelled, or had told a user so.
+    pub fn launches(&mut self, task: &TaskName, knows: bool, now: Micros) {
+        let job = self.jobs.get(&task.job);
+        if job.is_some_and(|j| j.cancel_told.is_some()) {
+            self.late.launches += 1;
+        }
+        if knows {
+            let what = format!("{task} is sent though known to be cancelled");
+            self.violation(Rule::LaunchedCancelled, now, what);
+        }
+    }
+
     /// A task has its image and starts on a machine.
     pub fn starts(&mut self, task: &TaskName, place: &Place, now: Micros) {
         self.starts += 1;
@@ -309,22 +397,26 @@
         }
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.began.get_or_insert(now);
+            job.could_start = None;
+            self.late.starts += u64::from(job.cancel_told.is_some());
         }
         self.on.insert(task.clone(), place.clone());
         if let Some(limit) = self.limits.get(&team) {
-            let used: f64 = self
-                .on
-                .keys()
-                .filter_map(|t| self.jobs.get(&t.job))
-                .filter(|j| j.spec.team == team)
-                .map(|j| j.spec.cpus)
-                .sum();
-            if used > limit + 1e-6 {
-                self.violation(Rule::Quota, now, format!("{team} uses {used} of {limit}"));
+            let (cpus, gpus) = self.used(&team, self.on.keys());
+            if !limit.holds(cpus, gpus) {
+                let what = format!("{team} uses {cpus} CPUs and {gpus} GPUs of {limit:?}");
+                self.violation(Rule::Quota, now, what);
             }
         }
     }
 
+    /// CPUs and GPUs that a team's tasks among these take.
+    fn used<'a>(&self, team: &str, tasks: impl Iterator<Item = &'a TaskName>) -> (f64, f64) {
+        let jobs = tasks.filter_map(|t| self.jobs.get(&t.job));
+        let specs = jobs.map(|j| &j.spec).filter(|s| s.team == team);
+        specs.fold((0.0, 0.0), |(cpus, gpus), s| (cpus + s.cpus, gpus + s.gpus))
+    }
+
     /// A task has left a machine; `done` if it completed.
     pub fn leaves(&mut self, task: &TaskName, machine: &str, done: bool) {
         if self.on.get(task).is_some_and(|p| p.machine == machine) {
@@ -386,6 +478,11 @@
         }
     }
 
+    /// What happened to cancelled jobs.
+    pub fn late(&self) -> Late {
+        self.late
+    }
+
     pub fn starts_seen(&self) -> u64 {
         self.starts
     }
@@ -397,6 +494,12 @@
         (on as u32, done as u32)
     }
 
+    /// The machines that a job's tasks are on.
+    pub fn machines(&self, id: &str) -> impl Iterator<Item = String> {
+        let on = self.on.iter().filter(move |(t, _)| t.job == id);
+        on.map(|(_, place)| place.machine.clone())
+    }
+
     /// Whether every task of a job has completed.
     pub fn complete(&self, id: &str) -> bool {
         self.jobs
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -128,6 +128,33 @@
         percent: u8,
         time: Micros,
     },
+    /// Users ask all nodes within milliseconds, and submit again, right after a job was
+    /// accepted, has ended or was confirmed as cancelled.
+    CloseLooks {
+        time: Micros,
+    },
+    /// So many of a hundred users cancel right after the acceptance.
+    CancelsAtOnce {
+        percent: u8,
+        time: Micros,
+    },
+    /// A cancellation, a question and a repeated submission meet the end of the last
+    /// task of so many of a hundred jobs.
+    CancelsAtEnd {
+        percent: u8,
+        time: Micros,
+    },
+    /// Users call off so many jobs that run, within a fifth of a second, while up to
+    /// eight of their machines hang.
+    CancelsNow {
+        jobs: usize,
+        hang: Micros,
+    },
+    /// Users submit unfinished jobs again, also with other content, cancel jobs that are
+    /// done, and submit what can't run or lacks a field.
+    OddRequests {
+        time: Micros,
+    },
     /// So many machines of a zone die without a word.
     ZoneDies {
         machines: usize,
@@ -167,6 +194,11 @@
             | Fault::SlowState { time }
             | Fault::LateWrites { time }
             | Fault::LateReports { time }
+            | Fault::CloseLooks { time }
+            | Fault::CancelsAtOnce { time, .. }
+            | Fault::CancelsAtEnd { time, .. }
+            | Fault::CancelsNow { hang: time, .. }
+            | Fault::OddRequests { time }
             | Fault::AnswersLost { time, .. }
             | Fault::ReportsForNext { time, .. }
             | Fault::Mute { time, .. }
@@ -244,6 +276,13 @@
     pub ends_at_call: Option<(u64, Moment)>,
     /// Half of the jobs have two or three tasks, and half of the users cancel.
     pub small: bool,
+    /// More jobs are bound to one zone, arrays too, and some run for long.
+    pub varied: bool,
+    /// Every team has a limit that it meets, of accelerators too.
+    pub tight: bool,
+    /// From when and for how long jobs of one task come four a second, a quarter of
+    /// which is cancelled.
+    pub stream: Option<(Micros, Micros)>,
     /// Jobs that wait for one that is cancelled.
     pub herd: Option<u32>,
     /// When the first node is replaced by the new version, and the time between two:
@@ -488,6 +527,9 @@
             pipelines_from: SECOND,
             ends_at_call: None,
             small: false,
+            varied: false,
+            tight: false,
+            stream: None,
             herd: None,
             upgrade: None,
             limits_fall: None,
--- a/crates/rehearsal/src/served.rs
+++ b/crates/rehearsal/src/served.rs
@@ -81,9 +81,9 @@
     /// The least of what is judged: that of which enough was wanted for a share of it to
     /// say something. A service that lives for ten seconds of a cut has had none of its
     /// time, and nobody is to blame.
-    fn least(&self) -> Option<f64> {
+    fn least(&self, enough_tasks: f64) -> Option<f64> {
         let judged = [
-            (&self.work, ENOUGH_TASKS),
+            (&self.work, enough_tasks),
             (&self.replicas, ENOUGH_REPLICA_TIME),
             (&self.answers, ENOUGH_REQUESTS),
         ];
@@ -98,9 +98,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Group {
     Class,
+    /// The largest jobs of a class.
+    Largest,
     Team,
 }
 
+impl Group {
+    /// From how many tasks on their share is judged. There are few of the largest jobs.
+    fn enough_tasks(self) -> f64 {
+        match self {
+            Group::Largest => 1.0,
+            Group::Class | Group::Team => ENOUGH_TASKS,
+        }
+    }
+}
+
 /// Of all classes and teams of a day.
 #[derive(Debug, Clone, Default)]
 pub struct Shares {
@@ -115,6 +127,12 @@
         }
     }
 
+    /// Counts something of one of the largest jobs of its class.
+    pub fn count_largest(&mut self, class: &str, add: impl Fn(&mut Served)) {
+        let row = self.rows.entry((Group::Largest, class.to_string()));
+        add(row.or_default());
+    }
+
     /// Counts something that is known by class only.
     pub fn count_class(&mut self, class: &str, add: impl Fn(&mut Served)) {
         let row = self.rows.entry((Group::Class, class.to_string()));
@@ -123,7 +141,8 @@
 
     /// Classes and teams of which less than [`LEAST`] was served.
     pub fn starved(&self) -> Vec<String> {
-        let starved = |(_, s): &(&(Group, String), &Served)| s.least().is_some_and(|l| l < LEAST);
+        let least = |((group, _), s): &(&(Group, String), &Served)| s.least(group.enough_tasks());
+        let starved = |row: &_| least(row).is_some_and(|l| l < LEAST);
         let rows = self.rows.iter().filter(starved);
         rows.map(|((group, name), _)| format!("{group:?} {name}").to_lowercase())
             .collect()
@@ -132,7 +151,7 @@
     /// The class or team of which the least was served, and how much.
     pub fn least(&self) -> Option<(String, f64)> {
         let rows = self.rows.iter();
-        rows.filter_map(|((_, name), s)| Some((name.clone(), s.least()?)))
+        rows.filter_map(|((g, name), s)| Some((name.clone(), s.least(g.enough_tasks())?)))
             .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 }
--- a/crates/rehearsal/src/troubles.rs
+++ b/crates/rehearsal/src/troubles.rs
@@ -139,6 +139,18 @@
             Fault::SlowState { time } => self.slow_state_until = now + time,
             Fault::LateWrites { time } => self.late_writes_until = now + time,
             Fault::LateReports { time } => self.late_reports_until = now + time,
+            Fault::CloseLooks { time } => self.close_looks_until = now + time,
+            Fault::OddRequests { time } => {
+                self.odd_until = now + time;
+                self.at(now, Ev::Odd);
+            }
+            Fault::CancelsAtOnce { percent, time } => {
+                self.cancels_at_once = Spell::new(now + time, percent);
+            }
+            Fault::CancelsAtEnd { percent, time } => {
+                self.cancels_at_end = Spell::new(now + time, percent);
+            }
+            Fault::CancelsNow { jobs, hang } => self.cancels_now(jobs, hang),
             Fault::AnswersLost { percent, time } => {
                 self.answers_lost = Spell::new(now + time, percent);
             }
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -7,6 +7,8 @@
 use dillcleat_wire::worker::{Command, Orders, Report, ReportAnswer, TaskReport, TaskState, Why};
 use std::collections::BTreeMap;
 
+/// A machine reports that had a report answered so short a while ago.
+const HEARD: Micros = 8 * SECOND;
 /// How long a report may wait for its answer.
 pub const PATIENCE: Micros = 4 * SECOND;
 
@@ -17,6 +19,7 @@
     /// When the image is there, or the run ends.
     until: Option<Micros>,
     cpus: f64,
+    gpus: f64,
 }
 
 /// What happens on a machine, for the checker.
@@ -40,6 +43,7 @@
     pub name: String,
     pub place: Place,
     cpus: f64,
+    gpus: f64,
     pub session: u64,
     seq: u64,
     token: u64,
@@ -60,11 +64,12 @@
 }
 
 impl Worker {
-    pub fn new(place: Place, cpus: f64, now: Micros, node: usize) -> Self {
+    pub fn new(place: Place, cpus: f64, gpus: f64, now: Micros, node: usize) -> Self {
         Worker {
             name: place.machine.clone(),
             place,
             cpus,
+            gpus,
             session: 1,
             seq: 0,
             token: 0,
@@ -116,6 +121,7 @@
             why: None,
             until,
             cpus,
+            gpus: 0.0,
         };
         self.tasks.insert((task, attempt), running);
     }
@@ -283,26 +289,47 @@
         happenings
     }
 
+    /// Tasks that run, fetch their image or save.
+    pub fn live(&self) -> impl Iterator<Item = &TaskName> {
+        let live = self
+            .tasks
+            .iter()
+            .filter(|(_, r)| r.state != TaskState::Exited);
+        live.map(|((task, _), _)| task)
+    }
+
+    /// Whether it is up, reports, and is not about to be taken.
+    pub fn takes(&self, now: Micros) -> bool {
+        let troubled = [self.hung_until, self.deaf_until, self.mute_until];
+        troubled.iter().all(|until| now >= *until)
+            && !self.faulty
+            && self.recall_at.is_none()
+            && self.leased_from + HEARD >= now
+    }
+
+    /// CPUs and GPUs that no task takes.
+    pub fn free(&self) -> (f64, f64) {
+        let live = self.tasks.values().filter(|r| r.state != TaskState::Exited);
+        live.fold((self.cpus, self.gpus), |(cpus, gpus), r| {
+            (cpus - r.cpus, gpus - r.gpus)
+        })
+    }
+
     fn start(&mut self, task: &TaskName, attempt: u64, now: Micros, jobs: &BTreeMap<String, Play>) {
         let key = (task.clone(), attempt);
         if self.tasks.contains_key(&key) {
             return;
         }
         let live = |r: &Running| r.state != TaskState::Exited;
-        let used: f64 = self
-            .tasks
-            .values()
-            .filter(|r| live(r))
-            .map(|r| r.cpus)
-            .sum();
+        let (free_cpus, free_gpus) = self.free();
         let busy = self.tasks.iter().any(|((t, _), r)| t == task && live(r));
         let play = jobs.get(&task.job);
-        let cpus = play.map_or(0.0, |p| p.spec.cpus);
+        let (cpus, gpus) = play.map_or((0.0, 0.0), |p| (p.spec.cpus, p.spec.gpus));
         let refused = if play.is_none() {
             Some(Why::Unknown)
         } else if busy {
             Some(Why::Busy)
-        } else if used + cpus > self.cpus + 1e-6 {
+        } else if cpus > free_cpus + 1e-6 || gpus > free_gpus + 1e-6 {
             Some(Why::NoRoom)
         } else {
             None
@@ -313,12 +340,14 @@
                 why: Some(why),
                 until: None,
                 cpus: 0.0,
+                gpus: 0.0,
             },
             None => Running {
                 state: TaskState::Fetching,
                 why: None,
                 until: Some(now + SECOND / 2),
                 cpus,
+                gpus,
             },
         };
         self.tasks.insert(key, running);
--- a/crates/rehearsal/src/world/clients.rs
+++ b/crates/rehearsal/src/world/clients.rs
@@ -30,7 +30,7 @@
         self.next += 1;
         let request = self.next;
         let aside = matches!(asker, Asker::Watcher);
-        self.asked.insert(request, asker);
+        self.asked.insert(request, (asker, self.now));
         let epoch = self.nodes[node].epoch;
         if aside {
             self.watcher.begins(request, node, epoch, self.now);
@@ -117,7 +117,7 @@
         let mut pause = 5 * SECOND;
         if !matches!(status, 0 | 429 | 503) && u.stage != Stage::Submitting {
             // It was answered; what, is looked at here.
-            self.checker.answered_poll(&id, 200, None, now);
+            self.checker.answered_poll(&id, 200, None, now, now);
         }
         match (what, status) {
             (_, 0 | 429 | 503) => {
@@ -127,7 +127,7 @@
                 }
                 pause = SECOND;
                 if u.stage != Stage::Submitting {
-                    self.checker.answered_poll(&id, status, None, now);
+                    self.checker.answered_poll(&id, status, None, now, now);
                 }
             }
             // Taken as known when an earlier try may have got across.
@@ -136,7 +136,7 @@
                 u.stage = Stage::Polling;
                 plan.created = Some(now);
                 pause = 4 * SECOND;
-                self.checker.answered_submission(&id, 201, None, now);
+                self.checker.answered_submission(&id, 201, None, now, now);
             }
             (What::Again, 409) => {}
             (What::Get, 200) => match plan.shown(&shown, now) {
@@ -168,12 +168,12 @@
             if state == JobState::Cancelled {
                 self.checker.asks_to_cancel(&id);
             }
-            self.checker.answered_poll(&id, 200, Some(state), now);
+            self.checker.answered_poll(&id, 200, Some(state), now, now);
         } else if plan.deleted && what == What::Delete && u.ended.is_none() {
             u.ended = Some(JobState::Cancelled);
             u.stage = Stage::Over;
             self.checker
-                .answered_poll(&id, 200, Some(JobState::Cancelled), now);
+                .answered_poll(&id, 200, Some(JobState::Cancelled), now, now);
         }
         if let Some(what) = wrong {
             self.checker.found(Rule::Object, now, what);
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -3,7 +3,9 @@
 
 mod clients;
 mod network;
+mod odd;
 mod pipelines;
+mod pressing;
 mod services;
 mod users;
 mod workers;
@@ -11,7 +13,7 @@
 use self::pipelines::Stands;
 use crate::cloud::Cloud;
 use crate::objects::{self, Plan, Watcher};
-use crate::rules::{Checker, Place, Violation};
+use crate::rules::{Checker, Late, Limit, Place, Violation};
 use crate::scenario::{Cut, Fault, Form, Scenario};
 use crate::served::Shares;
 use crate::state::{StateService, Watches};
@@ -32,7 +34,7 @@
 use fastrand::Rng;
 use sha2::{Digest, Sha256};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
@@ -75,6 +77,10 @@
     /// Machines that went by calls whose sender led no more when they were carried
     /// out.
     pub late_hits: usize,
+    /// What happened to jobs after their users had been told that they are cancelled.
+    pub late: Late,
+    /// Odd requests that were made.
+    pub odd_requests: u64,
     /// The most machines that were up at once.
     pub machines: usize,
     /// How much of each class and team was served.
@@ -165,6 +171,18 @@
         request: u64,
     },
     Stranger,
+    /// A user asks what is no use asking.
+    Odd,
+    /// A user asks beside its other questions, or submits again.
+    Look {
+        job: usize,
+        node: usize,
+        again: bool,
+    },
+    /// A user calls its job off.
+    CallOff {
+        job: usize,
+    },
     Up {
         machine: String,
     },
@@ -228,6 +246,22 @@
     Cancel {
         job: usize,
     },
+    /// A question beside the others of the same user.
+    Look {
+        job: usize,
+    },
+    /// The same with a repeated submission.
+    Again {
+        job: usize,
+    },
+    CallOff {
+        job: usize,
+    },
+    /// A submission that is to be refused so.
+    Refused {
+        id: String,
+        status: u16,
+    },
     Stranger {
         id: String,
     },
@@ -290,6 +324,8 @@
     pub workers_cut: Micros,
     pub paused_until: Micros,
     pub mesh_cut: Micros,
+    /// Jobs that it has read to be cancelled, or told a user so.
+    pub cancelled: BTreeSet<String>,
     /// It has yet to be replaced: it writes as the version before does.
     pub old: bool,
 }
@@ -337,7 +373,8 @@
     pub(crate) workers: BTreeMap<String, Worker>,
     watches: Watches<Caller>,
     next: u64,
-    asked: BTreeMap<u64, Asker>,
+    /// Who waits for an answer, and since when.
+    asked: BTreeMap<u64, (Asker, Micros)>,
     users: Vec<User>,
     plays: BTreeMap<String, Play>,
     pub(crate) zone_cut: [Micros; 3],
@@ -348,6 +385,11 @@
     pub(crate) slow_state_until: Micros,
     pub(crate) late_writes_until: Micros,
     pub(crate) late_reports_until: Micros,
+    pub(crate) close_looks_until: Micros,
+    pub(crate) odd_until: Micros,
+    odd_requests: u64,
+    pub(crate) cancels_at_once: Spell,
+    pub(crate) cancels_at_end: Spell,
     pub(crate) answers_lost: Spell,
     pub(crate) reports_for_next: Spell,
     /// Copies of reports for the next leader, and the last term that one had.
@@ -372,7 +414,7 @@
     costs: Costs,
 }
 
-fn types() -> Vec<MachineType> {
+fn types(tight: bool) -> Vec<MachineType> {
     let t = |name: &str, cpus: f64, price: f64, boot_s: f64| MachineType {
         name: name.into(),
         cpus,
@@ -385,7 +427,27 @@
         boot_s,
         zones: ZONES.iter().map(|z| z.to_string()).collect(),
     };
-    vec![t("small", 4.0, 0.3, 5.0), t("large", 16.0, 1.0, 12.0)]
+    let mut types = vec![t("small", 4.0, 0.3, 5.0), t("large", 16.0, 1.0, 12.0)];
+    if tight {
+        types.push(MachineType {
+            gpus: 2.0,
+            ..t("fast", 8.0, 2.0, 8.0)
+        });
+    }
+    types
+}
+
+/// The settings of a node on a day.
+fn settings(scenario: &Scenario, node: usize) -> Config {
+    let mut config = config(node, scenario.nodes, scenario.scale);
+    if scenario.tight {
+        let scale = f64::from(scenario.scale);
+        for team in &mut config.teams {
+            team.cpus_max = if team.cpus_max > 0.0 { 12.0 } else { 24.0 } * scale;
+            team.gpus_max = 3.0 * scale;
+        }
+    }
+    config
 }
 
 /// Settings of a rehearsal: like a deployment's, with small limits so that
@@ -437,12 +499,12 @@
 
 impl World {
     pub fn new(scenario: Scenario) -> World {
-        let config = config(0, scenario.nodes, scenario.scale);
+        let config = settings(&scenario, 0);
         let limits = config
             .teams
             .iter()
-            .filter(|t| t.cpus_max > 0.0)
-            .map(|t| (t.name.clone(), t.cpus_max))
+            .map(|t| (t.name.clone(), Limit::of(t)))
+            .filter(|(_, limit)| limit.cpus > 0.0 || limit.gpus > 0.0)
             .collect();
         let mut w = World {
             now: 0,
@@ -460,6 +522,7 @@
                     workers_cut: 0,
                     paused_until: 0,
                     mesh_cut: 0,
+                    cancelled: BTreeSet::new(),
                     old: scenario.upgrade.is_some(),
                 })
                 .collect(),
@@ -467,7 +530,7 @@
                 None => StateService::new(config.value_bytes, config.txn_ops),
                 Some(_) => StateService::new(WIDE.0, WIDE.1),
             },
-            cloud: Cloud::new(types(), 4 * scenario.scale, config.list_lag),
+            cloud: Cloud::new(types(scenario.tight), 4 * scenario.scale, config.list_lag),
             workers: BTreeMap::new(),
             watches: Watches::default(),
             next: 0,
@@ -485,6 +548,11 @@
             slow_state_until: 0,
             late_writes_until: 0,
             late_reports_until: 0,
+            close_looks_until: 0,
+            odd_until: 0,
+            odd_requests: 0,
+            cancels_at_once: Spell::default(),
+            cancels_at_end: Spell::default(),
             answers_lost: Spell::default(),
             reports_for_next: Spell::default(),
             kept_reports: Vec::new(),
@@ -517,6 +585,7 @@
             w.add_user(job);
         }
         w.add_pipelines();
+        w.add_stream();
         if let Some((first, every)) = w.scenario.upgrade {
             for node in 0..w.scenario.nodes {
                 w.at(first + every * node as u64, Ev::Replace { node });
@@ -579,6 +648,7 @@
             .map(|u| format!("{} ({:?})", u.spec.id, u.ended))
             .collect();
         let terms = self.state.term();
+        let late = self.checker.late();
         Outcome {
             starts: self.checker.starts_seen(),
             accepted: self.users.iter().filter(|u| u.accepted).count(),
@@ -593,6 +663,8 @@
             objects: self.watcher.counts(),
             lost: self.lost,
             late_hits: self.late_hits,
+            late,
+            odd_requests: self.odd_requests,
             machines: self.most_machines,
             served: self.served,
             terms,
@@ -604,6 +676,14 @@
     fn wake(&mut self, node: usize, input: Input) {
         let now = self.clocks(node);
         let compared = self.compared();
+        if let Input::State {
+            reply: Ok(reply), ..
+        } = &input
+        {
+            self.nodes[node]
+                .cancelled
+                .extend(services::cancelled(reply));
+        }
         let Some(n) = self.nodes[node].node.as_mut() else {
             return;
         };
@@ -735,6 +815,7 @@
                 self.most_machines = self.most_machines.max(self.workers.len());
                 self.pass_workers();
                 self.look_at_replicas();
+                self.look_for_waiting();
             }
             Ev::Checkin {
                 machine,
@@ -766,9 +847,9 @@
             }
             Ev::User { job } => self.user(job),
             Ev::UserTimeout { request } => match self.asked.remove(&request) {
-                Some(Asker::Object { job, what }) => self.object_answer(job, what, 0, &[]),
-                Some(Asker::Watcher) => self.watch_ends(request),
-                Some(asker) => self.user_answer(asker, 0, None),
+                Some((Asker::Object { job, what }, _)) => self.object_answer(job, what, 0, &[]),
+                Some((Asker::Watcher, _)) => self.watch_ends(request),
+                Some((asker, asked)) => self.user_answer(asker, asked, 0, None),
                 None => {}
             },
             Ev::Stranger => {
@@ -780,14 +861,16 @@
                     self.at(self.now + 9 * SECOND, Ev::Stranger);
                 }
             }
+            Ev::Odd => self.odd(),
+            Ev::Look { job, node, again } => self.look(job, node, again),
+            Ev::CallOff { job } => self.call_off(job),
             Ev::Up { machine } => {
                 let Some(h) = self.cloud.hosts.get(&machine).cloned() else {
                     return;
                 };
-                let cpus = types()
-                    .iter()
-                    .find(|t| t.name == h.machine_type)
-                    .map_or(0.0, |t| t.cpus);
+                let types = types(self.scenario.tight);
+                let of = types.iter().find(|t| t.name == h.machine_type);
+                let (cpus, gpus) = of.map_or((0.0, 0.0), |t| (t.cpus, t.gpus));
                 let place = Place {
                     machine: machine.clone(),
                     machine_type: h.machine_type,
@@ -796,7 +879,7 @@
                 };
                 let node = self.rng.usize(..self.nodes.len());
                 self.workers
-                    .insert(machine, Worker::new(place, cpus, self.now, node));
+                    .insert(machine, Worker::new(place, cpus, gpus, self.now, node));
             }
             Ev::Taken { machine } => {
                 self.cloud.remove(&machine);
@@ -805,7 +888,8 @@
             Ev::Restart { node } => {
                 let host = &mut self.nodes[node];
                 host.epoch += 1;
-                let mut config = config(node, self.scenario.nodes, self.scenario.scale);
+                host.cancelled.clear();
+                let mut config = settings(&self.scenario, node);
                 if self.scenario.upgrade.is_some() {
                     config.value_bytes_before = WIDE.0;
                     (config.value_bytes, config.txn_ops) = LOW;
--- a/crates/rehearsal/src/world/network.rs
+++ b/crates/rehearsal/src/world/network.rs
@@ -169,11 +169,11 @@
         match out {
             Out::Core(output) => self.carry_core(node, epoch, output),
             Out::Reply { id, reply } => match self.asked.remove(&id.0) {
-                Some(Asker::Object { job, what }) => {
+                Some((Asker::Object { job, what }, _)) => {
                     self.object_answer(job, what, reply.status, &reply.body);
                 }
                 // The watch was refused.
-                Some(Asker::Watcher) => self.watch_refused(reply.status),
+                Some((Asker::Watcher, _)) => self.watch_refused(reply.status),
                 _ => {}
             },
             Out::Stream { .. } => {}
@@ -234,6 +234,7 @@
                 orders,
                 timeout,
             } => {
+                self.launches(node, &orders.commands);
                 let machine = addr.trim_end_matches(":9000");
                 let cut = self.zone_of(machine).map_or(0, |z| self.zone_cut[z]);
                 let held = self.nodes[node].workers_cut.max(cut);
--- a/crates/rehearsal/src/world/services.rs
+++ b/crates/rehearsal/src/world/services.rs
@@ -3,9 +3,38 @@
 use super::*;
 use crate::rules::Rule;
 use crate::scenario::Moment;
-use dillcleat_wire::state::Changes;
+use dillcleat_core::store;
+use dillcleat_wire::state::{Changes, Event};
+use dillcleat_wire::worker::Command;
+
+/// The jobs that an answer of the state service shows to be cancelled.
+pub(super) fn cancelled(reply: &StateReply) -> Vec<String> {
+    let of = |key: &str| key.strip_prefix(store::CANCELLED).map(str::to_string);
+    match reply {
+        StateReply::Found(row) => of(&row.key).into_iter().collect(),
+        StateReply::Page(page) => page.rows.iter().filter_map(|r| of(&r.key)).collect(),
+        StateReply::Changes(changes) => {
+            let put = |e: &Event| match e {
+                Event::Put { key, .. } => of(key),
+                Event::Delete { .. } => None,
+            };
+            changes.events.iter().filter_map(put).collect()
+        }
+        _ => Vec::new(),
+    }
+}
 
 impl World {
+    /// Commands go out: none to start what their sender knows to be cancelled.
+    pub(super) fn launches(&mut self, node: usize, commands: &[Command]) {
+        for command in commands {
+            if let Command::Start { task, .. } = command {
+                let knows = self.nodes[node].cancelled.contains(&task.job);
+                self.checker.launches(task, knows, self.now);
+            }
+        }
+    }
+
     /// Ends the caller if this is its call to end at; whether the call is carried out.
     fn ends_at_call(&mut self, caller: Caller, call: &StateCall) -> bool {
         if matches!(call, StateCall::Watch { .. }) {
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -2,6 +2,7 @@
 
 use super::network::Way;
 use super::*;
+use crate::rules::Room;
 use crate::served::Served;
 
 /// How often replicas are counted.
@@ -68,10 +69,11 @@
         let cancel = service || rng.u8(..5) == 0;
         let cancel_at = cancel.then(|| at + rng.u64(2 * SECOND..self.scenario.busy - at));
         let cancel_at = self.smaller(&mut spec, at, cancel_at);
+        let long = self.varied(&mut spec);
         let object = self.plan(job, &mut spec);
         let rng = &mut self.rng;
         let play = Play {
-            run: rng.u64(2 * SECOND..20 * SECOND),
+            run: rng.u64(2 * SECOND..20 * SECOND) + long,
             fails: cancel && !service && rng.u8(..4) == 0,
             spec: spec.clone(),
         };
@@ -83,6 +85,29 @@
         self.at(at, Ev::User { job });
     }
 
+    /// On days of varied jobs: binds some to a zone, and has some of an array's need
+    /// accelerators where there are any. By how much its tasks run longer.
+    fn varied(&mut self, spec: &mut JobSpec) -> Micros {
+        if !self.scenario.varied {
+            return 0;
+        }
+        if self.scenario.tight && spec.kind == Kind::Batch && self.side.u8(..3) == 0 {
+            spec.gpus = 1.0;
+            spec.types = None;
+        }
+        match self.side.u8(..8) {
+            0 => spec.zone = Some(ZONES[self.side.usize(..3)].to_string()),
+            1 | 2 => spec.one_zone = true,
+            _ => {}
+        }
+        // The two exclude a spread.
+        spec.spread &= spec.zone.is_none() && !spec.one_zone;
+        match self.side.u8(..6) {
+            0 => self.side.u64(20 * SECOND..70 * SECOND),
+            _ => 0,
+        }
+    }
+
     /// On days of small jobs: two or three tasks for half of them, and more users that
     /// cancel.
     fn smaller(
@@ -114,11 +139,11 @@
     ) {
         self.next += 1;
         let request = self.next;
-        self.asked.insert(request, asker);
+        self.asked.insert(request, (asker, self.now));
         self.at(self.now + USER_TIMEOUT, Ev::UserTimeout { request });
         let epoch = self.nodes[node].epoch;
         let mut at = self.now + self.delay() / 4;
-        let asker = self.asked.get(&request);
+        let asker = self.asked.get(&request).map(|(asker, _)| asker);
         let from_region = !matches!(asker, Some(Asker::Worker { .. } | Asker::Nobody));
         if from_region {
             let Some(held) = self.held(None, Self::site(node), at) else {
@@ -136,7 +161,7 @@
     }
 
     pub(super) fn answer(&mut self, node: usize, request: u64, answer: Answer) {
-        let Some(asker) = self.asked.remove(&request) else {
+        let Some((asker, asked)) = self.asked.remove(&request) else {
             return;
         };
         match asker {
@@ -146,6 +171,9 @@
                 seq,
                 sent,
             } => {
+                if let Ok(a) = dillcleat_wire::decode::<ReportAnswer>(&answer.body) {
+                    self.launches(node, &a.commands);
+                }
                 let zone = self.zone_of(&machine).unwrap_or(0);
                 let held = self.zone_cut[zone].max(self.nodes[node].workers_cut);
                 let Some(held) = self.held(Self::site(node), Some(zone), held) else {
@@ -170,19 +198,20 @@
             Asker::Nobody => {}
             asker if self.way(Self::site(node), None) != Way::Open => {
                 // It never comes: whoever asked gives it up.
-                self.asked.insert(request, asker);
+                self.asked.insert(request, (asker, asked));
             }
             asker => {
-                let state = dillcleat_wire::decode::<JobStatus>(&answer.body)
-                    .ok()
-                    .map(|s| s.state);
-                self.user_answer(asker, answer.status, state);
+                let status = dillcleat_wire::decode::<JobStatus>(&answer.body).ok();
+                let state = status.as_ref().map(|s| s.state);
+                if let Some(s) = status.filter(|s| s.state == JobState::Cancelled) {
+                    self.nodes[node].cancelled.insert(s.id);
+                }
+                self.user_answer(asker, asked, answer.status, state);
             }
         }
     }
 
-    fn submit(&mut self, node: usize, job: usize, spec: &JobSpec) {
-        let asker = Asker::Submission { job };
+    pub(super) fn submit(&mut self, node: usize, asker: Asker, spec: &JobSpec) {
         let body = dillcleat_wire::encode(spec);
         self.ask(node, asker, "POST", JOBS_PATH.into(), body);
     }
@@ -219,7 +248,7 @@
                 u.since.get_or_insert(now);
                 let spec = u.spec.clone();
                 self.checker.submits(&spec);
-                self.submit(node, job, &spec);
+                self.submit(node, Asker::Submission { job }, &spec);
             }
             Stage::Polling | Stage::Over
                 if u.ended.is_none() && u.cancel_at.is_some_and(|at| now >= at) =>
@@ -238,7 +267,7 @@
                     // Known whatever else it holds.
                     let mut spec = u.spec.clone();
                     spec.team = "unknown".into();
-                    self.submit(node, job, &spec);
+                    self.submit(node, Asker::Submission { job }, &spec);
                 } else {
                     self.ask(node, Asker::Poll { job }, "GET", poll_path(&id), Vec::new());
                 }
@@ -256,7 +285,21 @@
         self.at(at, Ev::User { job });
     }
 
-    pub(super) fn user_answer(&mut self, asker: Asker, status: u16, state: Option<JobState>) {
+    pub(super) fn user_answer(
+        &mut self,
+        asker: Asker,
+        asked: Micros,
+        status: u16,
+        state: Option<JobState>,
+    ) {
+        let news = self.news(&asker, status, state);
+        self.user_hears(asker, asked, status, state);
+        if let Some((job, accepted)) = news {
+            self.presses(job, accepted);
+        }
+    }
+
+    fn user_hears(&mut self, asker: Asker, asked: Micros, status: u16, state: Option<JobState>) {
         let now = self.now;
         self.digest.update(now.to_be_bytes());
         self.digest.update(status.to_be_bytes());
@@ -278,7 +321,28 @@
         }
         match asker {
             Asker::Worker { .. } | Asker::Object { .. } | Asker::Watcher | Asker::Nobody => {}
-            Asker::Stranger { id } => self.checker.answered_poll(&id, status, state, now),
+            Asker::Stranger { id } => self.checker.answered_poll(&id, status, state, asked, now),
+            Asker::Refused { id, status: right } => {
+                self.checker.answered_refused(&id, status, right, now);
+            }
+            Asker::Look { job } | Asker::Again { job } | Asker::CallOff { job } => {
+                let u = &mut self.users[job];
+                let id = u.spec.id.clone();
+                u.accepted |= matches!(status, 200 | 201);
+                if ended.is_some() {
+                    u.ended = ended;
+                    u.stage = Stage::Over;
+                }
+                match asker {
+                    Asker::Again { .. } => self
+                        .checker
+                        .answered_submission(&id, status, state, asked, now),
+                    // Also nodes are asked that no load balancer would choose: that they
+                    // don't answer tells nothing.
+                    _ if !matches!(status, 200 | 404) => {}
+                    _ => self.checker.answered_poll(&id, status, state, asked, now),
+                }
+            }
             Asker::Submission { job } => {
                 let u = &mut self.users[job];
                 let id = u.spec.id.clone();
@@ -307,7 +371,8 @@
                         self.user_again(now + pause, job);
                     }
                 }
-                self.checker.answered_submission(&id, status, state, now);
+                self.checker
+                    .answered_submission(&id, status, state, asked, now);
             }
             Asker::Poll { job } | Asker::Cancel { job } => {
                 let u = &mut self.users[job];
@@ -329,7 +394,7 @@
                     _ => 5 * SECOND,
                 };
                 self.user_again(now + pause, job);
-                self.checker.answered_poll(&id, status, state, now);
+                self.checker.answered_poll(&id, status, state, asked, now);
             }
         }
     }
@@ -370,8 +435,33 @@
         }
     }
 
+    /// Looks for jobs that are left waiting once the troubles are over.
+    pub(super) fn look_for_waiting(&mut self) {
+        if self.now < self.checker.troubles_end || !self.now.is_multiple_of(LOOK) {
+            return;
+        }
+        let room = |w: &Worker| {
+            let (cpus, gpus) = w.free();
+            Room {
+                place: w.place.clone(),
+                cpus,
+                gpus,
+                tasks: w.live().cloned().collect(),
+                takes: w.takes(self.now),
+            }
+        };
+        let rooms: Vec<Room> = self.workers.values().map(room).collect();
+        let fails = |id: &str| self.plays.get(id).is_some_and(|p| p.fails);
+        self.checker.look_for_waiting(&rooms, fails, self.now);
+    }
+
     /// Counts what was done of the arrays that were to be done.
     pub(super) fn finish_served(&mut self) {
+        let mut largest: BTreeMap<&str, u32> = BTreeMap::new();
+        for u in &self.users {
+            let most = largest.entry(&u.spec.class).or_default();
+            *most = u.spec.tasks.max(*most);
+        }
         for u in &self.users {
             let due = u.accepted_at.zip(u.spec.deadline_s);
             let due = due.map(|(at, due)| at + dillcleat_core::micros(due));
@@ -385,6 +475,10 @@
                 s.work.add(due, all, done);
                 s.in_time.add(due, 1.0, in_time);
             });
+            if u.spec.tasks == largest[&*u.spec.class] {
+                let add = |s: &mut Served| s.work.add(due, all, done);
+                self.served.count_largest(&u.spec.class, add);
+            }
         }
     }
 }
--- a/crates/rehearsal/src/world/workers.rs
+++ b/crates/rehearsal/src/world/workers.rs
@@ -138,6 +138,9 @@
                 Happening::Leaves { task, done } => {
                     self.placed(if done { "done" } else { "leaves" }, &task, machine);
                     self.checker.leaves(&task, machine, done);
+                    if done {
+                        self.task_done(&task.job);
+                    }
                 }
             }
         }
--- a/crates/rehearsal/tests/rules_are_checked.rs
+++ b/crates/rehearsal/tests/rules_are_checked.rs
@@ -1,7 +1,7 @@
 //! The checker catches a planted violation of each rule, and nothing else.
 
 use dillcleat_core::SECOND;
-use dillcleat_rehearsal::rules::Place;
+use dillcleat_rehearsal::rules::{Limit, Place, Room};
 use dillcleat_rehearsal::{Checker, Rule};
 use dillcleat_wire::TaskName;
 use dillcleat_wire::user::{JobSpec, JobState, Kind};
@@ -48,9 +48,13 @@
 
 /// A checker that has seen a job of so many tasks accepted.
 fn checker(tasks: u32) -> Checker {
-    let mut c = Checker::new(10 * SECOND, BTreeMap::from([("t".to_string(), 8.0)]));
+    let limit = Limit {
+        cpus: 8.0,
+        gpus: 0.0,
+    };
+    let mut c = Checker::new(10 * SECOND, BTreeMap::from([("t".to_string(), limit)]));
     c.submits(&spec(tasks));
-    c.answered_submission("req-1", 201, Some(JobState::Queued), 0);
+    c.answered_submission("req-1", 201, Some(JobState::Queued), 0, 0);
     c
 }
 
@@ -58,7 +62,7 @@
 
 #[test]
 fn each_rule_has_a_breach_that_is_caught() {
-    let planted: [(Rule, u32, Plant); 15] = [
+    let planted: [(Rule, u32, Plant); 21] = [
         (Rule::RanTwice, 2, |c| {
             c.starts(&task(0), &place("x", "a", false), 1);
             c.starts(&task(0), &place("y", "b", false), 2);
@@ -75,12 +79,24 @@
         }),
         (Rule::Orphaned, 1, |c| {
             c.submits(&waiting());
-            c.answered_submission("req-2", 201, Some(JobState::Queued), 1);
+            c.answered_submission("req-2", 201, Some(JobState::Queued), 1, 1);
             c.asks_to_cancel("req-1");
-            c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2);
-            c.answered_poll("req-2", 200, Some(JobState::Queued), 10 * SECOND + 2);
+            c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2, 2);
+            c.answered_poll(
+                "req-2",
+                200,
+                Some(JobState::Queued),
+                10 * SECOND + 2,
+                10 * SECOND + 2,
+            );
             assert_eq!(c.violations, []);
-            c.answered_poll("req-2", 200, Some(JobState::Queued), 10 * SECOND + 3);
+            c.answered_poll(
+                "req-2",
+                200,
+                Some(JobState::Queued),
+                10 * SECOND + 3,
+                10 * SECOND + 3,
+            );
         }),
         (Rule::WrongPlace, 1, |c| {
             c.starts(&task(0), &place("x", "a", true), 1)
@@ -92,39 +108,39 @@
         (Rule::RanCancelled, 1, |c| {
             c.starts(&task(0), &place("x", "a", false), 1);
             c.asks_to_cancel("req-1");
-            c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2);
+            c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2, 2);
             c.step(9 * SECOND);
             assert!(c.violations.is_empty());
             c.step(11 * SECOND);
         }),
         (Rule::Forgotten, 1, |c| {
-            c.answered_poll("req-1", 404, None, 5)
+            c.answered_poll("req-1", 404, None, 5, 5)
         }),
         (Rule::Forgotten, 1, |c| {
-            c.answered_submission("req-1", 422, None, 5)
+            c.answered_submission("req-1", 422, None, 5, 5)
         }),
         (Rule::Invented, 1, |c| {
-            c.answered_poll("req-9", 200, Some(JobState::Queued), 5);
+            c.answered_poll("req-9", 200, Some(JobState::Queued), 5, 5);
         }),
         (Rule::NotDone, 2, |c| {
             c.starts(&task(0), &place("x", "a", false), 1);
             c.leaves(&task(0), "x", true);
-            c.answered_poll("req-1", 200, Some(JobState::Done), 5);
+            c.answered_poll("req-1", 200, Some(JobState::Done), 5, 5);
         }),
         (Rule::WentBack, 1, |c| {
             c.starts(&task(0), &place("x", "a", false), 1);
             c.leaves(&task(0), "x", true);
-            c.answered_poll("req-1", 200, Some(JobState::Done), 5);
-            c.answered_poll("req-1", 200, Some(JobState::Running), 6);
+            c.answered_poll("req-1", 200, Some(JobState::Done), 5, 5);
+            c.answered_poll("req-1", 200, Some(JobState::Running), 6, 6);
         }),
         (Rule::Forgotten, 1, |c| {
             // Nobody else is answered either.
             c.troubles_end = 50 * SECOND;
             for at in [10, 60, 125] {
-                c.answered_poll("req-1", 0, None, at * SECOND);
+                c.answered_poll("req-1", 0, None, at * SECOND, at * SECOND);
             }
             assert_eq!(c.violations, []);
-            c.answered_poll("req-1", 503, None, 126 * SECOND);
+            c.answered_poll("req-1", 503, None, 126 * SECOND, 126 * SECOND);
         }),
         (Rule::LateBegin, 1, |c| {
             let job = |id: &str, tasks, team: &str| JobSpec {
@@ -138,7 +154,7 @@
                 job("req-5", 4, "t"),
             ] {
                 c.submits(&spec);
-                c.answered_submission(&spec.id, 201, Some(JobState::Queued), SECOND);
+                c.answered_submission(&spec.id, 201, Some(JobState::Queued), SECOND, SECOND);
             }
             c.starts(&task(0), &place("x", "a", false), 2 * SECOND);
             c.leaves(&task(0), "x", true);
@@ -147,6 +163,94 @@
             assert_eq!(on_time.violations, []);
             c.finish(242 * SECOND);
         }),
+        (Rule::Admitted, 1, |c| {
+            // Whoever can't decide says so.
+            for status in [422, 503, 429, 0] {
+                c.answered_refused("req-9", status, 422, 1);
+            }
+            assert_eq!(c.violations, []);
+            c.answered_refused("req-9", 201, 422, 2);
+        }),
+        (Rule::Admitted, 1, |c| {
+            c.answered_refused("req-9", 422, 400, 2)
+        }),
+        (Rule::Forgotten, 1, |c| {
+            // Asked just before the acceptance was told, answered after it.
+            c.submits(&waiting());
+            c.answered_submission("req-2", 201, Some(JobState::Queued), 5, 9);
+            c.answered_poll("req-2", 404, None, 8, 10);
+            c.answered_submission("req-2", 201, Some(JobState::Queued), 8, 10);
+            assert_eq!(c.violations, []);
+            c.answered_submission("req-2", 201, Some(JobState::Queued), 9, 11);
+        }),
+        (Rule::WentBack, 1, |c| {
+            // The answer to a question of before the end may cross that of the end.
+            c.asks_to_cancel("req-1");
+            c.answered_poll("req-1", 200, Some(JobState::Cancelled), 5, 9);
+            c.answered_poll("req-1", 200, Some(JobState::Queued), 8, 10);
+            assert_eq!(c.violations, []);
+            c.answered_poll("req-1", 200, Some(JobState::Queued), 9, 11);
+        }),
+        (Rule::LaunchedCancelled, 1, |c| {
+            c.launches(&task(0), false, 1);
+            c.asks_to_cancel("req-1");
+            c.answered_poll("req-1", 200, Some(JobState::Cancelled), 2, 2);
+            // Those that were under way are counted.
+            c.launches(&task(0), false, 3);
+            c.starts(&task(0), &place("x", "a", false), 4);
+            assert_eq!(c.violations, []);
+            assert_eq!((c.late().launches, c.late().starts), (1, 1));
+            c.launches(&task(0), true, 5);
+        }),
+        (Rule::LeftWaiting, 4, |c| {
+            c.troubles_end = 10 * SECOND;
+            // Half of its four tasks, and no more, may be in zone a; its team's limit
+            // holds two tasks, and one is on spot machines never.
+            c.starts(&task(0), &place("x", "a", false), 1);
+            c.starts(&task(1), &place("x", "a", false), 1);
+            c.leaves(&task(1), "x", true);
+            let room = |machine: &str, zone: &str, spot, cpus| Room {
+                place: place(machine, zone, spot),
+                cpus,
+                gpus: 0.0,
+                tasks: Vec::new(),
+                takes: true,
+            };
+            let x = Room {
+                tasks: vec![task(0)],
+                ..room("x", "a", false, 0.0)
+            };
+            let look = |c: &mut Checker, more: Room, from: u64, to: u64| {
+                for at in from..to {
+                    let rooms = [x.clone(), more.clone()];
+                    c.look_for_waiting(&rooms, |_| false, at * SECOND);
+                }
+            };
+            // None of these takes a task.
+            look(c, room("y", "b", true, 8.0), 10, 200);
+            look(c, room("y", "b", false, 3.0), 200, 400);
+            let silent = Room {
+                takes: false,
+                ..room("y", "b", false, 8.0)
+            };
+            look(c, silent, 400, 600);
+            let full = Room {
+                tasks: vec![task(2)],
+                ..room("y", "b", false, 8.0)
+            };
+            look(c, full, 600, 800);
+            let full_zone = Room {
+                tasks: vec![task(3)],
+                ..room("x", "a", false, 8.0)
+            };
+            look(c, full_zone, 800, 900);
+            // These do, but not for long enough.
+            look(c, room("y", "b", false, 4.0), 900, 990);
+            look(c, room("y", "b", true, 4.0), 990, 991);
+            look(c, room("y", "b", false, 4.0), 991, 1082);
+            assert_eq!(c.violations, []);
+            look(c, room("y", "b", false, 4.0), 1082, 1083);
+        }),
         (Rule::NothingRan, 1, |c| c.finish(9)),
     ];
     for (rule, tasks, plant) in planted {
@@ -166,8 +270,8 @@
     c.starts(&task(0), &place("z", "a", false), 3);
     c.leaves(&task(0), "z", true);
     c.leaves(&task(1), "y", true);
-    c.answered_poll("req-1", 200, Some(JobState::Done), 5);
-    c.answered_poll("req-2", 404, None, 6);
+    c.answered_poll("req-1", 200, Some(JobState::Done), 5, 5);
+    c.answered_poll("req-2", 404, None, 6, 6);
     c.step(100 * SECOND);
     c.finish(100 * SECOND);
     assert_eq!(c.violations, []);
