--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -36,10 +36,6 @@
     calls: Budget,
     writes: Budget,
     cache: Cache,
-    /// Look-ups under way, by job, with everybody who waits for them.
-    lookups: HashMap<String, Vec<Ask>>,
-    /// The same for those that are not open.
-    marks: HashMap<String, Vec<Ask>>,
     /// Asks that wait for the next comparison.
     waiting: Vec<(String, Ask)>,
     checking: HashMap<String, Vec<Ask>>,
@@ -51,6 +47,8 @@
     /// Users' requests since the last beat, and how many come in a second.
     asked: u32,
     asked_per_s: f64,
+    /// Jobs that were seen to be cancelled, for the leader of this process.
+    cancelled: Vec<String>,
     /// The leader's word on how far jobs are, for display.
     pub progress: HashMap<String, (u32, u32)>,
 }
@@ -88,25 +86,12 @@
     None
 }
 
-/// The oldest ask of a job: each read answers one, so that none is answered by a
-/// read that began before the ask.
-fn next(asks: &mut HashMap<String, Vec<Ask>>, id: &str) -> Option<Ask> {
-    let of_job = asks.get_mut(id).filter(|a| !a.is_empty())?;
-    let ask = of_job.remove(0);
-    if of_job.is_empty() {
-        asks.remove(id);
-    }
-    Some(ask)
-}
-
 impl Admission {
     pub fn new(config: &Config) -> Self {
         Admission {
             calls: Budget::new(config.state_rps, config),
             writes: Budget::new(config.state_write_rps, config),
             cache: Cache::new(config),
-            lookups: HashMap::new(),
-            marks: HashMap::new(),
             waiting: Vec::new(),
             checking: HashMap::new(),
             checks: 0,
@@ -115,6 +100,7 @@
             last_naming: 0,
             asked: 0,
             asked_per_s: 0.0,
+            cancelled: Vec::new(),
             progress: HashMap::new(),
         }
     }
@@ -168,6 +154,19 @@
         self.cache.put(&job.spec.id, known);
     }
 
+    /// What a read or write of the store has said of a job's end is known from now on.
+    fn learn(&mut self, id: &str, known: Known) {
+        if known.mark.s == Mark::Cancelled {
+            self.cancelled.push(id.to_string());
+        }
+        self.cache.put(id, known);
+    }
+
+    /// The jobs that were seen to be cancelled since this was last asked.
+    pub fn take_cancelled(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.cancelled)
+    }
+
     /// The leader of this process has stored a job's end.
     pub fn ended(&mut self, id: &str, mark: JobMark) {
         self.cache.put(id, Known::ended(mark));
@@ -218,13 +217,6 @@
             Ok(spec) => spec,
             Err(e) => return self.ask(ctx, id, refuse(400, e.to_string())),
         };
-        let Some(types) = types else {
-            let answer = Answer::later("the machine types are not known yet");
-            return self.ask(ctx, id, Ask::Refuse { request, answer });
-        };
-        if let Some(cause) = unfit(ctx.config, types, &spec) {
-            return self.ask(ctx, id, refuse(422, cause.into()));
-        }
         let job = OpenJob {
             spec: *spec,
             at: ctx.now.wall,
@@ -240,14 +232,20 @@
             let cause = format!("the job's description takes {bytes} bytes, at most {most} fit");
             return self.ask(ctx, id, refuse(400, cause));
         }
+        // An empty list is one from a cloud in trouble: by it nothing would ever run.
+        let Some(types) = types.filter(|types| !types.is_empty()) else {
+            let answer = Answer::later("the machine types are not known yet");
+            return self.ask(ctx, id, Ask::Refuse { request, answer });
+        };
+        if let Some(cause) = unfit(ctx.config, types, &job.spec) {
+            return self.ask(ctx, id, refuse(422, cause.into()));
+        }
         if !job.spec.awaits.is_empty() {
             return self.name(ctx, request, job);
         }
         let now = ctx.now.steady;
-        if self.under_way >= MAX_UNDER_WAY
-            || !self.calls.take(1.0, Need::Change, now)
-            || !self.writes.take(1.0, Need::Change, now)
-        {
+        // Both or neither: a call taken for a change that is not to be had was lost to polls.
+        if self.under_way >= MAX_UNDER_WAY || !self.grant(1.0, 1.0, Need::Change, now) {
             return ctx.answer(request, Answer::later("too many requests"));
         }
         self.under_way += 1;
@@ -290,8 +288,10 @@
 
     /// Settles an ask by memory, a comparison or a look-up, whichever is enough.
     fn ask(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
+        if let Some(end) = self.cache.end(&id) {
+            return self.settle(ctx, &id, Some(end), ask);
+        }
         match self.cache.get(&id) {
-            Some(known) if known.mark.s != Mark::Open => self.settle(ctx, &id, Some(known), ask),
             // The transaction that cancels compares by itself.
             Some(known) if matches!(ask, Ask::Cancel { .. }) => {
                 self.settle(ctx, &id, Some(known), ask);
@@ -308,9 +308,10 @@
     }
 
     fn lookup(&mut self, ctx: &mut Ctx, id: String, ask: Ask) {
-        // A look-up under way may have read before this request came in, but
-        // then nobody can have been told more than this answer by now: what it
-        // finds is kept only if open, and an open record is compared first.
+        // Each ask has a read of its own, whose answer carries it: one under way may have
+        // read before this request came in. Asks were once given the answers in the order
+        // in which they had come, and answers come in any: of an accepted job a user who
+        // had been told so was told that there is none.
         if self.under_way >= MAX_UNDER_WAY || !self.calls.take(1.0, Need::of(&ask), ctx.now.steady)
         {
             return ctx.answer(ask.request(), Answer::later("too many requests"));
@@ -319,9 +320,7 @@
         let call = StateCall::Get {
             key: store::open_key(&id),
         };
-        let asks = self.lookups.entry(id.clone()).or_default();
-        asks.push(ask);
-        ctx.state(call, Waiter::Admission(Step::Lookup { id }));
+        ctx.state(call, Waiter::Admission(Step::Lookup { id, ask }));
     }
 
     /// Reads the mark of a job that is not open, or whose end has just come.
@@ -332,8 +331,7 @@
         let call = StateCall::Get {
             key: store::job_key(&id),
         };
-        self.marks.entry(id.clone()).or_default().push(ask);
-        ctx.state(call, Waiter::Admission(Step::Ended { id }));
+        ctx.state(call, Waiter::Admission(Step::Ended { id, ask }));
     }
 
     fn check(&mut self, ctx: &mut Ctx) {
@@ -343,7 +341,7 @@
         {
             return;
         }
-        let mut jobs: Vec<(String, u64)> = Vec::new();
+        let mut jobs: Vec<String> = Vec::new();
         let mut txn = Txn::default();
         let limit = ctx.config.txn_ops * 4;
         let mut later = Vec::new();
@@ -357,14 +355,14 @@
                 continue;
             }
             // One comparison at a time per job keeps the accounts simple.
-            let own = jobs.iter().any(|(j, _)| *j == id);
+            let own = jobs.contains(&id);
             if !own && (jobs.len() >= limit || self.checking.contains_key(&id)) {
                 later.push((id, ask));
                 continue;
             }
             if !own {
                 txn = txn.compare(store::job_key(&id), known.version);
-                jobs.push((id.clone(), known.version));
+                jobs.push(id.clone());
             }
             self.checking.entry(id).or_default().push(ask);
         }
--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -10,7 +10,7 @@
 
 use super::*;
 use dillcleat_sched::room::amount;
-use dillcleat_sched::{Pace, Rank, Real, Standing, units};
+use dillcleat_sched::{Pace, Rank, Real, Standing};
 use roaring::RoaringBitmap;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -60,13 +60,18 @@
     ready: i64,
     /// CPUs, if it was rented and is not up.
     coming: i64,
+    /// CPUs of what was kept for services and is lent.
+    lent: i64,
 }
 
 /// Sums over all jobs and all machines, in millionths where they are amounts.
 #[derive(Debug, PartialEq)]
 pub(super) struct Sums {
-    /// CPUs and GPUs of placed tasks, by team.
+    /// CPUs and GPUs of placed tasks, by team. Those of teams that are not in the
+    /// settings stand last.
     teams: Vec<(i64, i64)>,
+    /// The same of jobs that can't be taken up.
+    claims: Vec<(i64, i64)>,
     /// Active jobs: those that age.
     pub ageing: usize,
     training: i64,
@@ -79,6 +84,8 @@
     reserves: Vec<BTreeMap<i64, usize>>,
     ready: i64,
     coming: i64,
+    /// CPUs by zone of what was kept for services and is lent.
+    lent: BTreeMap<Rc<str>, i64>,
     pub recorded: usize,
     /// Machines that are up, by zone.
     pub up: BTreeMap<Rc<str>, usize>,
@@ -87,7 +94,8 @@
 impl Sums {
     fn new(config: &Config) -> Sums {
         Sums {
-            teams: vec![(0, 0); config.teams.len()],
+            teams: vec![(0, 0); config.teams.len() + 1],
+            claims: Vec::new(),
             ageing: 0,
             training: 0,
             arrays: 0,
@@ -96,6 +104,7 @@
             reserves: vec![BTreeMap::new(); config.waits.len()],
             ready: 0,
             coming: 0,
+            lent: BTreeMap::new(),
             recorded: 0,
             up: BTreeMap::new(),
         }
@@ -109,6 +118,12 @@
         amount(self.coming)
     }
 
+    pub fn lent_cpus(&self) -> BTreeMap<Rc<str>, f64> {
+        let lent = self.lent.iter();
+        lent.map(|(zone, cpus)| (zone.clone(), amount(*cpus)))
+            .collect()
+    }
+
     pub fn training_cpus(&self) -> f64 {
         amount(self.training)
     }
@@ -140,14 +155,20 @@
                 f64::INFINITY
             }
         };
-        let used = |i: usize| self.teams.get(i).copied().unwrap_or_default();
-        let teams = config.teams.iter().enumerate();
-        teams
-            .map(|(i, t)| TeamView {
-                cpus_left: left(t.cpus_max, used(i).0),
-                gpus_left: left(t.gpus_max, used(i).1),
-            })
-            .collect()
+        let of = |sums: &[(i64, i64)], i: usize| sums.get(i).copied().unwrap_or_default();
+        let known = config.teams.iter().enumerate().map(|(i, t)| {
+            let (taken, claimed) = (of(&self.teams, i), of(&self.claims, i));
+            TeamView {
+                cpus_left: left(t.cpus_max, taken.0 + claimed.0),
+                gpus_left: left(t.gpus_max, taken.1 + claimed.1),
+            }
+        });
+        // Nothing is placed of teams that are not in the settings.
+        let unknown = TeamView {
+            cpus_left: 0.0,
+            gpus_left: 0.0,
+        };
+        known.chain([unknown]).collect()
     }
 }
 
@@ -257,10 +278,10 @@
         Some(due)
     }
 
-    fn set_job(&mut self, place: Place, part: Option<JobPart>) -> Option<Rc<str>> {
+    fn set_job(&mut self, place: Place, part: Option<JobPart>) -> Vec<Rc<str>> {
         let old = slot(&mut self.jobs, place, None);
         if *old == part {
-            return None;
+            return Vec::new();
         }
         let old = std::mem::replace(old, part.clone());
         member(
@@ -287,12 +308,17 @@
             self.sums.add_job(&p, 1);
         }
         if before == after {
-            return None;
+            return Vec::new();
         }
-        // An image that services began or ceased to use.
+        // Images that services began or ceased to use: a place that passes from one
+        // service to another between two looks may bring one of each (seed 8 of meetings).
         let new = |i: &Rc<str>| self.sums.images.get(i) == Some(&1);
         let gone = |i: &Rc<str>| !self.sums.images.contains_key(i);
-        after.filter(new).or(before.filter(gone))
+        after
+            .filter(new)
+            .into_iter()
+            .chain(before.filter(gone))
+            .collect()
     }
 
     fn set_machine(&mut self, place: Place, part: Option<MachinePart>) {
@@ -349,6 +375,13 @@
     fn add_machine(&mut self, p: &MachinePart, sign: i64) {
         self.ready += sign * p.ready;
         self.coming += sign * p.coming;
+        if p.lent != 0 {
+            let lent = self.lent.entry(p.zone.clone()).or_default();
+            *lent += sign * p.lent;
+            if *lent == 0 {
+                self.lent.remove(&p.zone);
+            }
+        }
         if p.recorded {
             self.recorded = self.recorded.saturating_add_signed(sign as isize);
         }
@@ -376,6 +409,7 @@
         for place in self.machines.take_marked() {
             self.refresh_machine(ctx, place);
         }
+        self.index.sums.claims = self.claims(ctx.config);
     }
 
     /// Builds everything anew and tells what was not as it should have been.
@@ -426,6 +460,7 @@
     fn refresh_job(&mut self, ctx: &Ctx, place: Place) {
         if let Some(job) = self.jobs.quiet(place) {
             job.pace(self.clock);
+            job.hunger(ctx);
         }
         let (part, standing, due) = match self.jobs.at(place) {
             Some((id, job)) => {
@@ -441,7 +476,7 @@
             None => (None, None, None),
         };
         self.index.line.set(place, standing);
-        if let Some(image) = self.index.set_job(place, part) {
+        for image in self.index.set_job(place, part) {
             for machine in self.index.floor.holders(&image) {
                 self.machines.mark(machine);
             }
@@ -456,9 +491,12 @@
         let now = ctx.now.steady;
         let waits = job.cancelled.is_none()
             && !job.held
+            && job.team < ctx.config.teams.len()
             && job.placeable() > 0
             && now >= job.blocked_until
-            && job.record.may_start(job.placed(), now);
+            && job
+                .record
+                .may_start(job.placed(), job.shape.starving(), now);
         if !waits {
             return None;
         }
@@ -504,6 +542,7 @@
             Some(job.blocked_until),
             job.record.next_try(),
             useless.filter(|_| !job.waiting.is_empty()),
+            job.starves_at(ctx.config),
         ]
         .into_iter()
         .flatten()
@@ -520,7 +559,7 @@
                 let part = m_part(m, total, now, missing);
                 // A launch to a machine that is gone, or behind a cut, would
                 // hold its task until there is proof that it did not arrive.
-                let there = m.open(now) && now < m.heard_at + missing;
+                let there = m.usable(now) && now < m.heard_at + missing;
                 let view = total.filter(|_| there).map(|total| {
                     let mut view = Self::view_with(m, m.free(total));
                     if !m.spot {
@@ -563,6 +602,12 @@
         recorded: m.recorded && !m.leaving,
         ready: if m.ready { cpus } else { 0 },
         coming: if booting && m.expected { cpus } else { 0 },
+        lent: m
+            .slots
+            .values()
+            .filter(|s| s.of_reserve)
+            .map(|s| units(s.room.cpus))
+            .sum(),
     }
 }
 
@@ -584,6 +629,24 @@
         }
     }
 
+    /// Notes since when the job waits, and whether it is starving. A pause after an
+    /// error is a part of its wait.
+    fn hunger(&mut self, ctx: &Ctx) {
+        let waits = self.cancelled.is_none() && !self.held && self.placeable() > 0;
+        let now = ctx.now.steady;
+        self.waits_since = waits.then(|| self.waits_since.unwrap_or(now));
+        let starves_at = self.starves_at(ctx.config);
+        let starving = starves_at.is_some_and(|at| now >= at);
+        if self.shape.starving() != starving {
+            self.shape = Rc::new(self.shape.when(starving));
+        }
+    }
+
+    /// When it is starving, if it gets no room until then.
+    fn starves_at(&self, config: &Config) -> Option<Micros> {
+        Some(self.waits_since? + micros(config.tuning.starve_s))
+    }
+
     /// The reading of the clock at which an ageing job's virtual size is zero.
     fn aged_at(&self) -> f64 {
         self.size - self.credit + self.ageing_since.unwrap_or(0.0)
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -24,6 +24,8 @@
     pub room: Room,
     /// A replica of a service.
     pub service: bool,
+    /// It takes room that was kept for services.
+    pub of_reserve: bool,
     /// The number of its job, for estimates: a job that has gone gives it on.
     pub job: Place,
     /// The placement is in the store; before that nothing is sent.
@@ -98,7 +100,7 @@
     pub gone_by: Option<Micros>,
     /// Being returned: takes no more tasks.
     pub leaving: bool,
-    /// Takes no more tasks and is returned when empty.
+    /// Takes no more tasks, but as a last resort, and is returned when empty.
     pub condemned: bool,
     pub blocked_until: Micros,
     pub slots: BTreeMap<TaskKey, Slot>,
@@ -190,6 +192,7 @@
             session,
             room: Room::of_task(spec),
             service: spec.kind == Kind::Service,
+            of_reserve: false,
             job,
             stored,
             cancelled: false,
@@ -211,9 +214,13 @@
 
     /// May take a new task.
     pub fn open(&self, now: Micros) -> bool {
+        !self.condemned && self.usable(now)
+    }
+
+    /// May take a new task if there is no other place for it.
+    pub fn usable(&self, now: Micros) -> bool {
         self.ready
             && !self.leaving
-            && !self.condemned
             && self.gone_by.is_none()
             && self.strays.is_empty()
             && now >= self.blocked_until
@@ -240,7 +247,13 @@
     /// Takes a report in. Nothing but a newer one changes anything.
     pub fn report(&mut self, r: &Report, source: Source, term: u64, now: Micros) -> Vec<SlotEvent> {
         let mut events = Vec::new();
-        if self.up && (r.session, r.seq) <= (self.session, self.seq) {
+        // Of a machine that has yet to report to this leader a stored placement may tell
+        // the session: a report of one before is old, though it is the first to come.
+        let older = match self.up {
+            true => (r.session, r.seq) <= (self.session, self.seq),
+            false => r.session < self.session,
+        };
+        if older {
             return events;
         }
         if r.session > self.session || !self.up {
--- /dev/null
+++ b/crates/core/tests/lost_answers.rs
@@ -0,0 +1,228 @@
+//! A transaction of a user's is carried out at once and only its answer is lost, while
+//! other nodes read what it wrote.
+
+mod common;
+
+use common::users::{Driven, Store, spec, with};
+use dillcleat_core::{CallError, MILLISECOND, Micros, SECOND};
+use dillcleat_wire::state::StateReply;
+use dillcleat_wire::user::{JOBS_PATH, JobState};
+
+const START: Micros = 1000 * SECOND;
+const JOB: &str = "req-1";
+const QUEUED: (u16, Option<JobState>) = (200, Some(JobState::Queued));
+const DONE: (u16, Option<JobState>) = (200, Some(JobState::Done));
+const CANCELLED: (u16, Option<JobState>) = (200, Some(JobState::Cancelled));
+
+fn node() -> Driven {
+    Driven::ready(common::config_with_team(), START)
+}
+
+/// What another node is told that is asked now.
+fn elsewhere(store: &mut Store, ask: fn(&mut Driven) -> u64) -> (u16, Option<JobState>) {
+    let mut other = node();
+    let request = ask(&mut other);
+    other.settle(store);
+    other.answer(request).expect("an answer")
+}
+
+fn nothing(_: &mut Store) {}
+
+fn done(store: &mut Store) {
+    store.done(JOB);
+}
+
+fn cancelled(store: &mut Store) {
+    assert_eq!(elsewhere(store, |n| n.cancel(JOB)), CANCELLED);
+}
+
+fn cleared(store: &mut Store) {
+    cancelled(store);
+    store.clear(JOB);
+}
+
+type Change = fn(&mut Store);
+
+/// What becomes of the job before the submission is tried again, and what is so.
+const SINCE: [(Change, (u16, Option<JobState>)); 4] = [
+    (nothing, QUEUED),
+    (done, DONE),
+    (cancelled, CANCELLED),
+    (cleared, CANCELLED),
+];
+
+#[test]
+fn a_submission_tried_again_tells_what_has_become_of_the_job() {
+    for (since, now) in SINCE {
+        let (mut node, mut store) = (node(), Store::default());
+        let submission = node.submit(&spec(JOB));
+        node.lose(&mut store);
+        assert_eq!(elsewhere(&mut store, |n| n.poll(JOB)), QUEUED);
+        since(&mut store);
+        let rows = store.rows.clone();
+        node.settle(&mut store);
+        assert_eq!(node.answer(submission), Some(now));
+        assert_eq!(store.rows, rows, "written twice");
+    }
+}
+
+/// The first try says that the job is there, before it is done; the second one, sent
+/// because the first was slow, is answered after the end was told here.
+#[test]
+fn the_later_answer_of_two_tries_takes_no_end_back() {
+    let (mut node, mut store) = (node(), Store::default());
+    let submission = node.submit(&spec(JOB));
+    let (first, call) = node.take();
+    store.carry_out(&call);
+    node.at += 100 * MILLISECOND;
+    node.tick();
+    let (second, call) = node.take();
+    let known = store.carry_out(&call);
+    store.done(JOB);
+    let poll = node.poll(JOB);
+    node.settle(&mut store);
+    assert_eq!(node.answer(poll), Some(DONE));
+    node.reply(first, Err(CallError::NoAnswer));
+    assert_eq!(node.answer(submission), None);
+    node.reply(second, Ok(known));
+    assert_eq!(node.answer(submission), Some(DONE));
+}
+
+/// Whoever polls elsewhere is told the cancellation at once, and so is who asked for it.
+#[test]
+fn a_cancellation_tried_again_finds_itself_or_the_end() {
+    for (clear, known) in [(false, false), (false, true), (true, false), (true, true)] {
+        let (mut node, mut store) = (node(), Store::default());
+        elsewhere(&mut store, |n| n.submit(&spec(JOB)));
+        if known {
+            node.poll(JOB);
+            node.settle(&mut store);
+        }
+        let cancellation = node.cancel(JOB);
+        if !known {
+            node.serve(&mut store);
+        }
+        node.lose(&mut store);
+        assert_eq!(elsewhere(&mut store, |n| n.poll(JOB)), CANCELLED);
+        // Done comes too late.
+        assert!(matches!(store.done(JOB), StateReply::Conflict { .. }));
+        if clear {
+            store.clear(JOB);
+        }
+        let rows = store.rows.clone();
+        node.settle(&mut store);
+        assert_eq!(node.answer(cancellation), Some(CANCELLED));
+        assert_eq!(store.rows, rows, "written twice");
+    }
+    // Its last task ended before the lost try was carried out.
+    let (mut node, mut store) = (node(), Store::default());
+    elsewhere(&mut store, |n| n.submit(&spec(JOB)));
+    let cancellation = node.cancel(JOB);
+    node.serve(&mut store);
+    store.done(JOB);
+    node.lose(&mut store);
+    assert_eq!(elsewhere(&mut store, |n| n.poll(JOB)), DONE);
+    node.settle(&mut store);
+    assert_eq!(node.answer(cancellation), Some(DONE));
+}
+
+/// It says so of the request, whatever it is about: a repeated submission may hold what
+/// the first did not.
+#[test]
+fn what_the_store_calls_malformed_is_refused_only_if_it_is_unknown() {
+    let (mut node, mut store) = (node(), Store::default());
+    let malformed = |node: &mut Driven| {
+        let submission = node.submit(&spec(JOB));
+        let (id, _) = node.take();
+        node.reply(id, Ok(StateReply::Malformed));
+        submission
+    };
+    let submission = malformed(&mut node);
+    node.settle(&mut store);
+    assert_eq!(node.answer(submission), Some((400, None)));
+    elsewhere(&mut store, |n| n.submit(&spec(JOB)));
+    let submission = malformed(&mut node);
+    node.settle(&mut store);
+    assert_eq!(node.answer(submission), Some(QUEUED));
+}
+
+/// Every kind of request, of a known job and of an unknown one, with one of its calls
+/// lost or refused, or none, more often than requests may be under way at once: nothing of that
+/// stays taken, or is given back twice.
+#[test]
+fn nothing_lost_stays_under_way() {
+    let mut config = common::config_with_team();
+    (config.state_rps, config.state_write_rps) = (1e6, 1e6);
+    let asking: [fn(&mut Driven, &str) -> u64; 5] = [
+        |n, id| n.submit(&spec(id)),
+        |n, id| n.poll(id),
+        |n, id| n.cancel(id),
+        |n, id| n.request("POST", JOBS_PATH.into(), with(id, "leaves", None)),
+        |n, id| {
+            let mut spec = spec(&id.replace("req-1", "req-2"));
+            spec.awaits = vec![id.into()];
+            n.submit(&spec)
+        },
+    ];
+    let unknown = Store::default();
+    let mut accepted = Store::default();
+    elsewhere(&mut accepted, |n| n.submit(&spec(JOB)));
+    let mut over = Store::default();
+    elsewhere(&mut over, |n| n.submit(&spec(JOB)));
+    over.done(JOB);
+    let stores = [unknown, accepted, over];
+    let faults = [
+        Err(CallError::NoAnswer),
+        Ok(StateReply::Unavailable),
+        Ok(StateReply::Malformed),
+    ];
+    for case in 0..180 {
+        let (ask, fault) = (asking[case % 5], &faults[case / 5 % 3]);
+        let (job, lost) = (case / 15 % 3, case / 45);
+        let mut node = Driven::ready(config.clone(), START);
+        for round in 0..260 {
+            let id = format!("req-1{round}");
+            let mut store = Store::default();
+            let rows = stores[job].rows.iter();
+            store.rows = rows
+                .map(|(k, row)| (k.replace(JOB, &id), row.clone()))
+                .collect();
+            let request = ask(&mut node, &id);
+            let (mut call, until) = (0, node.at + 10 * SECOND);
+            while node.answer(request).is_none() {
+                assert!(node.at < until, "{case}: never answered");
+                node.at += 20 * MILLISECOND;
+                if node.sent.is_empty() {
+                    node.tick();
+                    continue;
+                }
+                let (id, sent) = node.take();
+                let carried_out = store.carry_out(&sent);
+                let lost = call == lost;
+                call += 1;
+                node.reply(id, if lost { fault.clone() } else { Ok(carried_out) });
+            }
+            let status = node.answer(request).map_or(0, |a| a.0);
+            // Of a job that is there nobody is told that it is not, and no poll is
+            // answered without what it wanted to read.
+            assert!(
+                job == 0 || matches!(status, 200 | 201 | 503),
+                "{case}: {status}"
+            );
+            let refused = case % 5 == 1 && call > lost;
+            assert!(!refused || status == 503, "{case}: {status}");
+            node.told.clear();
+        }
+        // What else is there to do is done, all at once.
+        let mut store = Store::default();
+        let ids = ["req-1", "req-3", "req-4"];
+        let submissions = ids.map(|id| node.submit(&spec(id)));
+        node.settle(&mut store);
+        for submission in submissions {
+            assert_eq!(node.answer(submission).map(|a| a.0), Some(201), "{case}");
+        }
+        let poll = node.poll(JOB);
+        node.settle(&mut store);
+        assert_eq!(node.answer(poll), Some(QUEUED), "{case}");
+    }
+}
