--- a/crates/rehearsal/tests/troubles.rs
+++ b/crates/rehearsal/tests/troubles.rs
@@ -13,11 +13,11 @@
         nodes: vec![LEADER],
         down: SECOND,
     };
-    let mut faults = vec![(60 * SECOND, end)];
-    faults.extend(fault.map(|f| (30 * SECOND, f)));
+    let mut faults = vec![(90 * SECOND, end)];
+    faults.extend(fault.map(|f| (70 * SECOND, f)));
     clean(Scenario {
         faults,
-        jobs: 10,
+        jobs: 16,
         small: true,
         ..Scenario::quiet(5)
     })
