--- a/crates/rehearsal/tests/rules_are_checked.rs
+++ b/crates/rehearsal/tests/rules_are_checked.rs
@@ -62,7 +62,7 @@
 
 #[test]
 fn each_rule_has_a_breach_that_is_caught() {
-    let planted: [(Rule, u32, Plant); 21] = [
+    let planted: [(Rule, u32, Plant); 22] = [
         (Rule::RanTwice, 2, |c| {
             c.starts(&task(0), &place("x", "a", false), 1);
             c.starts(&task(0), &place("y", "b", false), 2);
@@ -251,6 +251,31 @@
             assert_eq!(c.violations, []);
             look(c, room("y", "b", false, 4.0), 1082, 1083);
         }),
+        (Rule::LeftWaiting, 2, |c| {
+            // One of its two tasks may be in zone a, and before the troubles are over
+            // nobody counts.
+            c.troubles_end = 200 * SECOND;
+            c.starts(&task(0), &place("x", "a", false), 1);
+            let room = |machine: &str, zone: &str, tasks: Vec<TaskName>| Room {
+                place: place(machine, zone, false),
+                cpus: 4.0,
+                gpus: 0.0,
+                tasks,
+                takes: true,
+            };
+            let x = room("x", "a", vec![task(0)]);
+            let look = |c: &mut Checker, zone: &str, from: u64, to: u64| {
+                for at in from..to {
+                    let rooms = [x.clone(), room("y", zone, Vec::new())];
+                    c.look_for_waiting(&rooms, |_| false, at * SECOND);
+                }
+            };
+            look(c, "b", 100, 291);
+            look(c, "a", 291, 500);
+            look(c, "b", 500, 591);
+            assert_eq!(c.violations, []);
+            look(c, "b", 591, 592);
+        }),
         (Rule::NothingRan, 1, |c| c.finish(9)),
     ];
     for (rule, tasks, plant) in planted {
