--- a/crates/rehearsal/examples/hunt.rs
+++ b/crates/rehearsal/examples/hunt.rs
@@ -60,6 +60,8 @@
         Given::Mixed => Form::Mixed,
     };
     let least = Mutex::new(None);
+    // Starts sent after a confirmed cancellation, and carried out, and the day.
+    let most = Mutex::new((0, 0, 0));
     let next = AtomicU64::new(args.from);
     let (bad, created, told, late, refused) = (
         AtomicUsize::new(0),
@@ -102,6 +104,10 @@
                     launches.fetch_add(o.late.launches, Ordering::Relaxed);
                     starts.fetch_add(o.late.starts, Ordering::Relaxed);
                     odd.fetch_add(o.odd_requests, Ordering::Relaxed);
+                    let of_day = (o.late.launches, o.late.starts, seed);
+                    let mut most = most.lock().expect("no holder panics");
+                    *most = of_day.max(*most);
+                    drop(most);
                     refused.fetch_add(o.refused, Ordering::Relaxed);
                     let clean = o.violations.is_empty()
                         && o.malformed.is_empty()
@@ -137,6 +143,8 @@
         println!(
             "after a confirmed cancellation {launches} starts were sent, and {starts} tasks started"
         );
+        let (launches, starts, seed) = most.into_inner().expect("no holder panics");
+        println!("most of it on day {seed}: {launches} and {starts}");
     }
     let odd = odd.into_inner();
     if odd > 0 {
