Machines that are mute or deaf get no new work once that shows

A machine that reaches no controller answers orders all the same, so it was never missed: it went on getting work, all of which ended with its lease, again and again, under the next leader as well. One that hears nothing reports at times, and took new work after each of its reports, which stood there until its lease had ended.

A machine now takes new work only while its own reports come, and not after orders without an answer until something shows that it hears: an answer to orders (it is asked at each report), a report sooner than one without an answer would come, a session that goes on for longer than a lease. Plans count on neither's room once that has lasted a lease, and nothing is stopped there for replicas.

Tests: core/tests/mute.rs, with what is launched, placed again and cancelled there.

--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -540,9 +540,10 @@
             Some((_, m)) => {
                 let total = self.total(&m.machine_type);
                 let part = m_part(m, total, now, missing);
-                // A launch to a machine that is gone, or behind a cut, would
-                // hold its task until there is proof that it did not arrive.
-                let there = m.usable(now) && now < m.heard_at + missing;
+                // A launch to a machine that is gone, behind a cut or deaf would hold
+                // its task until there is proof that it did not arrive; at one that is
+                // mute it would end with the lease.
+                let there = m.usable(now) && m.in_touch(now, missing);
                 let view = total.filter(|_| there).map(|total| {
                     let mut view = Self::view_with(m, m.free(total));
                     if !m.spot {
@@ -550,8 +551,9 @@
                     }
                     view
                 });
-                let dues = [m.heard_at + missing, m.blocked_until];
-                let due = dues.into_iter().filter(|at| *at > now).min();
+                let dues = [m.heard_at, m.reported_at].map(|at| at + missing);
+                let dues = dues.into_iter().chain([m.blocked_until]);
+                let due = dues.filter(|at| *at > now).min();
                 (Some(part), view, due)
             }
             None => (None, None, None),
--- a/crates/core/src/leader/load.rs
+++ b/crates/core/src/leader/load.rs
@@ -137,6 +137,7 @@
         }
         for m in self.machines.values_mut() {
             m.heard_at = now;
+            m.reported_at = now;
             m.known_since = now;
             m.empty_since = now;
             m.wants_push = true;
@@ -145,6 +146,7 @@
                 Some(heard) if m.recorded => {
                     m.up = true;
                     m.heard_at = now.min(*heard);
+                    m.reported_at = m.heard_at;
                     // Those that answer have their turn first.
                     self.pushes.later(now + SECOND, m.name.clone(), false);
                 }
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -95,6 +95,7 @@
     pub fn paused(&mut self, time: Micros, now: Micros) {
         for m in self.machines.values_mut() {
             m.heard_at = (m.heard_at + time).min(now);
+            m.reported_at = (m.reported_at + time).min(now);
         }
     }
 
--- a/crates/core/src/leader/pushes.rs
+++ b/crates/core/src/leader/pushes.rs
@@ -161,6 +161,11 @@
         m.push_ended(id, unanswered);
         // One that does not answer does not take the turns of those that do.
         let answers = report.is_some();
+        if answers {
+            m.unheard_since = None;
+        } else {
+            m.unheard_since.get_or_insert(now);
+        }
         match report {
             Some(r) if r.token > self.term => self.notes.push(Note::Higher(r.token)),
             Some(r) => {
--- a/crates/core/src/leader/rent.rs
+++ b/crates/core/src/leader/rent.rs
@@ -157,7 +157,10 @@
         };
         let runs: Vec<f64> = self.jobs.by_place().map(run_time).collect();
         let mut views = Vec::new();
-        let there = |m: &&Machine| m.open(now) && !cut_off.contains(&m.name);
+        // Room behind a report that got lost is about to be there again.
+        let lease = ctx.config.lease;
+        let there =
+            |m: &&Machine| m.open(now) && !m.out_of_touch(now, lease) && !cut_off.contains(&m.name);
         for m in self.machines.values().filter(there) {
             let Some(total) = self.total(&m.machine_type) else {
                 continue;
--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -128,10 +128,21 @@
             }
         }
         let was_ready = m.ready;
+        let new = r.session > m.session;
+        let newer = !m.up || (r.session, r.seq) > (m.session, m.seq);
         if m.gone_by.is_none() && r.notice_s.is_some() {
             log::info!("{} is to be taken back in {:?} s", m.name, r.notice_s);
         }
         let events = m.report(r, source, self.term, now);
+        let mut in_touch = false;
+        if newer && source == Source::Checkin {
+            let missing = Self::missing(ctx.config);
+            let heard_by = ctx.config.lease + ctx.config.report + SECOND;
+            in_touch = m.checked_in(now, new, heard_by, missing);
+            if m.probe {
+                self.pushes.plain(m.name.clone());
+            }
+        }
         if !m.recorded {
             m.recorded = true;
             self.ledger.push(Item::Machine(r.machine.clone()));
@@ -152,6 +163,7 @@
         let after = Some(Standing::of(m));
         let starts = |e: &SlotEvent| matches!(e, SlotEvent::Running(_));
         if stays
+            || in_touch
             || before != after
             || !events.iter().all(starts)
             || self.index.silent.contains(place)
--- a/crates/core/src/leader/room.rs
+++ b/crates/core/src/leader/room.rs
@@ -47,7 +47,7 @@
         let [ordinary, cheap] = &self.index.lending;
         let lending = ordinary.iter().chain(cheap.iter().filter(|_| spot));
         for m in lending.filter_map(|place| Some(self.machines.at(place)?.1)) {
-            let there = m.open(now) && now < m.heard_at + missing;
+            let there = m.open(now) && m.in_touch(now, missing);
             let Some(mut view) = self.view(m).filter(|_| there) else {
                 continue;
             };
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -24,7 +24,7 @@
 const BEAT: Micros = 500 * MILLISECOND;
 /// How long a worker waits for an answer, and then pauses, before it goes to
 /// the next node.
-const WORKER_PATIENCE: Micros = 5 * SECOND;
+pub(crate) const WORKER_PATIENCE: Micros = 5 * SECOND;
 /// Ticks come twenty times a second; a node without one for so long was not
 /// running.
 const PAUSE: Micros = SECOND;
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -6,6 +6,7 @@
 //! end. Silence proves nothing.
 
 use crate::blame::Strikes;
+use crate::node::WORKER_PATIENCE;
 use crate::sched::{Images, Place, Room};
 use crate::{CallId, Micros, micros};
 use dillcleat_wire::TaskName;
@@ -97,6 +98,12 @@
     pub expected: bool,
     pub known_since: Micros,
     pub heard_at: Micros,
+    /// When its last own report came. Only the answers to these renew its lease: a machine
+    /// that answers orders alone is about to lose all that is on it.
+    pub reported_at: Micros,
+    /// Since when it is not known to hear: orders had no answer, and nothing has shown
+    /// since that any message reaches it.
+    pub unheard_since: Option<Micros>,
     pub gone_by: Option<Micros>,
     /// Being returned: takes no more tasks.
     pub leaving: bool,
@@ -139,6 +146,8 @@
             expected: false,
             known_since: now,
             heard_at: now,
+            reported_at: now,
+            unheard_since: None,
             gone_by: None,
             leaving: false,
             condemned: false,
@@ -226,6 +235,51 @@
             && now >= self.blocked_until
     }
 
+    /// Whether it is in touch both ways, so that a task placed there now is launched and
+    /// keeps its lease. `missing` is when it has missed a report.
+    pub fn in_touch(&self, now: Micros, missing: Micros) -> bool {
+        now < self.reported_at + missing && self.unheard_since.is_none()
+    }
+
+    /// Whether it has been out of touch for so long.
+    pub fn out_of_touch(&self, now: Micros, time: Micros) -> bool {
+        let since = self.unheard_since.unwrap_or(Micros::MAX);
+        now >= self.reported_at.min(since).saturating_add(time)
+    }
+
+    /// It has sent a newer report by itself; true if it may be in touch again. With `new`
+    /// a session begins.
+    ///
+    /// One that had no answer to a report waits for it, and pauses, before the next: one
+    /// that comes sooner shows that the answer to the last was heard. So does a session
+    /// that goes on for longer than a lease, `heard_by` being the longest that this takes
+    /// to show. Over a slow link orders may be late for ever, and answers are not.
+    pub fn checked_in(
+        &mut self,
+        now: Micros,
+        new: bool,
+        heard_by: Micros,
+        missing: Micros,
+    ) -> bool {
+        let last = std::mem::replace(&mut self.reported_at, now);
+        let late = now >= last + missing;
+        let answered = |since| last >= since && now < last + WORKER_PATIENCE;
+        match self.unheard_since {
+            Some(_) if new => self.unheard_since = Some(now),
+            Some(since) if answered(since) || now >= since + heard_by => {
+                self.unheard_since = None;
+            }
+            Some(_) => {
+                // To be asked costs less than to wait for that.
+                self.probe = true;
+                self.wants_push = true;
+                return late;
+            }
+            None => return late,
+        }
+        true
+    }
+
     /// Removes a slot by proof from outside, such as the machine's end.
     pub fn drain(&mut self, why: &'static str) -> Vec<SlotEvent> {
         std::mem::take(&mut self.slots)
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -106,6 +106,8 @@
     pub mute: bool,
     /// Answers and orders to it are lost.
     pub deaf: bool,
+    /// Only orders to it are lost.
+    pub blocked: bool,
     /// It does nothing for now, and then goes on.
     pub hung: bool,
     /// Orders that came while it hung.
@@ -243,6 +245,7 @@
             report_at: at,
             mute: false,
             deaf: false,
+            blocked: false,
             hung: false,
             held: Vec::new(),
             faulty: false,
@@ -423,7 +426,12 @@
             };
             let answer: ReportAnswer = decode(&body).expect("an answer to a report");
             let w = self.worker(&name);
-            if w.deaf || answer.token < w.token {
+            if w.deaf {
+                // It waits for the answer, and then pauses.
+                w.report_at = at + 5 * SECOND;
+                continue;
+            }
+            if answer.token < w.token {
                 continue;
             }
             if answer.token > w.token {
@@ -529,8 +537,8 @@
                                 .push((self.at + timeout, Input::Orders { id, reply }));
                             continue;
                         };
-                        if w.deaf || w.hung || self.at < w.up {
-                            if w.hung && !w.deaf {
+                        if w.deaf || w.blocked || w.hung || self.at < w.up {
+                            if w.hung && !w.deaf && !w.blocked {
                                 w.held.push(orders);
                             }
                             let reply = Err(CallError::NoAnswer);
--- /dev/null
+++ b/crates/core/tests/mute.rs
@@ -0,0 +1,217 @@
+//! Machines that hear and are not heard, are heard and do not hear, or hang.
+
+mod common;
+
+use common::fleet::Fleet;
+use common::{config_with_team, machine_type};
+use dillcleat_core::store;
+use dillcleat_core::workers::Machine;
+use dillcleat_core::{Micros, SECOND};
+use dillcleat_wire::user::{JobSpec, Kind, Priority};
+
+fn job(number: u32, tasks: u32) -> JobSpec {
+    let id = format!("req-{number:06}");
+    JobSpec {
+        spot: false,
+        ..JobSpec::plain(&id, Kind::Batch, tasks, 1.0)
+    }
+}
+
+/// Two machines with much room, of which the first has all four tasks of a job.
+fn two() -> Fleet {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(80.0)]);
+    fleet.machine("m0", "a", false);
+    fleet.submit(job(1, 4));
+    fleet.pass(5 * SECOND);
+    fleet.machine("m1", "a", false);
+    fleet.pass(5 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["m0"]);
+    fleet
+}
+
+/// A job of one task comes each second; when those that started on m0 did, counted from
+/// now, and how many started late or not at all.
+fn stream(fleet: &mut Fleet, seconds: u64) -> (Vec<Micros>, usize) {
+    let from = fleet.at;
+    for i in 0..seconds {
+        fleet.submit(job(100 + i as u32, 1));
+        fleet.pass(SECOND);
+    }
+    let there = fleet.starts.iter().filter(|s| s.0 >= from && s.1 == "m0");
+    let there = there.map(|s| s.0 - from).collect();
+    let late = |i: &u64| {
+        let starts = fleet.starts_of(&job(100 + *i as u32, 1).id);
+        starts.first().is_none_or(|s| s.0 > from + (i + 2) * SECOND)
+    };
+    (there, (0..seconds).filter(late).count())
+}
+
+/// With the other machine gone what ran there runs on m0.
+fn is_used_again(mut fleet: Fleet) {
+    fleet.pass(3 * SECOND);
+    fleet.workers.remove("m1");
+    fleet.pass(12 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["m0"]);
+}
+
+/// Its answers to orders do not renew its lease: whatever is launched there ends with it.
+/// A leader once went on giving it work, and the next one as well.
+#[test]
+fn a_mute_machine_gets_no_new_work_once_it_is_noticed() {
+    for leaders in [1, 2] {
+        let mut fleet = two();
+        fleet.worker("m0").mute = true;
+        if leaders == 2 {
+            fleet.pass(4 * SECOND);
+            fleet.new_leader();
+        }
+        let (there, late) = stream(&mut fleet, 25);
+        assert!(there.iter().all(|at| *at < 5 * SECOND), "{there:?}");
+        assert_eq!(late, 0);
+        // Its lease ended, and with it the first job: that is at work again elsewhere.
+        assert_eq!(fleet.running("req-000001"), ["m1"]);
+        fleet.worker("m0").mute = false;
+        is_used_again(fleet);
+    }
+}
+
+/// Its lease is known to have ended as soon as it is asked; nobody waits for its report.
+#[test]
+fn what_a_mute_machine_had_is_placed_again_after_its_lease() {
+    let mut fleet = two();
+    fleet.worker("m0").mute = true;
+    let lease = fleet.config.lease;
+    fleet.pass(lease - 3 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["m0"]);
+    fleet.pass(8 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["m1"]);
+    assert_eq!(fleet.deleted, [], "it answers: it is there");
+}
+
+/// The stop goes straight to it, and its answer is the proof.
+#[test]
+fn a_mute_machine_ends_what_is_cancelled_and_stays() {
+    for before in [0, 5] {
+        let mut fleet = two();
+        fleet.worker("m0").mute = true;
+        fleet.pass(before * SECOND);
+        assert_eq!(fleet.cancel("req-000001"), 200);
+        fleet.pass(2 * SECOND);
+        assert_eq!(fleet.running("req-000001"), Vec::<String>::new());
+        assert_eq!(
+            fleet.record(&store::open_key("req-000001")),
+            None,
+            "cleared"
+        );
+        assert_eq!(fleet.deleted, []);
+    }
+}
+
+/// It reports at times, and hears neither answers nor orders. It once took new work after
+/// each of its reports, to no end.
+#[test]
+fn a_deaf_machine_gets_no_new_work_once_it_is_noticed() {
+    let mut fleet = two();
+    fleet.worker("m0").deaf = true;
+    fleet.pass(8 * SECOND);
+    let (_, late) = stream(&mut fleet, 25);
+    assert_eq!(late, 0);
+    assert_eq!(fleet.running("req-000001"), ["m1"], "its lease ended");
+    fleet.worker("m0").deaf = false;
+    is_used_again(fleet);
+}
+
+/// A filter on the way to it lets no orders through, for good; it hears the answers to its
+/// reports. That its session goes on shows it.
+#[test]
+fn a_machine_that_only_orders_do_not_reach_is_used_all_the_same() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(80.0)]);
+    fleet.machine("m0", "a", false).blocked = true;
+    for number in 1..=5 {
+        let spec = job(number, 2);
+        fleet.submit(spec.clone());
+        fleet.pass(30 * SECOND);
+        assert_eq!(fleet.running(&spec.id), ["m0"], "{:?}", fleet.starts);
+    }
+}
+
+/// One order that got lost says little: the machine is asked again at its next report.
+#[test]
+fn a_machine_that_missed_one_order_is_used_again_at_once() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(80.0)]);
+    fleet.machine("m0", "a", false).blocked = true;
+    fleet.pass(5 * SECOND);
+    fleet.submit(job(1, 1));
+    fleet.pass(SECOND);
+    fleet.worker("m0").blocked = false;
+    fleet.pass(4 * SECOND);
+    fleet.submit(job(2, 1));
+    fleet.pass(SECOND);
+    assert_eq!(fleet.running("req-000002"), ["m0"]);
+}
+
+/// It was asked meanwhile and answered, so nobody missed it.
+#[test]
+fn a_machine_that_was_mute_is_used_again_at_its_first_report() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(80.0)]);
+    fleet.machine("m0", "a", false);
+    fleet.pass(5 * SECOND);
+    fleet.worker("m0").mute = true;
+    fleet.pass(7 * SECOND);
+    fleet.submit(job(1, 1));
+    fleet.pass(2 * SECOND);
+    assert_eq!(fleet.starts, []);
+    fleet.worker("m0").mute = false;
+    fleet.pass(SECOND);
+    assert_eq!(fleet.running("req-000001"), ["m0"]);
+}
+
+/// Room behind such a machine serves nobody: another is rented, and nothing there is
+/// stopped for replicas that could not be started.
+#[test]
+fn nobody_counts_on_the_room_of_a_mute_machine() {
+    let mut config = config_with_team();
+    config.waits = vec![("c".into(), SECOND)];
+    let mut fleet = Fleet::new(config, vec![machine_type(4.0)]);
+    fleet.machine("m0", "a", false);
+    fleet.submit(job(1, 4));
+    fleet.pass(5 * SECOND);
+    fleet.worker("m0").mute = true;
+    fleet.pass(5 * SECOND);
+    fleet.submit(JobSpec {
+        priority: Priority::High,
+        ..JobSpec::plain("req-000002", Kind::Service, 1, 1.0)
+    });
+    fleet.pass(5 * SECOND);
+    assert_eq!(fleet.worker("m0").running(), 4, "no room is made there");
+    fleet.stock.insert(("a".into(), false), 2);
+    // Its lease has ended by then, and it stands empty.
+    fleet.pass(30 * SECOND);
+    assert_eq!(fleet.cpus_of(&["req-000001", "req-000002"]), 5);
+}
+
+/// A session that goes on for longer than a lease has heard something, a new one has not;
+/// nor does a report come soon after one without an answer.
+#[test]
+fn what_shows_that_a_machine_hears() {
+    let mut m = Machine::new("m", "t", "a", false, 0);
+    let (heard_by, missing) = (17 * SECOND, 3 * SECOND);
+    m.unheard_since = Some(SECOND);
+    m.checked_in(2 * SECOND, false, heard_by, missing);
+    assert!(m.probe && m.wants_push, "it is asked");
+    m.checked_in(14 * SECOND, true, heard_by, missing);
+    m.checked_in(19 * SECOND, false, heard_by, missing);
+    assert_eq!(m.unheard_since, Some(14 * SECOND));
+    assert!(!m.in_touch(19 * SECOND, missing));
+    assert!(m.checked_in(31 * SECOND, false, heard_by, missing));
+    assert!(m.in_touch(31 * SECOND, missing));
+    m.unheard_since = Some(40 * SECOND);
+    m.checked_in(41 * SECOND, false, heard_by, missing);
+    m.checked_in(46 * SECOND, false, heard_by, missing);
+    assert!(
+        m.unheard_since.is_some(),
+        "it may have waited for an answer"
+    );
+    m.checked_in(50 * SECOND, false, heard_by, missing);
+    assert_eq!(m.unheard_since, None, "too soon for one that did");
+}
