--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -180,6 +180,8 @@
     pub rent_lag: Micros,
     /// Neither store nor cloud answers.
     pub outage: bool,
+    /// Reads of single keys.
+    pub reads: usize,
     /// How long a task of a job runs.
     pub runs: BTreeMap<String, Micros>,
     types: Vec<MachineType>,
@@ -213,6 +215,7 @@
             write_lag: 0,
             rent_lag: 0,
             outage: false,
+            reads: 0,
             runs: BTreeMap::new(),
             types,
             store,
@@ -272,19 +275,7 @@
 
     /// A user cancels the job here; the answer's status.
     pub fn cancel(&mut self, id: &str) -> u16 {
-        let target = cancel_path(id);
-        let mut last = 0;
-        self.requests += 1;
-        let input = Input::Request {
-            id: RequestId(self.requests),
-            method: "POST".into(),
-            target,
-            body: Vec::new(),
-        };
-        for answer in self.handle(input) {
-            last = answer.0;
-        }
-        last
+        self.ask("POST", cancel_path(id), Vec::new())
     }
 
     /// What the store holds under a key.
@@ -292,6 +283,31 @@
         self.store.rows.get(key).map(|r| r.value.clone())
     }
 
+    /// Keys in the store that begin so.
+    pub fn keys(&self, prefix: &str) -> usize {
+        let keys = self.store.rows.keys();
+        keys.filter(|key| key.starts_with(prefix)).count()
+    }
+
+    /// Changes of such keys since the beginning.
+    pub fn changes(&self, prefix: &str) -> usize {
+        let events = self.store.events.iter();
+        events.filter(|(_, key, _)| key.starts_with(prefix)).count()
+    }
+
+    /// A user's request at the node; the answer's status.
+    pub fn ask(&mut self, method: &str, target: String, body: Vec<u8>) -> u16 {
+        self.requests += 1;
+        let input = Input::Request {
+            id: RequestId(self.requests),
+            method: method.into(),
+            target,
+            body,
+        };
+        let answers = self.handle(input);
+        answers.last().map_or(0, |(status, _)| *status)
+    }
+
     /// Sets a record as another node would.
     pub fn put<T: serde::Serialize>(&mut self, key: String, record: &T) {
         let change = Change::Put {
@@ -577,6 +593,7 @@
             let reply = Ok(StateReply::Unavailable);
             return Some(Input::State { id, reply });
         }
+        self.reads += usize::from(matches!(call, StateCall::Get { .. }));
         let reply = match call {
             StateCall::Get { key } => match self.store.rows.get(key) {
                 Some(row) => StateReply::Found(row.clone()),
