A create whose answer was lost does not run again what was deleted in between

A create is tried again when its answer is lost. If the first try was carried out and somebody deleted the object before the second, that found the name used before and, in classes whose names may be used again, made the object and its job a second time. What was deleted after the request came in is now answered 409, with the uid that was there.

lost_create.rs failed before: a third transaction was sent.

--- a/crates/kube/src/door/mod.rs
+++ b/crates/kube/src/door/mod.rs
@@ -64,6 +64,8 @@
     body: Option<Value>,
     form: Option<Form>,
     since: Micros,
+    /// Up to which revision the objects were known when it came in.
+    from: u64,
     /// A transaction of it may have been carried out without our knowledge.
     uncertain: bool,
     /// The time that the object has which a create made, if it did.
@@ -300,6 +302,7 @@
             body,
             form,
             since: ctx.now.steady,
+            from: self.cache.revision().unwrap_or(0),
             uncertain: false,
             made: None,
         };
--- a/crates/kube/src/door/write.rs
+++ b/crates/kube/src/door/write.rs
@@ -360,6 +360,16 @@
                 return self.refuse(ctx, id, &fault);
             }
         };
+        // What was there may have been made by an earlier try of this request: whoever
+        // deleted it wants it gone, and it must not run again.
+        if creation.request.uncertain && version > creation.request.from {
+            let fault = Fault::Exists {
+                resource: creation.name.kind.resource(),
+                name: creation.name.name.clone(),
+                more: format!(": as {}, and was deleted in the meantime", gone.uid),
+            };
+            return self.refuse(ctx, id, &fault);
+        }
         let class = &creation.wanted.job.class;
         if !self.rules.repeats(class) {
             let job = gone.job.as_deref().unwrap_or("no job");
--- /dev/null
+++ b/crates/kube/tests/lost_create.rs
@@ -0,0 +1,180 @@
+//! A create is carried out, its answer is lost, and the object is deleted before the
+//! controller tries again.
+
+use dillcleat_core::store::{self, Types};
+use dillcleat_core::{
+    CallError, CallId, Config, Input, Node, Now, Output, RequestId, SECOND, Tuning,
+};
+use dillcleat_kube::record::{Gone, Kind, Name};
+use dillcleat_kube::{Ask, Controller, Key, Out, Rules, Settings};
+use dillcleat_wire::cloud::MachineType;
+use dillcleat_wire::platform::Platform;
+use dillcleat_wire::state::{Page, Row, StateCall, StateReply, Txn, Value, value};
+use serde_json::json;
+
+const TOKEN: &str = "a-token-for-tests";
+
+/// Names of the class `merge`, which is every job's here, may be used again.
+fn rules() -> Rules {
+    let key = Key::parse(&"5c".repeat(32)).expect("a key");
+    let text = format!(
+        "listen = \"127.0.0.1:1\"\nkey_file = \"none\"\nclass = \"merge\"\nrepeats = [\"merge\"]\n\
+         [[tokens]]\nname = \"all\"\nmac = \"{}\"\nnamespaces = [\"*\"]\nverbs = [\"*\"]\n",
+        key.token(TOKEN)
+    );
+    let table: toml::Table = toml::from_str(&text).expect("toml");
+    let settings = Settings::read(toml::Value::Table(table)).expect("good settings");
+    Rules::new(settings, key)
+}
+
+fn row(key: String, value: Value, version: u64) -> Row {
+    Row {
+        key,
+        value,
+        version,
+        lease: None,
+    }
+}
+
+struct Driven {
+    controller: Controller,
+    txns: Vec<(CallId, Txn)>,
+    gets: Vec<CallId>,
+    replies: Vec<u16>,
+}
+
+impl Driven {
+    /// A controller that knows the machine types, and of no object as of revision 5.
+    fn new() -> Driven {
+        let text = include_str!("../../../deploy/example-node.toml");
+        let platform = Platform::parse(text).expect("good settings");
+        let node = Node::new(Config::new(&platform, Tuning::default()));
+        let mut driven = Driven {
+            controller: Controller::new(node, Some(rules())),
+            txns: Vec::new(),
+            gets: Vec::new(),
+            replies: Vec::new(),
+        };
+        driven.feed(Input::Tick);
+        driven
+    }
+
+    fn feed(&mut self, input: Input) {
+        let out = self.controller.handle(now(), input);
+        self.take(out);
+    }
+
+    fn take(&mut self, out: Vec<Out>) {
+        for out in out {
+            match out {
+                Out::Reply { reply, .. } => self.replies.push(reply.status),
+                Out::Core(Output::State { id, call, .. }) => match call {
+                    StateCall::List { prefix, .. } => {
+                        let rows = match prefix.as_str() {
+                            store::SHARED => vec![types()],
+                            _ => Vec::new(),
+                        };
+                        let reply = StateReply::Page(Page {
+                            rows,
+                            more: false,
+                            revision: 5,
+                        });
+                        self.answer(id, Ok(reply));
+                    }
+                    StateCall::Txn(txn) => self.txns.push((id, txn)),
+                    StateCall::Get { .. } => self.gets.push(id),
+                    _ => {}
+                },
+                _ => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, id: CallId, reply: Result<StateReply, CallError>) {
+        self.feed(Input::State { id, reply });
+    }
+}
+
+fn now() -> Now {
+    Now {
+        steady: 1000 * SECOND,
+        wall: 1000 * SECOND,
+    }
+}
+
+fn types() -> Row {
+    let types = vec![MachineType {
+        name: "t".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: None,
+        boot_s: 5.0,
+        zones: vec!["a".into()],
+    }];
+    row(store::TYPES.into(), value(&Types { types }), 1)
+}
+
+/// A create whose first answer is lost, and whose name has left a record of this version
+/// when it is tried again. Returns what the client is told, and how many transactions
+/// were sent.
+fn create(lost: bool, left: u64) -> (Vec<u16>, usize) {
+    let mut driven = Driven::new();
+    let name = Name {
+        kind: Kind::Job,
+        namespace: "books".into(),
+        name: "one".into(),
+    };
+    let requests = json!({"cpu": "1", "memory": "1G"});
+    let container = json!({"name": "main", "image": "i", "resources": {"requests": requests}});
+    let body = json!({
+        "apiVersion": "batch/v1",
+        "kind": "Job",
+        "metadata": {"name": "one", "namespace": "books",
+            "annotations": {"dillcleat/estimate-seconds": "1"}},
+        "spec": {"completions": 1, "parallelism": 1,
+            "template": {"spec": {"restartPolicy": "Never", "containers": [container]}}},
+    });
+    let ask = Ask {
+        method: "POST".into(),
+        target: "/apis/batch/v1/namespaces/books/jobs".into(),
+        bearer: Some(TOKEN.into()),
+        body: body.to_string().into_bytes(),
+        ..Ask::default()
+    };
+    let out = driven.controller.ask(now(), RequestId(1), ask);
+    driven.take(out);
+    assert!(driven.replies.is_empty(), "{:?}", driven.replies);
+    if lost {
+        let (id, _) = driven.txns[0].clone();
+        driven.answer(id, Err(CallError::NoAnswer));
+    }
+    let (id, _) = driven.txns.last().cloned().expect("it is tried again");
+    let conflict = StateReply::Conflict {
+        failed: vec![name.deleted_key()],
+        revision: 9,
+    };
+    driven.answer(id, Ok(conflict));
+    let gone = Gone {
+        uid: "u".into(),
+        run: 1,
+        job: Some("req-1".into()),
+    };
+    let get = driven.gets.pop().expect("what it left is read");
+    let found = StateReply::Found(row(name.deleted_key(), value(&gone), left));
+    driven.answer(get, Ok(found));
+    (driven.replies, driven.txns.len())
+}
+
+/// The object may be ours, and whoever saw it has deleted it: made again, it ran again.
+#[test]
+fn an_object_deleted_while_its_create_was_tried_is_not_made_again() {
+    assert_eq!(create(true, 8), (vec![409], 2));
+    // It was deleted before the request came: the name is used again.
+    assert_eq!(create(true, 4), (vec![], 3));
+    // No earlier try of this request can have made it.
+    assert_eq!(create(false, 8), (vec![], 2));
+}
