A delete whose answer was lost deletes no other object of its name

Tried again, it took whatever object had the name by then: one made after the first try was deleted too and its job cancelled, though nobody had asked for that. The uid of the first try is kept, and an object with another one says that the first try was carried out.

a_delete_that_is_tried_again_deletes_no_other_object failed before: a second transaction was sent.

--- a/crates/kube/src/door/mod.rs
+++ b/crates/kube/src/door/mod.rs
@@ -70,6 +70,8 @@
     uncertain: bool,
     /// The time that the object has which a create made, if it did.
     made: Option<Micros>,
+    /// The uid of the object that a try without an answer was to delete.
+    deleted: Option<String>,
 }
 
 /// Who waits for an answer of the state service.
@@ -305,6 +307,7 @@
             from: self.cache.revision().unwrap_or(0),
             uncertain: false,
             made: None,
+            deleted: None,
         };
         self.begin(ctx, request)
     }
--- a/crates/kube/src/door/write.rs
+++ b/crates/kube/src/door/write.rs
@@ -526,6 +526,14 @@
             }
             return Err(missing(&name));
         };
+        // An earlier try has deleted the object: one of its name that was made since is
+        // another.
+        if let Some(uid) = request.deleted.as_ref()
+            && *uid != object.record.uid
+        {
+            self.reply(ctx, request.id, 200, &deleted(&name, uid));
+            return Ok(());
+        }
         let wants = options.preconditions.unwrap_or_default();
         if wants.uid.is_some_and(|uid| uid != object.record.uid) {
             return Err(conflict(
@@ -632,8 +640,11 @@
                     _ => return self.wait(ctx, request),
                 }
             }
-            (Err(e), _) => {
-                request.uncertain |= e == CallError::NoAnswer;
+            (Err(e), record) => {
+                if e == CallError::NoAnswer {
+                    request.uncertain = true;
+                    request.deleted = record.is_none().then_some(uid);
+                }
                 return self.wait(ctx, request);
             }
             (Ok(StateReply::TooMany), _) => Fault::TooMany,
--- a/crates/kube/tests/lost_create.rs
+++ b/crates/kube/tests/lost_answers.rs
@@ -1,18 +1,21 @@
-//! A create is carried out, its answer is lost, and the object is deleted before the
-//! controller tries again.
+//! A change is carried out and its answer is lost, and somebody else changes the object
+//! before the controller tries again.
 
 use dillcleat_core::store::{self, Types};
 use dillcleat_core::{
     CallError, CallId, Config, Input, Node, Now, Output, RequestId, SECOND, Tuning,
 };
-use dillcleat_kube::record::{Gone, Kind, Name};
+use dillcleat_kube::record::{Gone, Kind, Name, Record};
 use dillcleat_kube::{Ask, Controller, Key, Out, Rules, Settings};
 use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::platform::Platform;
-use dillcleat_wire::state::{Page, Row, StateCall, StateReply, Txn, Value, value};
+use dillcleat_wire::state::{
+    Change, Changes, Event, Page, Row, StateCall, StateReply, Txn, Value, value,
+};
 use serde_json::json;
 
 const TOKEN: &str = "a-token-for-tests";
+const JOBS: &str = "/apis/batch/v1/namespaces/books/jobs";
 
 /// Names of the class `merge`, which is every job's here, may be used again.
 fn rules() -> Rules {
@@ -40,6 +43,8 @@
     controller: Controller,
     txns: Vec<(CallId, Txn)>,
     gets: Vec<CallId>,
+    /// Looks at what has changed.
+    looks: Vec<CallId>,
     replies: Vec<u16>,
 }
 
@@ -53,6 +58,7 @@
             controller: Controller::new(node, Some(rules())),
             txns: Vec::new(),
             gets: Vec::new(),
+            looks: Vec::new(),
             replies: Vec::new(),
         };
         driven.feed(Input::Tick);
@@ -83,6 +89,7 @@
                     }
                     StateCall::Txn(txn) => self.txns.push((id, txn)),
                     StateCall::Get { .. } => self.gets.push(id),
+                    StateCall::Watch { hold_ms: 0, .. } => self.looks.push(id),
                     _ => {}
                 },
                 _ => {}
@@ -90,6 +97,18 @@
         }
     }
 
+    fn ask(&mut self, ask: Ask) {
+        let out = self.controller.ask(now(), RequestId(1), ask);
+        self.take(out);
+    }
+
+    /// The oldest look finds these changes.
+    fn look(&mut self, revision: u64, events: Vec<Event>) {
+        let id = self.looks.remove(0);
+        let changes = Changes { revision, events };
+        self.answer(id, Ok(StateReply::Changes(changes)));
+    }
+
     fn answer(&mut self, id: CallId, reply: Result<StateReply, CallError>) {
         self.feed(Input::State { id, reply });
     }
@@ -118,16 +137,16 @@
     row(store::TYPES.into(), value(&Types { types }), 1)
 }
 
-/// A create whose first answer is lost, and whose name has left a record of this version
-/// when it is tried again. Returns what the client is told, and how many transactions
-/// were sent.
-fn create(lost: bool, left: u64) -> (Vec<u16>, usize) {
-    let mut driven = Driven::new();
-    let name = Name {
+fn name() -> Name {
+    Name {
         kind: Kind::Job,
         namespace: "books".into(),
         name: "one".into(),
-    };
+    }
+}
+
+/// Asks for an object; returns the transaction that is sent.
+fn created(driven: &mut Driven) -> (CallId, Txn) {
     let requests = json!({"cpu": "1", "memory": "1G"});
     let container = json!({"name": "main", "image": "i", "resources": {"requests": requests}});
     let body = json!({
@@ -140,21 +159,28 @@
     });
     let ask = Ask {
         method: "POST".into(),
-        target: "/apis/batch/v1/namespaces/books/jobs".into(),
+        target: JOBS.into(),
         bearer: Some(TOKEN.into()),
         body: body.to_string().into_bytes(),
         ..Ask::default()
     };
-    let out = driven.controller.ask(now(), RequestId(1), ask);
-    driven.take(out);
+    driven.ask(ask);
     assert!(driven.replies.is_empty(), "{:?}", driven.replies);
+    driven.txns.last().cloned().expect("it is sent")
+}
+
+/// A create whose first answer is lost, and whose name has left a record of this version
+/// when it is tried again. Returns what the client is told, and how many transactions
+/// were sent.
+fn create(lost: bool, left: u64) -> (Vec<u16>, usize) {
+    let mut driven = Driven::new();
+    let (first, _) = created(&mut driven);
     if lost {
-        let (id, _) = driven.txns[0].clone();
-        driven.answer(id, Err(CallError::NoAnswer));
+        driven.answer(first, Err(CallError::NoAnswer));
     }
     let (id, _) = driven.txns.last().cloned().expect("it is tried again");
     let conflict = StateReply::Conflict {
-        failed: vec![name.deleted_key()],
+        failed: vec![name().deleted_key()],
         revision: 9,
     };
     driven.answer(id, Ok(conflict));
@@ -164,7 +190,7 @@
         job: Some("req-1".into()),
     };
     let get = driven.gets.pop().expect("what it left is read");
-    let found = StateReply::Found(row(name.deleted_key(), value(&gone), left));
+    let found = StateReply::Found(row(name().deleted_key(), value(&gone), left));
     driven.answer(get, Ok(found));
     (driven.replies, driven.txns.len())
 }
@@ -178,3 +204,44 @@
     // No earlier try of this request can have made it.
     assert_eq!(create(false, 8), (vec![], 2));
 }
+
+/// The first try deleted the object, and another one of its name was made before the
+/// second: that one is nobody's wish to delete.
+#[test]
+fn a_delete_that_is_tried_again_deletes_no_other_object() {
+    for replaced in [false, true] {
+        let mut driven = Driven::new();
+        let (_, txn) = created(&mut driven);
+        let put = txn.then.into_iter().find_map(|c| match c {
+            Change::Put { key, value, .. } if key == name().key() => Some(value),
+            _ => None,
+        });
+        let record = put.as_ref().and_then(Record::read).expect("an object");
+        let made = |record: &Record, version| Event::Put {
+            key: name().key(),
+            value: value(record),
+            version,
+        };
+        driven.txns.clear();
+        driven.ask(Ask {
+            method: "DELETE".into(),
+            target: format!("{JOBS}/one"),
+            bearer: Some(TOKEN.into()),
+            ..Ask::default()
+        });
+        driven.look(6, vec![made(&record, 6)]);
+        let (id, _) = driven.txns[0].clone();
+        driven.answer(id, Err(CallError::NoAnswer));
+        let next = Record {
+            uid: "another".into(),
+            run: 2,
+            ..record
+        };
+        let key = name().key();
+        let between = vec![Event::Delete { key, version: 7 }, made(&next, 8)];
+        driven.look(8, if replaced { between } else { Vec::new() });
+        let told = if replaced { vec![200] } else { vec![] };
+        let sent = if replaced { 1 } else { 2 };
+        assert_eq!((driven.replies, driven.txns.len()), (told, sent));
+    }
+}
