--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod late;
 mod load;
+mod orphans;
 mod pass;
 mod pushes;
 mod recall;
@@ -19,6 +20,7 @@
 
 use self::boots::Boots;
 use self::index::Index;
+use self::orphans::Orphan;
 use self::pushes::Pushes;
 use self::spans::Spans;
 use self::waits::Proofs;
@@ -38,11 +40,12 @@
 use crate::workers::{Machine, SlotEvent, Source, TaskKey};
 use crate::{Answer, CallId, Config, Counts, MILLISECOND, Micros, SECOND, micros, seconds};
 use dillcleat_mesh::Progress;
+use dillcleat_sched::units;
 use dillcleat_wire::TaskName;
 use dillcleat_wire::cloud::{CloudReply, Condition, MachineList, MachineType, Rent};
 use dillcleat_wire::state::{self, Change, Event, Page, Row, StateCall, StateReply, Txn, Value};
 use dillcleat_wire::user::{JobSpec, Kind, Priority};
-use dillcleat_wire::worker::{Orders, Report, ReportAnswer, Why};
+use dillcleat_wire::worker::{Command, Orders, Report, ReportAnswer, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -66,6 +69,13 @@
 /// Bound of a transaction's size; the rest of the limit is for its frame.
 const BATCH_BYTES: usize = state::TXN_BYTES * 3 / 4;
 
+/// The machine types as they are in the store, and the version of their record.
+#[derive(Debug, Clone, Default)]
+pub struct TypesRecord {
+    pub types: Option<Rc<Vec<MachineType>>>,
+    pub version: u64,
+}
+
 /// What the node has to do for the leader.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Note {
@@ -109,6 +119,7 @@
 struct Job {
     spec: JobSpec,
     image: Rc<str>,
+    /// Its place among the teams of the settings; one past the last if it is not there.
     team: usize,
     /// The version of its mark as long as it is open.
     version: u64,
@@ -145,6 +156,9 @@
     credit: f64,
     /// The reading of the leader's clock since which it ages.
     ageing_since: Option<f64>,
+    /// Since when it could have had room for a task and got none, as far as this leader
+    /// knows.
+    waits_since: Option<Micros>,
     shape: Rc<Shape>,
     trained: bool,
     record: Record,
@@ -184,6 +198,7 @@
             size,
             credit: 0.0,
             ageing_since: None,
+            waits_since: None,
             shape: Rc::new(Shape::of(&open.spec)),
             trained: open.spec.kind == Kind::Service,
             record: Record::default(),
@@ -289,6 +304,8 @@
     graph: Graph,
     /// Jobs that others wait for and that are not open here.
     proofs: Proofs,
+    /// Jobs that have placements in the store and can't be taken up.
+    orphans: BTreeMap<Rc<str>, Orphan>,
     machines: Slab<Machine>,
     index: Index,
     /// What ageing has taken off any job that was active all the time, in
@@ -316,6 +333,8 @@
     silent_before: HashMap<String, Micros>,
     types: Option<Rc<Vec<MachineType>>>,
     types_stored: bool,
+    /// The version of their record.
+    types_version: u64,
     /// Mean run time per class, learned from finished tasks, in seconds.
     guesses: HashMap<String, f64>,
     /// What the leader before has learned, for jobs that are taken up.
@@ -353,7 +372,7 @@
         ctx: &mut Ctx,
         term: u64,
         term_version: u64,
-        types: Option<Rc<Vec<MachineType>>>,
+        TypesRecord { types, version }: TypesRecord,
         inherited: Inherited,
     ) -> Leader {
         let now = ctx.now.steady;
@@ -372,6 +391,7 @@
             jobs: Slab::default(),
             graph: Graph::default(),
             proofs: Proofs::default(),
+            orphans: BTreeMap::new(),
             machines: Slab::default(),
             index: Index::new(ctx.config),
             clock: 0.0,
@@ -388,6 +408,7 @@
             dark: BTreeMap::new(),
             silent_before: HashMap::new(),
             types_stored: types.is_some(),
+            types_version: version,
             types,
             guesses: inherited.classes.clone(),
             inherited,
@@ -438,6 +459,7 @@
             Step::Watch => self.watched(ctx, sent, reply),
             Step::Ledger => self.written(ctx, reply),
             Step::Reread { key } => self.reread(ctx, key, reply),
+            Step::TypesVersion => self.types_version(ctx, reply),
             Step::Ended { id } => self.ended(ctx, id, reply),
             Step::Dependency { id } => self.proved(ctx, id, reply),
             Step::Push { .. } | Step::Cloud(_) => {}
--- a/crates/core/src/leader/write.rs
+++ b/crates/core/src/leader/write.rs
@@ -174,7 +174,11 @@
                     let record = store::Types {
                         types: types.to_vec(),
                     };
-                    (txn.put(store::TYPES, &record), true)
+                    // An earlier try that is carried out late would set it back.
+                    let txn = txn
+                        .compare(store::TYPES, self.types_version)
+                        .put(store::TYPES, &record);
+                    (txn, true)
                 }
                 None => (txn, false),
             },
@@ -198,6 +202,11 @@
                 if let Some(key) = own.filter(|_| batch.uncertain) {
                     // Only this leader writes chunks: the earlier try was
                     // applied. Every key of it has the same version; read one.
+                    // A user's cancellation may have come after it, and be told later than
+                    // what was placed would be launched.
+                    for id in failed.iter().filter_map(|k| k.strip_prefix("j/")) {
+                        self.mark_changed(ctx, &Rc::from(id));
+                    }
                     self.ledger.batch = Some(batch);
                     let waiter = self.waiter(Step::Reread { key: key.clone() });
                     ctx.state(StateCall::Get { key }, waiter);
@@ -327,20 +336,14 @@
 
     /// Some job's record has changed: it was cancelled, or its end is stored.
     /// Nothing of the batch was applied, and it never can be.
-    pub(super) fn conflict(&mut self, ctx: &mut Ctx, batch: Batch, failed: &[String]) {
+    pub(super) fn conflict(&mut self, ctx: &mut Ctx, mut batch: Batch, failed: &[String]) {
         for key in failed {
             if let Some(id) = key.strip_prefix("j/") {
-                let id: Rc<str> = Rc::from(id);
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    log::info!("{id}: its record has changed, reading it");
-                    // No placement of it is written from now on.
-                    // When it was confirmed is not known: after the last read, or it
-                    // would be known.
-                    let since = self.last_consistent_read.unwrap_or(ctx.now.steady);
-                    job.cancelled.get_or_insert(since);
-                    job.ending = false;
-                }
-                let waiter = self.waiter(Step::Ended { id });
+                self.mark_changed(ctx, &Rc::from(id));
+            } else if key == store::TYPES {
+                // By an earlier try, or by the leader before, later than this one has read.
+                batch.items.retain(|item| *item != Item::Types);
+                let waiter = self.waiter(Step::TypesVersion);
                 ctx.state(StateCall::Get { key: key.clone() }, waiter);
             } else {
                 log::error!("{key}: written by somebody else");
@@ -351,6 +354,34 @@
         self.write(ctx);
     }
 
+    /// The machine types are written again once the version of their record is known.
+    pub(super) fn types_version(&mut self, ctx: &Ctx, reply: Result<StateReply, CallError>) {
+        match reply {
+            Ok(StateReply::Found(row)) => {
+                self.types_version = row.version;
+                self.ledger.push(Item::Types);
+            }
+            _ => self.read_later(ctx, store::TYPES.to_string(), Step::TypesVersion),
+        }
+    }
+
+    /// A job has ended, be it by its cancellation or by an earlier try of this leader's:
+    /// nothing of it is to run, whichever it was.
+    fn mark_changed(&mut self, ctx: &mut Ctx, id: &Rc<str>) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            log::info!("{id}: its record has changed, reading it");
+            // No placement of it is written from now on. When it was confirmed is not
+            // known. Until its row is read answers end with the last read, which is
+            // older, and then the row says when.
+            job.cancelled.get_or_insert(ctx.now.steady);
+            job.ending = false;
+            self.mark_cancelled(id);
+        }
+        let waiter = self.waiter(Step::Ended { id: id.clone() });
+        let key = store::job_key(id);
+        ctx.state(StateCall::Get { key }, waiter);
+    }
+
     /// The record of a job whose end came from elsewhere, or from an earlier
     /// try of the batch that ended it.
     pub(super) fn ended(
@@ -400,7 +431,10 @@
                 }
                 Item::Cancel(id) => self.cancelled_with(ctx, id),
                 Item::Clear(id) => self.forget_job(ctx, id),
-                Item::Types => self.types_stored = true,
+                Item::Types => {
+                    self.types_stored = true;
+                    self.types_version = revision;
+                }
                 Item::Machine(_) | Item::Drop(_) => {}
             }
         }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -4,7 +4,7 @@
 use crate::admission::{Admission, unfit};
 use crate::budget::Need;
 use crate::calls::{Calls, Ctx};
-use crate::leader::{Leader, Note};
+use crate::leader::{self, Leader, Note};
 use crate::leadership::{Better, Change, Leadership};
 use crate::learned::Heard;
 use crate::permit::LeadershipProof;
@@ -209,6 +209,15 @@
                 match ctx.calls.close(id, failed) {
                     Some((Waiter::Admission(step), _)) => {
                         self.admission.reply(&mut ctx, step, reply);
+                        let cancelled = self.admission.take_cancelled();
+                        if let Some(leader) = &mut self.leader
+                            && !cancelled.is_empty()
+                        {
+                            // Its own watch says so a moment later. In that moment it once
+                            // launched what its user had been told is cancelled.
+                            leader.cancelled(&mut ctx, &cancelled);
+                            leader.go_on(&mut ctx);
+                        }
                     }
                     Some((Waiter::Leadership(step), sent)) => {
                         change = self.leadership.reply(&mut ctx, step, sent, reply);
@@ -288,7 +297,10 @@
         };
         match change {
             Some(Change::Elected { term, term_version }) => {
-                let types = self.leadership.types.clone();
+                let types = leader::TypesRecord {
+                    types: self.leadership.types.clone(),
+                    version: self.leadership.types_version,
+                };
                 let inherited = self.learned.inherit(term, now.steady);
                 let mut leader = Leader::new(&mut ctx, term, term_version, types, inherited);
                 leader.proof.proved = self.leadership.proved();
--- a/crates/core/src/waiters.rs
+++ b/crates/core/src/waiters.rs
@@ -77,7 +77,9 @@
         term: u64,
         since: Micros,
     },
-    Extend,
+    Extend {
+        lease: u64,
+    },
     Watch,
     Drop,
 }
@@ -93,6 +95,8 @@
     Reread {
         key: String,
     },
+    /// The version of the record of the machine types.
+    TypesVersion,
     Ended {
         id: Rc<str>,
     },
--- a/crates/rehearsal/src/world/services.rs
+++ b/crates/rehearsal/src/world/services.rs
@@ -3,9 +3,38 @@
 use super::*;
 use crate::rules::Rule;
 use crate::scenario::Moment;
-use dillcleat_wire::state::Changes;
+use dillcleat_core::store;
+use dillcleat_wire::state::{Changes, Event};
+use dillcleat_wire::worker::Command;
+
+/// The jobs that an answer of the state service shows to be cancelled.
+pub(super) fn cancelled(reply: &StateReply) -> Vec<String> {
+    let of = |key: &str| key.strip_prefix(store::CANCELLED).map(str::to_string);
+    match reply {
+        StateReply::Found(row) => of(&row.key).into_iter().collect(),
+        StateReply::Page(page) => page.rows.iter().filter_map(|r| of(&r.key)).collect(),
+        StateReply::Changes(changes) => {
+            let put = |e: &Event| match e {
+                Event::Put { key, .. } => of(key),
+                Event::Delete { .. } => None,
+            };
+            changes.events.iter().filter_map(put).collect()
+        }
+        _ => Vec::new(),
+    }
+}
 
 impl World {
+    /// Commands go out: none to start what their sender knows to be cancelled.
+    pub(super) fn launches(&mut self, node: usize, commands: &[Command]) {
+        for command in commands {
+            if let Command::Start { task, .. } = command {
+                let knows = self.nodes[node].cancelled.contains(&task.job);
+                self.checker.launches(task, knows, self.now);
+            }
+        }
+    }
+
     /// Ends the caller if this is its call to end at; whether the call is carried out.
     fn ends_at_call(&mut self, caller: Caller, call: &StateCall) -> bool {
         if matches!(call, StateCall::Watch { .. }) {
@@ -49,6 +78,12 @@
         let late = self.now < self.late_writes_until
             && matches!(call, StateCall::Txn(_))
             && self.side.u8(..3) == 0;
+        let lost =
+            matches!(call, StateCall::Txn(_)) && !caller.waited && self.befalls(self.answers_lost);
+        let caller = Caller {
+            heard: caller.heard && !lost,
+            ..caller
+        };
         let slow = self.now < self.slow_state_until;
         if (late || slow) && !caller.waited {
             let wait = match late {
@@ -75,6 +110,7 @@
             Some(answer) => {
                 let reply = Ok(answer);
                 self.reply(caller, Input::State { id, reply });
+                self.next_leader();
             }
             None => {
                 if let Some((watch, time)) = self.watches.open(caller, call) {
