--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -108,6 +108,8 @@
     pub deaf: bool,
     /// Only orders to it are lost.
     pub blocked: bool,
+    /// Orders arrive, and their answers come too late.
+    pub slow: bool,
     /// It does nothing for now, and then goes on.
     pub hung: bool,
     /// Orders that came while it hung.
@@ -142,6 +144,17 @@
         }
     }
 
+    /// A task runs here that nobody placed.
+    pub fn seat(&mut self, task: &str) {
+        let task = task.parse().expect("a task's name");
+        let running = Task {
+            state: TaskState::Running,
+            why: None,
+            ends: Micros::MAX,
+        };
+        self.tasks.insert((task, 1), running);
+    }
+
     /// How many tasks run here.
     pub fn running(&self) -> usize {
         let running = |t: &&Task| t.state == TaskState::Running;
@@ -180,6 +193,8 @@
     pub rent_lag: Micros,
     /// Neither store nor cloud answers.
     pub outage: bool,
+    /// The cloud alone does not answer.
+    pub cloud_out: bool,
     /// How long a task of a job runs.
     pub runs: BTreeMap<String, Micros>,
     types: Vec<MachineType>,
@@ -213,6 +228,7 @@
             write_lag: 0,
             rent_lag: 0,
             outage: false,
+            cloud_out: false,
             runs: BTreeMap::new(),
             types,
             store,
@@ -246,6 +262,7 @@
             mute: false,
             deaf: false,
             blocked: false,
+            slow: false,
             hung: false,
             held: Vec::new(),
             faulty: false,
@@ -546,7 +563,15 @@
                                 .push((self.at + timeout, Input::Orders { id, reply }));
                             continue;
                         }
-                        let reply = Ok(self.ordered(&name, &orders));
+                        let slow = w.slow;
+                        let answer = self.ordered(&name, &orders);
+                        if slow {
+                            let reply = Err(CallError::NoAnswer);
+                            self.under_way
+                                .push((self.at + timeout, Input::Orders { id, reply }));
+                            continue;
+                        }
+                        let reply = Ok(answer);
                         inputs.push(Input::Orders { id, reply });
                     }
                     _ => {}
@@ -618,7 +643,7 @@
     }
 
     fn cloud(&mut self, id: CallId, call: CloudCall) -> Option<Input> {
-        if self.outage {
+        if self.outage || self.cloud_out {
             let reply = Ok(CloudReply::Refused { status: 503 });
             return Some(Input::Cloud { id, reply });
         }
--- a/crates/core/tests/mute.rs
+++ b/crates/core/tests/mute.rs
@@ -215,3 +215,35 @@
     m.checked_in(50 * SECOND, false, heard_by, missing);
     assert_eq!(m.unheard_since, None, "too soon for one that did");
 }
+
+/// Its machine hangs as the job is cancelled, and goes on when nobody can prove to lead:
+/// the store and the cloud are out, or the leader has ended as well. The answer to its
+/// first report stops the task; without an answer its lease ends it in time.
+#[test]
+fn a_hung_machine_that_goes_on_with_a_cancelled_task_ends_it_in_time() {
+    for goes_on in [2, 9, 13] {
+        // The leader has ended; the machine is mute, deaf, or no order reaches it.
+        for way in ["", "ended", "mute", "deaf", "blocked"] {
+            let mut fleet = two();
+            let m = fleet.worker("m0");
+            (m.hung, m.blocked) = (true, way == "blocked");
+            let cancelled = fleet.at;
+            assert_eq!(fleet.cancel("req-000001"), 200);
+            fleet.pass(SECOND / 5);
+            fleet.outage = true;
+            if way == "ended" {
+                fleet.new_leader();
+            }
+            fleet.pass(goes_on * SECOND);
+            let m = fleet.worker("m0");
+            (m.hung, m.mute, m.deaf) = (false, way == "mute", way == "deaf");
+            let end = cancelled + fleet.config.cancel;
+            while fleet.at < end + 40 * SECOND {
+                fleet.pass(SECOND);
+                let runs = !fleet.running("req-000001").is_empty();
+                let late = fleet.at >= end - SECOND;
+                assert!(!runs || !late, "{way:?}, goes on after {goes_on} s");
+            }
+        }
+    }
+}
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -131,6 +131,39 @@
     assert_eq!(fleet.running("req-000003"), [name], "{:?}", fleet.starts);
 }
 
+/// A machine takes nothing while something is on it that nobody placed there: that is
+/// stopped at once.
+#[test]
+fn strays_keep_a_machine_for_seconds() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(1.0)]);
+    fleet.machine("m0", "a", false).seat("req-000009/0");
+    fleet.submit(batch("req-000001", 1));
+    fleet.pass(5 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["m0"]);
+}
+
+/// A machine that is to be returned while the cloud is out takes nothing. Once the cloud is
+/// back it goes, and another comes for the job that waits beside it.
+#[test]
+fn a_machine_that_is_being_returned_keeps_nobody_waiting() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(1.0)]);
+    fleet.stock.insert(("a".into(), false), 9);
+    fleet.machine("m0", "a", false);
+    fleet.pass(50 * SECOND);
+    fleet.cloud_out = true;
+    fleet.pass(20 * SECOND);
+    let spec = batch("req-000001", 1);
+    fleet.submit(JobSpec {
+        spot: false,
+        ..spec
+    });
+    fleet.pass(5 * SECOND);
+    assert_eq!(fleet.cpus_of(&["req-000001"]), 0, "it is to be returned");
+    fleet.cloud_out = false;
+    fleet.pass(20 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["r01"]);
+}
+
 fn with_spot(cpus: f64) -> dillcleat_wire::cloud::MachineType {
     dillcleat_wire::cloud::MachineType {
         spot_price: Some(0.3),
