Tests: nodes with little room, and refused calls, in the seeded answers

Every other seed gives nodes room for one or two jobs, so what they told they have to read again, and calls are refused as well as lost.

--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -5,7 +5,7 @@
 
 use common::users::{Driven, Store, spec, with};
 use dillcleat_core::{Micros, SECOND, store};
-use dillcleat_wire::state::{StateReply, Value};
+use dillcleat_wire::state::{StateCall, StateReply, Value};
 use dillcleat_wire::user::{JOBS_PATH, JobState};
 
 const START: Micros = 1000 * SECOND;
@@ -242,3 +242,42 @@
         }
     }
 }
+
+/// Of two jobs that are compared together one has ended, and the other was forgotten for
+/// want of room in the meantime: it is read again.
+#[test]
+fn a_job_that_was_forgotten_while_it_was_compared_is_read_again() {
+    let mut config = common::config_with_team();
+    (config.state_rps, config.state_write_rps) = (1e6, 1e6);
+    let mut other = Driven::ready(config.clone(), START);
+    // Room for five jobs of 200 bytes in an eighth of it.
+    config.memory_mb = 0.008;
+    let mut node = Driven::ready(config, START);
+    let mut store = Store::default();
+    for id in ["req-1", "req-2", "req-3", "req-4", "req-5", "req-6"] {
+        other.submit(&spec(id));
+        other.settle(&mut store);
+        if id != "req-6" {
+            node.poll(id);
+            node.settle(&mut store);
+        }
+    }
+    // As many comparisons as may be under way at once: the next takes both others.
+    for id in ["req-3", "req-4", "req-5"] {
+        node.poll(id);
+    }
+    let (forgotten, ended) = (node.poll("req-1"), node.poll("req-2"));
+    assert_eq!(node.sent.len(), 3);
+    node.serve(&mut store);
+    let (both, call) = node.sent.pop().expect("a comparison");
+    let StateCall::Txn(txn) = &call else {
+        panic!("{call:?}");
+    };
+    assert_eq!(txn.compare.len(), 2);
+    node.poll("req-6");
+    node.settle(&mut store);
+    store.done("req-2");
+    node.reply(both, Ok(store.carry_out(&call)));
+    node.settle(&mut store);
+    assert_eq!((node.answer(forgotten), node.answer(ended)), (QUEUED, DONE));
+}
--- a/crates/core/tests/seeded_answers.rs
+++ b/crates/core/tests/seeded_answers.rs
@@ -70,6 +70,8 @@
 
 struct World {
     rng: Rng,
+    /// Nodes have room for so few jobs only: what they once told they have to read again.
+    room: Option<u8>,
     at: Micros,
     store: Store,
     nodes: Vec<(Driven, u32)>,
@@ -84,20 +86,28 @@
     created: HashSet<&'static str>,
 }
 
-fn config() -> Config {
+fn config(room: Option<u8>) -> Config {
     let mut config = common::config_with_team();
     (config.state_rps, config.state_write_rps) = (1e6, 1e6);
+    if let Some(jobs) = room {
+        // A job takes 200 bytes of an eighth of it.
+        config.memory_mb = 0.0016 * f64::from(jobs);
+    }
     config
 }
 
 impl World {
     fn new(seed: u64) -> World {
         let at = 1000 * SECOND;
+        let room = [None, Some(1), None, Some(2)][seed as usize % 4];
         World {
             rng: Rng::with_seed(seed),
+            room,
             at,
             store: Store::default(),
-            nodes: (0..3).map(|_| (Driven::ready(config(), at), 0)).collect(),
+            nodes: (0..3)
+                .map(|_| (Driven::ready(config(room), at), 0))
+                .collect(),
             calls: Vec::new(),
             late: Vec::new(),
             requests: HashMap::new(),
@@ -182,7 +192,7 @@
             "{asked:?} at a node that told {own:?}: {now:?}"
         );
         // That a name is known is no promise of a node: it need not keep it in mind.
-        if matches!(now, Known::Ended(_)) || status == 201 {
+        if (matches!(now, Known::Ended(_)) || status == 201) && self.room.is_none() {
             *own = now;
         }
         if now == Known::Nothing {
@@ -262,7 +272,7 @@
             40..43 => self.lead(),
             43..44 if self.rng.u32(..4) == 0 => {
                 let start = self.nodes[n].1 + 1;
-                self.nodes[n] = (Driven::new(config(), self.at), start);
+                self.nodes[n] = (Driven::new(config(self.room), self.at), start);
             }
             44..46 if !self.late.is_empty() => {
                 let late = self.late.swap_remove(self.rng.usize(..self.late.len()));
@@ -272,6 +282,11 @@
                 let i = self.rng.usize(..self.calls.len());
                 match kind {
                     46..50 => self.lose(i),
+                    50..52 if self.calls[i].reply.is_none() => {
+                        let busy = self.rng.bool();
+                        let refused = [StateReply::Unavailable, StateReply::TooMany];
+                        self.calls[i].reply = Some(refused[usize::from(busy)].clone());
+                    }
                     _ if self.calls[i].reply.is_some() => self.deliver(i),
                     _ => self.carry_out(i),
                 }
