A copy of a machine's latest report is answered without commands

A report that arrives twice was answered twice with the same commands: the second answer reaches nobody, but took the place of the orders that were to go out, so a launch waited for the next report. Only the first has commands.

Test: a_copy_of_the_latest_report_is_answered_without_commands.

--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -71,13 +71,18 @@
         };
         // A report of a machine that is gone was held up on its way.
         if self.stage == Stage::Ready && !self.gone.contains_key(&report.machine) {
+            let last = self.machines.get(report.machine.as_str());
+            let last = last.filter(|m| m.up).map(|m| (m.session, m.seq));
+            // A copy of the latest report has been answered: nobody waits for this answer,
+            // and what it launched would wait for the next report.
+            let copy = last == Some((report.session, report.seq));
             self.take_report(ctx, report, Source::Checkin);
             if let Some(m) = self.machines.get(report.machine.as_str()) {
                 if self.expires(ctx, m) {
                     return Answer::later("a cancelled task is not seen gone");
                 }
                 let current = (m.session, m.seq) == (report.session, report.seq);
-                if m.ready && current {
+                if m.ready && current && !copy {
                     answer.commands = self.commands(ctx, m);
                 }
             }
--- a/crates/core/tests/handover.rs
+++ b/crates/core/tests/handover.rs
@@ -541,3 +541,15 @@
     gap.step(1500 * MILLISECOND, Input::Tick);
     assert_eq!(gap.around.leases, [1250]);
 }
+
+/// It was answered before: whoever sent it doesn't hear this answer.
+#[test]
+fn a_copy_of_the_latest_report_is_answered_without_commands() {
+    let mut gap = Gap::leading();
+    gap.has_task = false;
+    let start = gap.reports(SECOND).expect("an answer");
+    assert!(matches!(&start[..], [Command::Start { .. }]));
+    gap.seq -= 1;
+    assert_eq!(gap.reports(SECOND), Some(vec![]));
+    assert_eq!(gap.reports(3 * SECOND / 2), Some(start));
+}
