--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -62,6 +62,24 @@
     assert_eq!(fleet.cpus_of(&["req-000900", "req-000901"]), 3);
 }
 
+/// Since when a job waits is known to its leader alone: the next one counts from its own
+/// start, and so within the bound of the last change.
+#[test]
+fn a_new_leader_lets_the_reserve_give_way_within_the_bound_of_its_start() {
+    let mut fleet = Fleet::new(hurried(), vec![with_spot(4.0)]);
+    fleet.machine("m0", "a", false);
+    fleet.submit(service(1));
+    fleet.pass(5 * SECOND);
+    fleet.submit(batch("req-000001", 9));
+    for _ in 0..3 {
+        fleet.pass(30 * SECOND);
+        assert_eq!(fleet.cpus_of(&["req-000001"]), 0);
+        fleet.new_leader();
+    }
+    fleet.pass(BOUND - 30 * SECOND);
+    assert_eq!(fleet.cpus_of(&["req-000001"]), 1);
+}
+
 /// What is lent counts as kept: the room is not rented again for the next that starves.
 #[test]
 fn no_ordinary_machine_is_rented_for_what_is_lent() {
