--- a/crates/core/src/leader/reports.rs
+++ b/crates/core/src/leader/reports.rs
@@ -71,13 +71,18 @@
         };
         // A report of a machine that is gone was held up on its way.
         if self.stage == Stage::Ready && !self.gone.contains_key(&report.machine) {
+            let last = self.machines.get(report.machine.as_str());
+            let last = last.filter(|m| m.up).map(|m| (m.session, m.seq));
+            // A copy of the latest report has been answered: nobody waits for this answer,
+            // and what it launched would wait for the next report.
+            let copy = last == Some((report.session, report.seq));
             self.take_report(ctx, report, Source::Checkin);
             if let Some(m) = self.machines.get(report.machine.as_str()) {
                 if self.expires(ctx, m) {
                     return Answer::later("a cancelled task is not seen gone");
                 }
                 let current = (m.session, m.seq) == (report.session, report.seq);
-                if m.ready && current {
+                if m.ready && current && !copy {
                     answer.commands = self.commands(ctx, m);
                 }
             }
@@ -129,10 +134,21 @@
             }
         }
         let was_ready = m.ready;
+        let new = r.session > m.session;
+        let newer = !m.up || (r.session, r.seq) > (m.session, m.seq);
         if m.gone_by.is_none() && r.notice_s.is_some() {
             log::info!("{} is to be taken back in {:?} s", m.name, r.notice_s);
         }
         let events = m.report(r, source, self.term, now);
+        let mut in_touch = false;
+        if newer && source == Source::Checkin {
+            let missing = Self::missing(ctx.config);
+            let heard_by = ctx.config.lease + ctx.config.report + SECOND;
+            in_touch = m.checked_in(now, new, heard_by, missing);
+            if m.probe {
+                self.pushes.plain(m.name.clone());
+            }
+        }
         if !m.recorded {
             m.recorded = true;
             self.ledger.push(Item::Machine(r.machine.clone()));
@@ -153,6 +169,7 @@
         let after = Some(Standing::of(m));
         let starts = |e: &SlotEvent| matches!(e, SlotEvent::Running(_));
         if stays
+            || in_touch
             || before != after
             || !events.iter().all(starts)
             || self.index.silent.contains(place)
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -24,7 +24,7 @@
 const BEAT: Micros = 500 * MILLISECOND;
 /// How long a worker waits for an answer, and then pauses, before it goes to
 /// the next node.
-const WORKER_PATIENCE: Micros = 5 * SECOND;
+pub(crate) const WORKER_PATIENCE: Micros = 5 * SECOND;
 /// Ticks come twenty times a second; a node without one for so long was not
 /// running.
 const PAUSE: Micros = SECOND;
@@ -206,7 +206,16 @@
                     reply,
                     Err(_) | Ok(StateReply::Unavailable | StateReply::TooMany)
                 );
-                match ctx.calls.close(id, failed) {
+                let answered = reply.is_ok();
+                let closed = ctx.calls.close(id, failed);
+                if let Some((waiter, sent)) = &closed
+                    && answered
+                    && !waiter.watches()
+                {
+                    let took = now.steady.saturating_sub(*sent);
+                    self.leadership.latency.answered(took, now.steady);
+                }
+                match closed {
                     Some((Waiter::Admission(step), _)) => {
                         self.admission.reply(&mut ctx, step, reply);
                         let cancelled = self.admission.take_cancelled();
--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -106,6 +106,10 @@
     pub mute: bool,
     /// Answers and orders to it are lost.
     pub deaf: bool,
+    /// Only orders to it are lost.
+    pub blocked: bool,
+    /// Orders arrive, and their answers come too late.
+    pub slow: bool,
     /// It does nothing for now, and then goes on.
     pub hung: bool,
     /// Orders that came while it hung.
@@ -140,6 +144,17 @@
         }
     }
 
+    /// A task runs here that nobody placed.
+    pub fn seat(&mut self, task: &str) {
+        let task = task.parse().expect("a task's name");
+        let running = Task {
+            state: TaskState::Running,
+            why: None,
+            ends: Micros::MAX,
+        };
+        self.tasks.insert((task, 1), running);
+    }
+
     /// How many tasks run here.
     pub fn running(&self) -> usize {
         let running = |t: &&Task| t.state == TaskState::Running;
@@ -178,6 +193,10 @@
     pub rent_lag: Micros,
     /// Neither store nor cloud answers.
     pub outage: bool,
+    /// Reads of single keys.
+    pub reads: usize,
+    /// The cloud alone does not answer.
+    pub cloud_out: bool,
     /// How long a task of a job runs.
     pub runs: BTreeMap<String, Micros>,
     types: Vec<MachineType>,
@@ -211,6 +230,8 @@
             write_lag: 0,
             rent_lag: 0,
             outage: false,
+            reads: 0,
+            cloud_out: false,
             runs: BTreeMap::new(),
             types,
             store,
@@ -243,6 +264,8 @@
             report_at: at,
             mute: false,
             deaf: false,
+            blocked: false,
+            slow: false,
             hung: false,
             held: Vec::new(),
             faulty: false,
@@ -269,19 +292,7 @@
 
     /// A user cancels the job here; the answer's status.
     pub fn cancel(&mut self, id: &str) -> u16 {
-        let target = cancel_path(id);
-        let mut last = 0;
-        self.requests += 1;
-        let input = Input::Request {
-            id: RequestId(self.requests),
-            method: "POST".into(),
-            target,
-            body: Vec::new(),
-        };
-        for answer in self.handle(input) {
-            last = answer.0;
-        }
-        last
+        self.ask("POST", cancel_path(id), Vec::new())
     }
 
     /// What the store holds under a key.
@@ -289,6 +300,31 @@
         self.store.rows.get(key).map(|r| r.value.clone())
     }
 
+    /// Keys in the store that begin so.
+    pub fn keys(&self, prefix: &str) -> usize {
+        let keys = self.store.rows.keys();
+        keys.filter(|key| key.starts_with(prefix)).count()
+    }
+
+    /// Changes of such keys since the beginning.
+    pub fn changes(&self, prefix: &str) -> usize {
+        let events = self.store.events.iter();
+        events.filter(|(_, key, _)| key.starts_with(prefix)).count()
+    }
+
+    /// A user's request at the node; the answer's status.
+    pub fn ask(&mut self, method: &str, target: String, body: Vec<u8>) -> u16 {
+        self.requests += 1;
+        let input = Input::Request {
+            id: RequestId(self.requests),
+            method: method.into(),
+            target,
+            body,
+        };
+        let answers = self.handle(input);
+        answers.last().map_or(0, |(status, _)| *status)
+    }
+
     /// Sets a record as another node would.
     pub fn put<T: serde::Serialize>(&mut self, key: String, record: &T) {
         let change = Change::Put {
@@ -423,7 +459,12 @@
             };
             let answer: ReportAnswer = decode(&body).expect("an answer to a report");
             let w = self.worker(&name);
-            if w.deaf || answer.token < w.token {
+            if w.deaf {
+                // It waits for the answer, and then pauses.
+                w.report_at = at + 5 * SECOND;
+                continue;
+            }
+            if answer.token < w.token {
                 continue;
             }
             if answer.token > w.token {
@@ -529,8 +570,8 @@
                                 .push((self.at + timeout, Input::Orders { id, reply }));
                             continue;
                         };
-                        if w.deaf || w.hung || self.at < w.up {
-                            if w.hung && !w.deaf {
+                        if w.deaf || w.blocked || w.hung || self.at < w.up {
+                            if w.hung && !w.deaf && !w.blocked {
                                 w.held.push(orders);
                             }
                             let reply = Err(CallError::NoAnswer);
@@ -538,7 +579,15 @@
                                 .push((self.at + timeout, Input::Orders { id, reply }));
                             continue;
                         }
-                        let reply = Ok(self.ordered(&name, &orders));
+                        let slow = w.slow;
+                        let answer = self.ordered(&name, &orders);
+                        if slow {
+                            let reply = Err(CallError::NoAnswer);
+                            self.under_way
+                                .push((self.at + timeout, Input::Orders { id, reply }));
+                            continue;
+                        }
+                        let reply = Ok(answer);
                         inputs.push(Input::Orders { id, reply });
                     }
                     _ => {}
@@ -569,6 +618,7 @@
             let reply = Ok(StateReply::Unavailable);
             return Some(Input::State { id, reply });
         }
+        self.reads += usize::from(matches!(call, StateCall::Get { .. }));
         let reply = match call {
             StateCall::Get { key } => match self.store.rows.get(key) {
                 Some(row) => StateReply::Found(row.clone()),
@@ -610,7 +660,7 @@
     }
 
     fn cloud(&mut self, id: CallId, call: CloudCall) -> Option<Input> {
-        if self.outage {
+        if self.outage || self.cloud_out {
             let reply = Ok(CloudReply::Refused { status: 503 });
             return Some(Input::Cloud { id, reply });
         }
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -62,6 +62,24 @@
     assert_eq!(fleet.cpus_of(&["req-000900", "req-000901"]), 3);
 }
 
+/// Since when a job waits is known to its leader alone: the next one counts from its own
+/// start, and so within the bound of the last change.
+#[test]
+fn a_new_leader_lets_the_reserve_give_way_within_the_bound_of_its_start() {
+    let mut fleet = Fleet::new(hurried(), vec![with_spot(4.0)]);
+    fleet.machine("m0", "a", false);
+    fleet.submit(service(1));
+    fleet.pass(5 * SECOND);
+    fleet.submit(batch("req-000001", 9));
+    for _ in 0..3 {
+        fleet.pass(30 * SECOND);
+        assert_eq!(fleet.cpus_of(&["req-000001"]), 0);
+        fleet.new_leader();
+    }
+    fleet.pass(BOUND - 30 * SECOND);
+    assert_eq!(fleet.cpus_of(&["req-000001"]), 1);
+}
+
 /// What is lent counts as kept: the room is not rented again for the next that starves.
 #[test]
 fn no_ordinary_machine_is_rented_for_what_is_lent() {
@@ -131,6 +149,39 @@
     assert_eq!(fleet.running("req-000003"), [name], "{:?}", fleet.starts);
 }
 
+/// A machine takes nothing while something is on it that nobody placed there: that is
+/// stopped at once.
+#[test]
+fn strays_keep_a_machine_for_seconds() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(1.0)]);
+    fleet.machine("m0", "a", false).seat("req-000009/0");
+    fleet.submit(batch("req-000001", 1));
+    fleet.pass(5 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["m0"]);
+}
+
+/// A machine that is to be returned while the cloud is out takes nothing. Once the cloud is
+/// back it goes, and another comes for the job that waits beside it.
+#[test]
+fn a_machine_that_is_being_returned_keeps_nobody_waiting() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(1.0)]);
+    fleet.stock.insert(("a".into(), false), 9);
+    fleet.machine("m0", "a", false);
+    fleet.pass(50 * SECOND);
+    fleet.cloud_out = true;
+    fleet.pass(20 * SECOND);
+    let spec = batch("req-000001", 1);
+    fleet.submit(JobSpec {
+        spot: false,
+        ..spec
+    });
+    fleet.pass(5 * SECOND);
+    assert_eq!(fleet.cpus_of(&["req-000001"]), 0, "it is to be returned");
+    fleet.cloud_out = false;
+    fleet.pass(20 * SECOND);
+    assert_eq!(fleet.running("req-000001"), ["r01"]);
+}
+
 fn with_spot(cpus: f64) -> dillcleat_wire::cloud::MachineType {
     dillcleat_wire::cloud::MachineType {
         spot_price: Some(0.3),
--- a/crates/kube/src/door/mod.rs
+++ b/crates/kube/src/door/mod.rs
@@ -64,10 +64,14 @@
     body: Option<Value>,
     form: Option<Form>,
     since: Micros,
+    /// Up to which revision the objects were known when it came in.
+    from: u64,
     /// A transaction of it may have been carried out without our knowledge.
     uncertain: bool,
     /// The time that the object has which a create made, if it did.
     made: Option<Micros>,
+    /// The uid of the object that a try without an answer was to delete.
+    deleted: Option<String>,
 }
 
 /// Who waits for an answer of the state service.
@@ -300,8 +304,10 @@
             body,
             form,
             since: ctx.now.steady,
+            from: self.cache.revision().unwrap_or(0),
             uncertain: false,
             made: None,
+            deleted: None,
         };
         self.begin(ctx, request)
     }
--- a/crates/kube/src/door/write.rs
+++ b/crates/kube/src/door/write.rs
@@ -360,6 +360,16 @@
                 return self.refuse(ctx, id, &fault);
             }
         };
+        // What was there may have been made by an earlier try of this request: whoever
+        // deleted it wants it gone, and it must not run again.
+        if creation.request.uncertain && version > creation.request.from {
+            let fault = Fault::Exists {
+                resource: creation.name.kind.resource(),
+                name: creation.name.name.clone(),
+                more: format!(": as {}, and was deleted in the meantime", gone.uid),
+            };
+            return self.refuse(ctx, id, &fault);
+        }
         let class = &creation.wanted.job.class;
         if !self.rules.repeats(class) {
             let job = gone.job.as_deref().unwrap_or("no job");
@@ -516,6 +526,14 @@
             }
             return Err(missing(&name));
         };
+        // An earlier try has deleted the object: one of its name that was made since is
+        // another.
+        if let Some(uid) = request.deleted.as_ref()
+            && *uid != object.record.uid
+        {
+            self.reply(ctx, request.id, 200, &deleted(&name, uid));
+            return Ok(());
+        }
         let wants = options.preconditions.unwrap_or_default();
         if wants.uid.is_some_and(|uid| uid != object.record.uid) {
             return Err(conflict(
@@ -622,8 +640,11 @@
                     _ => return self.wait(ctx, request),
                 }
             }
-            (Err(e), _) => {
-                request.uncertain |= e == CallError::NoAnswer;
+            (Err(e), record) => {
+                if e == CallError::NoAnswer {
+                    request.uncertain = true;
+                    request.deleted = record.is_none().then_some(uid);
+                }
                 return self.wait(ctx, request);
             }
             (Ok(StateReply::TooMany), _) => Fault::TooMany,
