--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -88,12 +88,14 @@
     }
 
     /// On days of varied jobs: binds some to a zone, and has some of an array's need
-    /// accelerators where there are any. By how much its tasks run longer.
+    /// accelerators where there are any; Jobs of Kubernetes ask for none. By how much its
+    /// tasks run longer.
     fn varied(&mut self, spec: &mut JobSpec) -> Micros {
         if !self.scenario.varied {
             return 0;
         }
-        if self.scenario.tight && spec.kind == Kind::Batch && self.side.u8(..3) == 0 {
+        let native = self.scenario.form == Form::Native;
+        if self.scenario.tight && native && spec.kind == Kind::Batch && self.side.u8(..3) == 0 {
             spec.gpus = 1.0;
             spec.types = None;
         }
