Mute machines come last instead of never

Cause: closed to new work, a third of the machines or a zone that is mute for 30 to 45 s is room that nobody uses, also for replicas, though what runs there for a lease is more than nothing and it is often heard before. Now a mute machine takes what finds no other room; plans still don't count on it.

--- a/crates/core/src/leader/index.rs
+++ b/crates/core/src/leader/index.rs
@@ -559,10 +559,11 @@
                 let part = m_part(m, total, now, missing);
                 // A launch to a machine that is gone, behind a cut or deaf would hold
                 // its task until there is proof that it did not arrive; at one that is
-                // mute it would end with the lease.
-                let there = m.usable(now) && m.in_touch(now, missing);
+                // mute it may end with the lease.
+                let there = m.usable(now) && m.hears(now, missing);
                 let view = total.filter(|_| there).map(|total| {
                     let mut view = Self::view_with(m, m.free(total));
+                    view.mute = !m.in_touch(now, missing);
                     if !m.spot {
                         view.warm = self.warm(m);
                     }
--- a/crates/core/src/leader/pass.rs
+++ b/crates/core/src/leader/pass.rs
@@ -234,6 +234,7 @@
             warm: 0,
             avoid: m.error_jobs.iter().cloned().collect(),
             condemned: m.condemned,
+            mute: false,
         }
     }
 
--- a/crates/core/src/workers.rs
+++ b/crates/core/src/workers.rs
@@ -235,6 +235,12 @@
             && now >= self.blocked_until
     }
 
+    /// Whether what is sent to it arrives, as far as is known. `missing` is when it has
+    /// missed a report.
+    pub fn hears(&self, now: Micros, missing: Micros) -> bool {
+        now < self.heard_at + missing && self.unheard_since.is_none()
+    }
+
     /// Whether it is in touch both ways, so that a task placed there now is launched and
     /// keeps its lease. `missing` is when it has missed a report.
     pub fn in_touch(&self, now: Micros, missing: Micros) -> bool {
--- a/crates/sched/src/floor.rs
+++ b/crates/sched/src/floor.rs
@@ -90,6 +90,8 @@
     holding: [HashMap<Rc<str>, Ranks>; 2],
     /// Machines without CPUs left.
     full: BTreeSet<Place>,
+    /// How many machines are mute.
+    mute: usize,
     /// Free ordinary CPUs by zone, in millionths.
     ordinary: BTreeMap<Rc<str>, i64>,
     /// Free CPUs of ordinary and of spot machines, in millionths.
@@ -144,6 +146,7 @@
     }
 
     fn leave(&mut self, place: Place, m: &MachineView) {
+        self.mute -= usize::from(m.mute);
         let keys = Keys::of(m);
         let counts = keys.counts(m);
         self.free[usize::from(m.spot)] -= counts;
@@ -172,6 +175,7 @@
     }
 
     fn enter(&mut self, place: Place, m: &MachineView) {
+        self.mute += usize::from(m.mute);
         let keys = Keys::of(m);
         let counts = keys.counts(m);
         self.free[usize::from(m.spot)] += counts;
@@ -197,6 +201,15 @@
         }
     }
 
+    /// Whether any machine is mute.
+    pub fn any_mute(&self) -> bool {
+        self.mute > 0
+    }
+
+    pub fn is_mute(&self, place: Place) -> bool {
+        self.view(place).is_some_and(|m| m.mute)
+    }
+
     /// How many machines have room.
     fn with_room(&self) -> usize {
         self.ranks.iter().map(|r| r.by_room.len()).sum()
--- a/crates/sched/src/pass.rs
+++ b/crates/sched/src/pass.rs
@@ -78,15 +78,23 @@
 ) -> u32 {
     let wanted = most.min(job.waiting);
     let mut left = wanted;
-    let mut tour = Tour::new(job);
-    while left > 0 && job.team_allows(teams) {
-        let Some(machine) = tour.next(floor, job) else {
-            break;
-        };
-        let tasks = floor.put(machine, job, teams, kept, left);
-        if tasks > 0 {
-            left -= tasks;
-            made(machine, tasks);
+    // Mute machines come last, for as long as there are any. Left out, they cost replicas
+    // and arrays more than what their leases end: on days on which a third of the machines
+    // or a whole zone was mute (docs/results.md).
+    for mute in [false, true] {
+        let mut tour = Tour::new(job);
+        while left > 0 && (!mute || floor.any_mute()) && job.team_allows(teams) {
+            let Some(machine) = tour.next(floor, job) else {
+                break;
+            };
+            if floor.is_mute(machine) != mute {
+                continue;
+            }
+            let tasks = floor.put(machine, job, teams, kept, left);
+            if tasks > 0 {
+                left -= tasks;
+                made(machine, tasks);
+            }
         }
     }
     if left > 0 && crate::units(job.spec.cpus) == 0 {
--- a/crates/sched/src/plan.rs
+++ b/crates/sched/src/plan.rs
@@ -82,6 +82,7 @@
                         warm: 0,
                         avoid: Vec::new(),
                         condemned: false,
+                        mute: false,
                     },
                 });
             }
--- a/crates/sched/src/view.rs
+++ b/crates/sched/src/view.rs
@@ -26,6 +26,9 @@
     pub avoid: Vec<Rc<str>>,
     /// It has failed several jobs: room there counts for nothing but as a last resort.
     pub condemned: bool,
+    /// It answers orders, and its own reports don't come: what it is given may end with
+    /// its lease, so all others come first.
+    pub mute: bool,
 }
 
 impl MachineView {
--- a/crates/sched/tests/common/mod.rs
+++ b/crates/sched/tests/common/mod.rs
@@ -119,6 +119,7 @@
         warm: 0,
         avoid: Vec::new(),
         condemned: false,
+        mute: false,
     }
 }
 
