A comparison without an answer is made a second time

A poll of an open job rests on one comparison for many jobs, and that alone was not made again after `again_s`, as submissions are.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -370,7 +370,9 @@
         self.waiting = later;
         if !jobs.is_empty() {
             self.checks += 1;
-            ctx.state(StateCall::Txn(txn), Waiter::Admission(Step::Check { jobs }));
+            // Lost, it answered none of up to `limit` jobs: with transactions lost one after the
+            // other a job was once without an answer for 90 s (seed 3909 of meetings).
+            ctx.state_soon(StateCall::Txn(txn), Waiter::Admission(Step::Check { jobs }));
         }
     }
 
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -173,6 +173,22 @@
     assert_eq!(node.answer(later), DONE);
 }
 
+/// Its job was once without an answer for 90 s, while one transaction after the other was
+/// lost (seed 3909 of meetings).
+#[test]
+fn a_comparison_without_an_answer_is_made_a_second_time() {
+    let mut node = node();
+    let mut store = accepted();
+    node.poll(JOB);
+    node.settle(&mut store);
+    let poll = node.poll(JOB);
+    node.take();
+    node.at += SECOND / 10;
+    node.tick();
+    node.settle(&mut store);
+    assert_eq!(node.answer(poll), QUEUED);
+}
+
 /// A leader stores the end of a job's last task while its user cancels: whichever comes
 /// first stands, and every node tells that one, whatever it knew before.
 #[test]
--- a/crates/rehearsal/tests/meetings.rs
+++ b/crates/rehearsal/tests/meetings.rs
@@ -40,6 +40,13 @@
     clean(Scenario::pipelines(11387));
 }
 
+/// No node reaches the store for a minute, all end, and then transactions are lost: a job
+/// was once without an answer for 90 s.
+#[test]
+fn lost_comparisons_leave_no_job_unanswered() {
+    clean(Scenario::meetings(3909));
+}
+
 /// Around every thirtieth call; the README's command goes over all.
 #[test]
 fn a_process_ends_at_a_call_to_the_state_service() {
