--- a/crates/core/tests/common/fleet.rs
+++ b/crates/core/tests/common/fleet.rs
@@ -312,8 +312,8 @@
         events.filter(|(_, key, _)| key.starts_with(prefix)).count()
     }
 
-    /// A user's request at the node; the answer's status.
-    pub fn ask(&mut self, method: &str, target: String, body: Vec<u8>) -> u16 {
+    /// A request reaches the node; the last of the answers that come at once.
+    fn request(&mut self, method: &str, target: String, body: Vec<u8>) -> Option<(u16, Vec<u8>)> {
         self.requests += 1;
         let input = Input::Request {
             id: RequestId(self.requests),
@@ -321,8 +321,12 @@
             target,
             body,
         };
-        let answers = self.handle(input);
-        answers.last().map_or(0, |(status, _)| *status)
+        self.handle(input).pop()
+    }
+
+    /// A user's request at the node; the answer's status.
+    pub fn ask(&mut self, method: &str, target: String, body: Vec<u8>) -> u16 {
+        self.request(method, target, body).map_or(0, |a| a.0)
     }
 
     /// Sets a record as another node would.
@@ -446,15 +450,7 @@
             }
             w.report_at = at + every;
             let body = encode(&w.report());
-            self.requests += 1;
-            let input = Input::Request {
-                id: RequestId(self.requests),
-                method: "POST".into(),
-                target: REPORT_PATH.into(),
-                body,
-            };
-            let answers = self.handle(input);
-            let Some((200, body)) = answers.into_iter().next_back() else {
+            let Some((200, body)) = self.request("POST", REPORT_PATH.into(), body) else {
                 continue;
             };
             let answer: ReportAnswer = decode(&body).expect("an answer to a report");
