--- a/review/common/world.py
+++ b/review/common/world.py
@@ -339,6 +339,7 @@
         self.server = Server(self.handle)
         self.refused = 0
         self.limited = 0
+        self.out = False
 
     async def start(self):
         await self.server.start()
@@ -350,9 +351,18 @@
         while True:
             await asyncio.sleep(0.02)
             now = time.monotonic()
+            if self.out:
+                continue
             for lease in [l for l, (_, until) in self.leases.items() if now > until]:
                 self._end_lease(lease)
 
+    def set_out(self, out):
+        """Begins or ends an outage. Afterwards "every lease has its full time again"."""
+        if self.out and not out:
+            for lease in self.leases.values():
+                lease[1] = time.monotonic() + lease[0]
+        self.out = out
+
     def _end_lease(self, lease):
         del self.leases[lease]
         keys = [k for k, e in self.kv.items() if e[2] == lease]
