--- a/review/common/world.py
+++ b/review/common/world.py
@@ -774,6 +774,7 @@
     def __init__(self, name, site, client, mesh):
         self.name, self.site, self.client, self.mesh = name, site, client, mesh
         self.process = None
+        self.killed = False     # ended by the case
 
 
 def die_with_parent():
@@ -920,7 +921,7 @@
     def exit_codes(self):
         """Controllers that ended by themselves."""
         return [(n.name, n.process.poll()) for n in self.nodes
-                if n.process and n.process.poll() is not None]
+                if n.process and not n.killed and n.process.poll() is not None]
 
     def close(self):
         for node in self.nodes:
