--- a/review/search/chaos.py
+++ b/review/search/chaos.py
@@ -198,6 +198,8 @@
                     self.breaks("forgotten", ref=ref, resubmission=answer)
             else:
                 answer = await self.poll(ref, node)
+            self.polls.setdefault(ref, []).append((time.monotonic(), bool(
+                answer and answer[0] == 200)))
             if not answer:
                 continue
             if answer[0] == 404:
@@ -225,6 +227,25 @@
                 self.final.setdefault(ref, final)
                 looks += 1
 
+    def unanswered(self, window=90.0):
+        """`forgotten`: every poll of a job fails for 90 s while most others are answered."""
+        worst = 0.0
+        for ref, polls in self.polls.items():
+            last = polls[0][0]
+            for t, ok in polls:
+                worst = max(worst, t - last)
+                if t - last >= window:
+                    others = [o for r, ps in self.polls.items() if r != ref
+                              for u, o in ps if last <= u <= t]
+                    self.record("unanswered", ref=ref, s=t - last,
+                                others=sum(others) / max(1, len(others)))
+                    if sum(others) * 2 > len(others):
+                        self.breaks("forgotten", ref=ref, unanswered_s=t - last)
+                    break
+                if ok:
+                    last = t
+        self.record("longest without an answer", s=f"{worst:.1f}")
+
     def ancestors(self, job):
         out = set()
         for a in job.get("awaits") or []:
@@ -310,7 +331,7 @@
     world = World(HERE)
     rnd = world.rnd
     world.accepted, world.asked, world.cancelled, world.final = {}, set(), {}, {}
-    world.answered, world.seen, world.told = {}, {}, {}
+    world.answered, world.seen, world.told, world.polls = {}, {}, {}, {}
     world.make_nodes()
     state = await w.State().start()
     gates = [Gate(world, state) for _ in range(3)]
@@ -360,6 +381,7 @@
         await asyncio.sleep(18.0)
         world.record("totals", submitted=number - 1, accepted=len(world.accepted),
                      final=len(world.final), limited=state.limited, refused=state.refused)
+        world.unanswered()
         dead = [n.name for n in world.nodes if n.process.poll() is not None]
         if dead:
             world.record("dead", members=dead)
