--- a/review/search/chaos.py
+++ b/review/search/chaos.py
@@ -1,6 +1,6 @@
 """Random troubles against real controllers, with the rules checked at the platform's side.
 
-    CASE_FOLDER=/tmp/x SEED=1 SECONDS=100 python3 -B review/search/chaos.py
+    CASE_FOLDER=FOLDER SEED=1 SECONDS=100 python3 -B review/search/chaos.py
 """
 
 import asyncio
