--- a/review/common/world.py
+++ b/review/common/world.py
@@ -775,6 +775,7 @@
         self.name, self.site, self.client, self.mesh = name, site, client, mesh
         self.process = None
         self.killed = False     # ended by the case
+        self.program = None     # another program than the deploy file's
 
 
 def die_with_parent():
@@ -800,6 +801,7 @@
 
     settings = {"report_s": 2.0, "lease_s": 14.0, "cancel_s": 44.0}
     limits = {"rps": 200.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 48}
+    next_limits = {}
     teams = [("bestand-00", 32.0, 72.0)]
     sites = ["zurich-a", "zurich-b", "zurich-a"]
 
@@ -874,6 +876,9 @@
         text += ["[cluster.workers]"] + [f"{k} = {v}" for k, v in self.settings.items()]
         text += ["gang_wait_s = 35.0", "gang_peer_s = 4.0", "[cluster.state]"]
         text += [f"{k} = {v}" for k, v in self.limits.items()]
+        if self.next_limits:
+            text += ["[cluster.state.next]"]
+            text += [f"{k} = {v}" for k, v in self.next_limits.items()]
         text += ["[cluster.cloud]", "rps = 2.0", "list_lag_s = 4.0", "[cluster.quota]",
                  "cpu_share = 0.12", "mem_mb = 72.0", "max_connections = 900"]
         return "\n".join(text) + "\n"
@@ -892,6 +897,8 @@
         log = open(os.path.join(self.tmp, f"node-{i}.log"), "a")
         env = dict(os.environ, LOG_LEVEL=os.environ.get("CASE_LOG_LEVEL", "info"))
         env.pop("DILLCLEAT_TUNING", None)
+        if self.nodes[i].program:
+            run[0] = self.nodes[i].program
         self.nodes[i].process = subprocess.Popen(
             run + [path], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL, stderr=log, preexec_fn=die_with_parent)
