--- a/review/search/chaos.py
+++ b/review/search/chaos.py
@@ -316,6 +316,15 @@
             self.record("machine taken", machine=m.name)
             m.gone()
 
+    async def share(self, run_s, stop_s):
+        """A small share of a core: each controller runs and stands still in turn."""
+        while True:
+            for sig, seconds in ((signal.SIGSTOP, stop_s), (signal.SIGCONT, run_s)):
+                for node in self.nodes:
+                    if node.process.poll() is None:
+                        node.process.send_signal(sig)
+                await asyncio.sleep(seconds * self.rnd.uniform(0.5, 1.5))
+
     async def restart(self, i, seconds):
         await asyncio.sleep(seconds)
         if self.nodes[i].process.poll() is None:
@@ -380,6 +389,8 @@
             return False
         asyncio.create_task(world.watch_cancelled())
         trouble_task = asyncio.create_task(world.troubles(gates, state)) if trouble else None
+        if os.environ.get("SHARE"):
+            asyncio.create_task(world.share(0.012, 0.088))
         if os.environ.get("OLD"):
             asyncio.create_task(world.upgrade(state))
         users, number, end = [], 1, time.monotonic() + SECONDS
@@ -406,7 +417,13 @@
             await asyncio.sleep(rnd.uniform(0.1, 1.0))
         if trouble_task:
             trouble_task.cancel()
-        await asyncio.sleep(18.0)
+        for i in range(3):
+            if world.nodes[i].process.poll() is None:
+                world.signal_node(i, signal.SIGCONT)
+        await asyncio.sleep(float(os.environ.get("TAIL_S", "18")))
+        left = sorted(set(world.accepted) - set(world.final))
+        world.record("accepted and not over", refs=left, of=[
+            (world.jobs[r]["binding"], world.jobs[r]["leaves"]) for r in left])
         world.record("totals", submitted=number - 1, accepted=len(world.accepted),
                      final=len(world.final), limited=state.limited, refused=state.refused)
         world.unanswered()
@@ -418,4 +435,4 @@
     return world, work()
 
 
-w.main(case, SECONDS + 60.0)
+w.main(case, SECONDS + 60.0 + float(os.environ.get("TAIL_S", "18")))
