Reap waits for launches in replies to heartbeats

A launch was on its way in the reply to a heartbeat while a command batch launched the same attempt. The attempt failed, was reaped by a batch, and attempt 2 was placed elsewhere. Then the reply arrived: after a reap the worker no longer knows the attempt, so attempt 1 started again.

Cause: a launch in a reply was kept in mind in the slot of its task only (`launch_sent_in_reply_to`). The slot is freed as soon as the exit is seen, so nothing was left by which the reap could be held back. Launches in batches are tracked beside the slots, in `CommandState`, and did hold it back.

Change: `CommandState` tracks every launch that may still arrive, whichever way it was sent and whatever became of the slot; reap and the loss of an absent attempt ask the same function. A launch in a reply is settled by a periodic heartbeat with a later position: only one is in flight at a time, so the worker has executed or dropped the reply before it sends the next. That proof now also counts if a reply to commands has overtaken the heartbeat; otherwise a reap could wait for ever on a slow link. Batches and services share the path.

--- a/crates/controller/src/machines/command_state.rs
+++ b/crates/controller/src/machines/command_state.rs
@@ -1,10 +1,14 @@
-//! The state of command batches to one machine: whether one is to be sent, and which
-//! launches may still be executed.
-
-use super::TaskAttempt;
+//! The commands to one machine: whether a batch is to be sent, and which launches may still
+//! be executed.
+//!
+//! A launch is sent in a command batch or in the reply to a heartbeat, and several may be on
+//! their way for the same attempt. Each is tracked here until it is proved that the worker
+//! has executed or dropped it, whatever has become of the attempt meanwhile.
+
+use super::{HeartbeatPosition, TaskAttempt};
 use crate::{CallId, Micros};
 use dillcleat_wire::worker::Command;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A command batch that was sent and has no reply yet.
 #[derive(Debug)]
@@ -13,7 +17,7 @@
     launches: Vec<TaskAttempt>,
 }
 
-/// The state of command batches to one machine.
+/// The state of the commands to one machine.
 #[derive(Debug, Default)]
 pub struct CommandState {
     in_flight: Option<CommandsInFlight>,
@@ -25,6 +29,20 @@
     /// The launches of the current incarnation that were sent and got no reply. Kept until the
     /// next incarnation, since a delayed command may be executed at any time.
     unanswered_launches: BTreeSet<TaskAttempt>,
+    /// The launches of the current incarnation in replies to heartbeats that the worker may not
+    /// have received yet, each with the latest of these heartbeats.
+    reply_launches: BTreeMap<TaskAttempt, HeartbeatPosition>,
+}
+
+/// The attempts that the commands launch.
+fn launched_attempts(commands: &[Command]) -> impl Iterator<Item = TaskAttempt> {
+    commands.iter().filter_map(|command| match command {
+        Command::Launch { task, attempt } => Some(TaskAttempt {
+            task: task.clone(),
+            attempt: *attempt,
+        }),
+        _ => None,
+    })
 }
 
 impl CommandState {
@@ -80,16 +98,7 @@
 
     /// Records that a batch was sent.
     pub fn record_sent(&mut self, call: CallId, commands: &[Command]) {
-        let launches = commands
-            .iter()
-            .filter_map(|command| match command {
-                Command::Launch { task, attempt } => Some(TaskAttempt {
-                    task: task.clone(),
-                    attempt: *attempt,
-                }),
-                _ => None,
-            })
-            .collect();
+        let launches = launched_attempts(commands).collect();
         self.in_flight = Some(CommandsInFlight { call, launches });
     }
 
@@ -103,6 +112,20 @@
         }
     }
 
+    /// Records that commands were sent in the reply to the heartbeat at `replied_to`.
+    pub(super) fn record_reply(&mut self, replied_to: HeartbeatPosition, commands: &[Command]) {
+        let launches = launched_attempts(commands);
+        self.reply_launches
+            .extend(launches.map(|launch| (launch, replied_to)));
+    }
+
+    /// Records that the worker has sent a periodic heartbeat. At most one of these is in
+    /// flight at a time, so the worker has executed or dropped the replies to all earlier ones.
+    pub(super) fn settle_replies_before(&mut self, periodic: HeartbeatPosition) {
+        self.reply_launches
+            .retain(|_, replied_to| *replied_to >= periodic);
+    }
+
     /// Whether the batch in flight contains the launch.
     pub(super) fn is_launch_in_flight(&self, launch: &TaskAttempt) -> bool {
         self.in_flight
@@ -110,13 +133,17 @@
             .is_some_and(|batch| batch.launches.contains(launch))
     }
 
-    /// Whether a launch that was sent in a command batch may still be executed.
+    /// Whether a launch that was sent, in a command batch or in the reply to a heartbeat, may
+    /// still be executed.
     pub(super) fn may_still_launch(&self, launch: &TaskAttempt) -> bool {
-        self.unanswered_launches.contains(launch) || self.is_launch_in_flight(launch)
+        self.unanswered_launches.contains(launch)
+            || self.reply_launches.contains_key(launch)
+            || self.is_launch_in_flight(launch)
     }
 
     /// Clears the launches for earlier incarnations, which the worker rejects.
-    pub(super) fn clear_unanswered_launches(&mut self) {
+    pub(super) fn begin_incarnation(&mut self) {
         self.unanswered_launches.clear();
+        self.reply_launches.clear();
     }
 }
--- a/crates/controller/src/machines/heartbeat_reconciliation.rs
+++ b/crates/controller/src/machines/heartbeat_reconciliation.rs
@@ -22,6 +22,11 @@
         now: Micros,
     ) -> Vec<TaskEvent> {
         let mut events = Vec::new();
+        if source == HeartbeatSource::Periodic {
+            // This holds even if a reply to commands has overtaken the heartbeat.
+            let position = HeartbeatPosition::of(heartbeat);
+            self.command_state.settle_replies_before(position);
+        }
         if self.is_outdated(heartbeat) {
             return events;
         }
@@ -36,7 +41,7 @@
         }
         self.has_current_token = true;
         let present = self.reconcile_listed_tasks(&heartbeat.tasks, now, &mut events);
-        self.remove_absent_tasks(&present, source, &mut events);
+        self.remove_absent_tasks(&present, &mut events);
         if !self.slots.is_empty() {
             self.idle_since = now;
         }
@@ -58,7 +63,7 @@
     /// incarnation may be known from a stored placement. A restarted agent has killed all
     /// tasks of earlier incarnations and rejects commands for them.
     fn begin_incarnation(&mut self, incarnation: u64, events: &mut Vec<TaskEvent>) {
-        self.command_state.clear_unanswered_launches();
+        self.command_state.begin_incarnation();
         let is_earlier = |_: &TaskKey, slot: &TaskSlot| slot.incarnation < incarnation;
         let reason = TaskLossReason::LaterIncarnation;
         events.extend(remove_lost(&mut self.slots, is_earlier, reason));
@@ -150,26 +155,14 @@
     /// Frees the slots of attempts that the heartbeat does not list. An attempt that was never
     /// reported and is not cancelled is kept: its launch is still to be sent or repeated.
     ///
-    /// Absence is a proof only if no launch can still be executed. A launch command in the
-    /// reply to a heartbeat has been executed or dropped before the worker sends the next
-    /// periodic heartbeat, since only one of these is in flight at a time.
-    fn remove_absent_tasks(
-        &mut self,
-        present: &BTreeSet<TaskKey>,
-        source: HeartbeatSource,
-        events: &mut Vec<TaskEvent>,
-    ) {
-        let position = self.position;
-        let reply_is_settled = |replied_to: HeartbeatPosition| {
-            source == HeartbeatSource::Periodic && position > replied_to
-        };
+    /// Absence is a proof only if no launch can still be executed.
+    fn remove_absent_tasks(&mut self, present: &BTreeSet<TaskKey>, events: &mut Vec<TaskEvent>) {
         let commands = &self.command_state;
         let is_gone = |key: &TaskKey, slot: &TaskSlot| {
             !present.contains(key)
                 && slot.stored
                 && (slot.cancelled || slot.reported_state.is_some())
                 && !commands.may_still_launch(&slot.task_attempt(key))
-                && slot.launch_sent_in_reply_to.is_none_or(reply_is_settled)
         };
         let reason = TaskLossReason::AbsentFromHeartbeat;
         events.extend(remove_lost(&mut self.slots, is_gone, reason));
--- a/crates/controller/src/machines/needed_commands.rs
+++ b/crates/controller/src/machines/needed_commands.rs
@@ -3,7 +3,6 @@
 use super::{Machine, TaskAttempt};
 use dillcleat_wire::TaskName;
 use dillcleat_wire::worker::Command;
-use std::rc::Rc;
 
 impl Machine {
     /// The commands that the machine needs. They are computed from the current state each
@@ -25,8 +24,8 @@
     }
 
     /// The commands that remove exited attempts whose end is stored. An attempt is not
-    /// reaped while a launch command for it may still arrive, since the worker would then
-    /// start it a second time.
+    /// reaped while a launch command for it may still arrive, in a command batch or in the
+    /// reply to a heartbeat, since the worker would then start it a second time.
     fn reap_commands(
         &self,
         is_end_stored: impl Fn(&TaskName, u64) -> bool,
@@ -82,15 +81,6 @@
 
     /// Records the launches among the commands in the reply to the latest heartbeat.
     pub fn record_reply_launches(&mut self, commands: &[Command]) {
-        for command in commands {
-            if let Command::Launch { task, attempt } = command
-                && let Some(slot) = self
-                    .slots
-                    .get_mut(&(Rc::from(task.job.as_str()), task.index))
-                && slot.attempt == *attempt
-            {
-                slot.launch_sent_in_reply_to = Some(self.position);
-            }
-        }
+        self.command_state.record_reply(self.position, commands);
     }
 }
--- a/crates/controller/src/machines/task_slot.rs
+++ b/crates/controller/src/machines/task_slot.rs
@@ -1,6 +1,5 @@
 //! The slot of a task that is placed on a machine.
 
-use super::HeartbeatPosition;
 use crate::Micros;
 use crate::sched::{Resources, SlabIndex};
 use dillcleat_wire::TaskName;
@@ -59,8 +58,6 @@
     /// Whether this leader has observed the whole run, so that its run time may be used
     /// for estimates.
     pub observed_from_start: bool,
-    /// The heartbeat whose reply carried the latest launch command for the attempt.
-    pub(super) launch_sent_in_reply_to: Option<HeartbeatPosition>,
 }
 
 impl TaskSlot {
@@ -86,7 +83,6 @@
             reported_state: None,
             running_since: None,
             observed_from_start: !stored,
-            launch_sent_in_reply_to: None,
         }
     }
 
--- a/crates/controller/tests/heartbeat_reconciliation.rs
+++ b/crates/controller/tests/heartbeat_reconciliation.rs
@@ -185,6 +185,60 @@
     assert!(matches!(events[..], [TaskEvent::Lost { .. }]));
 }
 
+/// Guards against a task that runs on two machines: an exited attempt is reaped while a launch of
+/// it is still on its way in the reply to a heartbeat, and the late launch starts it again.
+#[test]
+fn exited_attempt_is_not_reaped_while_a_heartbeat_reply_may_still_launch_it() {
+    for kind in [JobKind::Batch, JobKind::Service] {
+        let mut m = machine();
+        m.slots.clear();
+        let spec = JobSpec::plain("req-1", kind, 1, 1.0);
+        let slot = TaskSlot::new(1, 1, 0, &spec, true);
+        m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+        let launch = m.needed_commands(true, |_, _| true);
+        assert!(matches!(launch[..], [Command::Launch { .. }]));
+        m.record_reply_launches(&launch);
+        // The reply to heartbeat 1 is delayed, and a batch with the same launch overtakes it.
+        let call = dillcleat_controller::CallId(1);
+        m.command_state.record_sent(call, &launch);
+        m.command_state.record_finished(call, false);
+        let exited = heartbeat(1, 2, TERM, &[(1, TaskState::Exited)]);
+        let events = apply(&mut m, &exited, HeartbeatSource::CommandReply);
+        assert!(matches!(events[..], [TaskEvent::Exited { attempt: 1, .. }]));
+        assert_eq!(m.needed_commands(true, |_, _| true), [], "{kind:?}");
+        // The worker sends the next periodic heartbeat once it has the reply or has dropped it.
+        let exited = heartbeat(1, 3, TERM, &[(1, TaskState::Exited)]);
+        apply(&mut m, &exited, HeartbeatSource::Periodic);
+        assert!(matches!(
+            m.needed_commands(true, |_, _| true)[..],
+            [Command::Reap { .. }]
+        ));
+    }
+}
+
+/// Guards against an attempt that is never reaped because replies to commands overtake every
+/// periodic heartbeat of its machine.
+#[test]
+fn overtaken_periodic_heartbeat_proves_that_the_earlier_reply_is_settled() {
+    let mut m = machine();
+    m.slots.clear();
+    let slot = TaskSlot::new(1, 1, 0, &job_spec(), true);
+    m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    let launch = m.needed_commands(true, |_, _| true);
+    m.record_reply_launches(&launch);
+    let exited = |sequence| heartbeat(1, sequence, TERM, &[(1, TaskState::Exited)]);
+    apply(&mut m, &exited(3), HeartbeatSource::CommandReply);
+    assert_eq!(m.needed_commands(true, |_, _| true), []);
+    // A copy of the heartbeat whose reply contains the launch proves nothing.
+    apply(&mut m, &exited(1), HeartbeatSource::Periodic);
+    assert_eq!(m.needed_commands(true, |_, _| true), []);
+    apply(&mut m, &exited(2), HeartbeatSource::Periodic);
+    assert!(matches!(
+        m.needed_commands(true, |_, _| true)[..],
+        [Command::Reap { .. }]
+    ));
+}
+
 #[test]
 fn launch_waits_for_the_stored_placement_and_reap_for_the_stored_end() {
     let mut m = machine();
