Fault search: slow links, on which batches overtake replies to heartbeats

In the simulator the reply to a heartbeat took 8 ms, rarely 400 ms, and one that was held up longer was lost; a worker accepts one for 4 s.

--- a/crates/simulator/examples/fault_search.rs
+++ b/crates/simulator/examples/fault_search.rs
@@ -39,6 +39,9 @@
     /// The store refuses the leader, then all nodes for longer than the cancellation deadline
     #[value(name = "gap")]
     StoreOutages,
+    /// Command batches overtake the replies to heartbeats, and attempts end early
+    #[value(name = "slow-links")]
+    SlowLinks,
     /// A process crashes at a call to the store: three seeds for each call
     #[value(name = "calls")]
     StoreCallCrash,
@@ -92,6 +95,7 @@
                         Faults::Pipelines => Scenario::pipelines(seed),
                         Faults::Combined => Scenario::combined_faults(seed),
                         Faults::StoreOutages => Scenario::store_outages(seed),
+                        Faults::SlowLinks => Scenario::slow_links(seed),
                         Faults::StoreCallCrash => Scenario::crash_at_call(seed),
                     };
                     let scenario = Scenario { form, ..scenario };
--- a/crates/simulator/src/fault_injection.rs
+++ b/crates/simulator/src/fault_injection.rs
@@ -109,6 +109,13 @@
                     }
                 }
             }
+            Fault::SlowLinks { machines, time } => {
+                for name in self.random_machines(machines) {
+                    if let Some(w) = self.workers.get_mut(&name) {
+                        w.slow_link_until = now + time;
+                    }
+                }
+            }
             Fault::HeartbeatLoss {
                 machines,
                 zone,
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -74,6 +74,9 @@
         zone: Option<usize>,
         time: Micros,
     },
+    /// Replies to the heartbeats of this many machines take 1 to 3.8 s, so that the worker just
+    /// accepts them. Command batches and their replies, on other connections, take up to 300 ms.
+    SlowLinks { machines: usize, time: Micros },
     /// This percentage of the transactions are executed at once, but their answers are lost.
     LostWriteReplies { percent: u8, time: Micros },
     /// This percentage of the heartbeats are duplicated. The copies arrive at every node
@@ -108,6 +111,7 @@
 const LEADER_ZONE_PARTITIONS_SEED_SALT: u64 = 0x0c07;
 const PIPELINES_SEED_SALT: u64 = 0xa3a1;
 const STORE_OUTAGES_SEED_SALT: u64 = 0x6a9;
+const SLOW_LINKS_SEED_SALT: u64 = 0x510b;
 
 /// Node index in a fault that means the leader when the fault begins, or the last node if
 /// there is no leader.
@@ -144,6 +148,7 @@
             | Fault::LostWriteReplies { time, .. }
             | Fault::HeartbeatsForNextLeader { time, .. }
             | Fault::HeartbeatLoss { time, .. }
+            | Fault::SlowLinks { time, .. }
             | Fault::InboundLoss { time, .. } => *time,
             Fault::MachineFailure { .. }
             | Fault::ZoneMachineFailure { .. }
@@ -440,6 +445,51 @@
         scenario
     }
 
+    /// Many jobs of one task on machines whose replies to heartbeats are overtaken by command
+    /// batches. Attempts end early there: a machine is faulty, spot instances are preempted,
+    /// and jobs are cancelled. In half of the runs leaders crash meanwhile.
+    pub fn slow_links(seed: u64) -> Scenario {
+        let mut rng = Rng::with_seed(seed.rotate_left(17) ^ SLOW_LINKS_SEED_SALT);
+        let mut scenario = Scenario::quiet(seed);
+        let stream_start = rng.u64(10 * SECOND..40 * SECOND);
+        scenario.single_task_stream = Some((stream_start, rng.u64(90 * SECOND..140 * SECOND)));
+        scenario.small_jobs = true;
+        let mut at = stream_start + 10 * SECOND;
+        while at < scenario.activity_end {
+            let time = rng.u64(20 * SECOND..60 * SECOND);
+            let machines = rng.usize(1..8);
+            scenario
+                .faults
+                .push((at, Fault::SlowLinks { machines, time }));
+            let overlapping = match rng.u8(..5) {
+                0 | 1 => Fault::FaultyMachine,
+                2 => Fault::SpotPreemption {
+                    notice: Some(rng.u64(4 * SECOND..time)),
+                },
+                3 => Fault::CancelRunningJobs {
+                    jobs: rng.usize(2..8),
+                    hang: 0,
+                },
+                _ => Fault::Hang {
+                    machines: 1,
+                    time: rng.u64(SECOND..10 * SECOND),
+                },
+            };
+            scenario
+                .faults
+                .push((at + rng.u64(..time / 2), overlapping));
+            if rng.bool() {
+                let crash = Fault::Crash {
+                    nodes: vec![LEADER],
+                    down: rng.u64(SECOND / 5..4 * SECOND),
+                };
+                scenario.faults.push((at + rng.u64(..time), crash));
+            }
+            at += rng.u64(time / 2..time + 10 * SECOND);
+        }
+        scenario
+    }
+
     /// Random faults, several of which are active at the same time.
     pub fn random(seed: u64) -> Scenario {
         let mut rng = Rng::with_seed(seed);
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -4,6 +4,7 @@
 use dillcleat_controller::records::LeaderRecord;
 use dillcleat_kube::ApiServer;
 use dillcleat_wire::store::Mutation;
+use std::ops::Range;
 
 /// Whether a call stores a new job, as a native submission does.
 fn stores_new_job(call: &StoreRequest) -> bool {
@@ -11,6 +12,12 @@
     matches!(call, StoreRequest::Transaction(txn) if txn.then.iter().any(opens_job))
 }
 
+/// How long the reply to a heartbeat takes over a slow link. It is shorter than the time after
+/// which the worker drops it.
+pub(super) const SLOW_HEARTBEAT_REPLY: Range<Micros> = SECOND..3800 * MILLISECOND;
+/// How long a command batch or the reply to it takes over a slow link.
+pub(super) const SLOW_COMMANDS: Range<Micros> = 0..300 * MILLISECOND;
+
 /// The state of the network between two places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Link {
@@ -103,6 +110,17 @@
         }
     }
 
+    /// The delay of a message on the link of a machine, in addition to the usual one; 0 unless
+    /// the link is slow.
+    pub(super) fn slow_link_delay(&mut self, machine: &str, range: Range<Micros>) -> Micros {
+        let worker = self.workers.get(machine);
+        if worker.is_some_and(|worker| self.now < worker.slow_link_until) {
+            self.auxiliary_rng.u64(range)
+        } else {
+            0
+        }
+    }
+
     /// When a message arrives, and whether its connection stays open. If the connection
     /// breaks, a request still arrives but gets no reply, and a reply is lost. The
     /// connection of a held message always breaks.
@@ -169,7 +187,18 @@
     }
 
     pub(super) fn reply_from(&mut self, zone: Option<usize>, caller: Caller, input: Input) {
-        let arrival = self.delivery_time(zone, Self::node_zone(caller.node), self.now);
+        self.reply_from_at(zone, caller, input, self.now);
+    }
+
+    /// Sends a reply that leaves its zone at `at`.
+    pub(super) fn reply_from_at(
+        &mut self,
+        zone: Option<usize>,
+        caller: Caller,
+        input: Input,
+        at: Micros,
+    ) {
+        let arrival = self.delivery_time(zone, Self::node_zone(caller.node), at);
         if let Some(at) = arrival.filter(|_| caller.reply_delivered) {
             let at = at + self.network_delay_from(caller.auxiliary);
             self.schedule_input(at, caller.node, caller.epoch, input);
@@ -259,6 +288,7 @@
                 if let Some((at, caller)) =
                     self.prepare_call_to(zone, node, epoch, id, held_until, false)
                 {
+                    let at = at + self.slow_link_delay(machine, SLOW_COMMANDS);
                     let commands = Box::new(commands);
                     let event = Event::Commands {
                         caller,
--- a/crates/simulator/src/simulation/users.rs
+++ b/crates/simulator/src/simulation/users.rs
@@ -1,6 +1,6 @@
 //! Users, their requests and the evaluation of answers.
 
-use super::network::Link;
+use super::network::{Link, SLOW_HEARTBEAT_REPLY};
 use super::*;
 use crate::rules::MachineCapacity;
 use crate::service_shares::ReceivedService;
@@ -203,6 +203,7 @@
                 };
                 let (at, intact) = self.transit(held_until);
                 if intact {
+                    let at = at + self.slow_link_delay(&machine, SLOW_HEARTBEAT_REPLY);
                     let answer = Box::new(answer);
                     self.schedule(
                         at,
--- a/crates/simulator/src/simulation/workers.rs
+++ b/crates/simulator/src/simulation/workers.rs
@@ -120,14 +120,12 @@
         self.record_worker_events(&machine, worker_events);
         let reply = Ok((status, dillcleat_wire::encode(&heartbeat)));
         let zone = self.zone_of(&machine);
-        self.reply_from(
-            zone,
-            caller,
-            Input::Commands {
-                id: caller.id,
-                reply,
-            },
-        );
+        let at = self.now + self.slow_link_delay(&machine, network::SLOW_COMMANDS);
+        let input = Input::Commands {
+            id: caller.id,
+            reply,
+        };
+        self.reply_from_at(zone, caller, input, at);
     }
 
     fn record_placement(&mut self, event: &str, task: &dillcleat_wire::TaskName, machine: &str) {
--- a/crates/simulator/src/worker.rs
+++ b/crates/simulator/src/worker.rs
@@ -65,6 +65,8 @@
     pub inbound_lost_until: Micros,
     /// The machine cannot connect to any controller until this time.
     pub heartbeats_lost_until: Micros,
+    /// Messages to the machine are slow until this time.
+    pub slow_link_until: Micros,
     /// When the cloud provider will preempt the instance, once that is announced.
     pub preemption_at: Option<Micros>,
     /// Every task that starts here fails.
@@ -89,6 +91,7 @@
             hung_until: 0,
             inbound_lost_until: 0,
             heartbeats_lost_until: 0,
+            slow_link_until: 0,
             preemption_at: None,
             faulty: false,
         }
--- a/crates/simulator/tests/combined_faults.rs
+++ b/crates/simulator/tests/combined_faults.rs
@@ -11,6 +11,9 @@
 /// In this seed, no node reaches the store for a minute, all nodes crash, and then transactions
 /// are lost.
 const LOST_TRANSACTIONS_SEED: u64 = 3909;
+/// In these seeds, the reply to a heartbeat arrives after its launch was also sent in a command
+/// batch, carried out, and its attempt had exited.
+const OVERTAKEN_REPLY_SEEDS: [u64; 3] = [22, 44, 98];
 
 fn run_combined_faults(seeds: std::ops::Range<u64>) {
     for seed in seeds {
@@ -69,3 +72,12 @@
         Some((calls, CrashPoint::BeforeExecution))
     );
 }
+
+/// Guards against a reap of an exited attempt that a late reply to a heartbeat launches again,
+/// so that its task runs on two machines.
+#[test]
+fn task_runs_once_if_replies_to_heartbeats_are_overtaken() {
+    for seed in OVERTAKEN_REPLY_SEEDS {
+        run_clean(Scenario::slow_links(seed));
+    }
+}
