Open jobs are reported only on proof that no ancestor is cancelled

Cause: an answer looked at the records of its own job only. That a job before it is cancelled reached these records through the leader alone, in whatever time it took the leader to read the cancellation and to write. Nothing bounded the age of what a node knew of the jobs before.

Change: every node guards every answer that calls a job open, in one place (`report_open`), whether it is a poll, a repeated submission or the answer to one that would be rejected otherwise. It must know that no job that this one needs, directly or through others, was cancelled at a time at most half of `cancel_s` ago. Proofs are cached for each job: a comparison of a job's state record, as polls cause it anyway, serves all its descendants. Without proof the answer is 503.

Why this suffices: a job that needs a cancelled one never starts and never ends otherwise, so the cancellation that a node writes is the one that the leader would write; whoever is second finds a conflict and reads the record. The answer is sent at most half the limit after the proof, the rest is for its way.

--- /dev/null
+++ b/crates/controller/src/admission/ancestors.rs
@@ -0,0 +1,347 @@
+//! Checks that no ancestor of a job is cancelled before the job is reported as open.
+//!
+//! An ancestor is a job that a job needs, directly or through others. When one is cancelled,
+//! the leader cancels its descendants, but a leader may not learn of the cancellation or not be
+//! able to write for a long time. Within the time limit of cancellations
+//! ([`cancel_time_limit`](Config::cancel_time_limit)), counted from the confirmation to the
+//! user, every node must stop reporting the descendants as open. So a node reports a job as open
+//! only if none of its ancestors was cancelled at a time that is at most a part of the limit ago
+//! ([`MAX_PROOF_AGE_DIVISOR`]).
+//!
+//! The proofs are cached for each job: its own state record is compared whenever the job is
+//! polled, and a comparison of an ancestor serves all its descendants. Only ancestors without a
+//! recent proof are looked up, as if they were polled. If one is cancelled, the node stores the
+//! cancellation of the job itself, as for a cancellation by the user, before it is reported. A
+//! job that is done needs no proof, nor do its ancestors, which are done as well.
+
+use super::{Admission, RETRY_TIMEOUT, RetryReason, cancellation_request};
+use crate::CallError;
+use crate::Config;
+use crate::calls::Context;
+use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
+use crate::job_cache::{CachedJobState, Dependencies, OpenProof};
+use crate::messages::RequestId;
+use crate::records::{JobStateRecord, RecordedState};
+use crate::request_budget::{RequestPriority, StoreCost};
+use crate::time::Micros;
+use dillcleat_wire::store::StoreResponse;
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+
+/// The part of the time limit of cancellations that the proof for an answer may be old. The rest
+/// is for the answer to reach the user.
+const MAX_PROOF_AGE_DIVISOR: u64 = 2;
+/// The part of that age from which on a check looks an ancestor up again, so that its result
+/// serves several polls.
+const REFRESH_AGE_DIVISOR: u64 = 2;
+/// The maximum number of lookups in flight for one check.
+const MAX_LOOKUPS: usize = 128;
+/// The keys that a cancellation writes: the state record and the cancellation record.
+const CANCELLATION_WRITES: f64 = 2.0;
+
+/// What a check has found out about an ancestor, in addition to the cache.
+#[derive(Debug)]
+enum FoundAncestor {
+    /// The ancestor is open, or there is no such job.
+    NotCancelled(OpenProof),
+    Done,
+    Cancelled,
+}
+
+/// The check of the ancestors of one job.
+#[derive(Debug)]
+struct AncestorCheck {
+    /// The state of the job, which was verified for each of the waiting requests.
+    state: CachedJobState,
+    dependencies: Dependencies,
+    /// The requests to be answered with the job's state.
+    waiting: Vec<RequestId>,
+    started_at: Micros,
+    /// When the latest lookups were sent.
+    lookups_sent_at: Micros,
+    /// The number of lookups, or writes of the job's cancellation, without a result.
+    in_flight: usize,
+    found: BTreeMap<String, FoundAncestor>,
+    /// Why a lookup failed, unless it is to be tried again.
+    failure: Option<RetryReason>,
+}
+
+/// The checks under way, by the id of the job whose ancestors are checked.
+#[derive(Debug, Default)]
+pub(super) struct AncestorChecks(BTreeMap<String, AncestorCheck>);
+
+impl AncestorChecks {
+    /// Records that the state of an ancestor of `descendant` could not be determined. A lookup
+    /// that exceeded a limit of this node is tried again.
+    pub fn lookup_failed(&mut self, descendant: &str, reason: RetryReason) {
+        if let Some(check) = self.0.get_mut(descendant) {
+            check.in_flight -= 1;
+            if reason != RetryReason::TooManyRequests {
+                check.failure = Some(reason);
+            }
+        }
+    }
+
+    /// The ids of the jobs whose check waits for no response.
+    fn idle(&self) -> Vec<String> {
+        let idle = self.0.iter().filter(|(_, check)| check.in_flight == 0);
+        idle.map(|(id, _)| id.clone()).collect()
+    }
+}
+
+/// What is known about the ancestors of a job.
+#[derive(Debug)]
+enum AncestorSurvey {
+    /// None was cancelled at this time.
+    NoneCancelled { at: Micros },
+    /// This one is cancelled.
+    Cancelled { ancestor: Rc<str> },
+    /// These have no recent proof. There may be others.
+    Unproven { ancestors: Vec<Rc<str>> },
+}
+
+/// The time since which proofs are recent enough to answer a request at `now`.
+fn oldest_valid_proof(config: &Config, now: Micros) -> Micros {
+    now.saturating_sub(config.cancel_time_limit / MAX_PROOF_AGE_DIVISOR)
+}
+
+/// The time since which proofs are not renewed by a check at `now`.
+fn oldest_fresh_proof(config: &Config, now: Micros) -> Micros {
+    let max_age = config.cancel_time_limit / MAX_PROOF_AGE_DIVISOR / REFRESH_AGE_DIVISOR;
+    now.saturating_sub(max_age)
+}
+
+impl Admission {
+    /// Reports a job as open to a user. `cached` was verified after the request was received. If
+    /// there is no recent proof that no ancestor is cancelled, the ancestors are checked first.
+    pub(super) fn report_open(
+        &mut self,
+        ctx: &mut Context,
+        id: &str,
+        cached: CachedJobState,
+        request: RequestId,
+    ) {
+        let now = ctx.now.monotonic;
+        let proof = self.cache.open_proof(id);
+        let is_proved = proof.is_none_or(|proof| {
+            proof.dependencies.is_empty()
+                || proof.ancestors_open_at >= oldest_valid_proof(ctx.config, now)
+        });
+        let Some(proof) = proof.filter(|_| !is_proved) else {
+            return self.report(ctx, id, cached.record, request);
+        };
+        let dependencies = proof.dependencies.clone();
+        let checks = &mut self.ancestor_checks.0;
+        let check = checks
+            .entry(id.to_string())
+            .or_insert_with(|| AncestorCheck {
+                state: cached,
+                dependencies,
+                waiting: Vec::new(),
+                started_at: now,
+                lookups_sent_at: now,
+                in_flight: 0,
+                found: BTreeMap::new(),
+                failure: None,
+            });
+        check.waiting.push(request);
+    }
+
+    /// Continues the checks that wait for no response. Called after each response and at every
+    /// tick.
+    pub(super) fn advance_ancestor_checks(&mut self, ctx: &mut Context) {
+        for id in self.ancestor_checks.idle() {
+            self.advance_ancestor_check(ctx, &id);
+        }
+    }
+
+    fn advance_ancestor_check(&mut self, ctx: &mut Context, id: &str) {
+        let now = ctx.now.monotonic;
+        let Some(check) = self.ancestor_checks.0.get(id) else {
+            return;
+        };
+        if let Some(reason) = check.failure {
+            return self.refuse_waiting(ctx, id, reason);
+        }
+        match self.survey_ancestors(check, oldest_fresh_proof(ctx.config, now)) {
+            AncestorSurvey::NoneCancelled { at } => {
+                self.cache.record_ancestors_open(id, at);
+                self.answer_waiting(ctx, id);
+            }
+            _ if now >= check.started_at + RETRY_TIMEOUT => {
+                self.refuse_waiting(ctx, id, RetryReason::TooManyRequests);
+            }
+            AncestorSurvey::Cancelled { ancestor } => {
+                self.cancel_descendant(ctx, id, &ancestor);
+            }
+            AncestorSurvey::Unproven { ancestors } => self.look_up_ancestors(ctx, id, ancestors),
+        }
+    }
+
+    /// Determines what is known about the ancestors of a job. Proofs from before `oldest` don't
+    /// count.
+    fn survey_ancestors(&self, check: &AncestorCheck, oldest: Micros) -> AncestorSurvey {
+        let mut unvisited: Vec<Rc<str>> = check.dependencies.to_vec();
+        let mut visited = HashSet::new();
+        let mut unproven = Vec::new();
+        let mut at = Micros::MAX;
+        while let Some(ancestor) = unvisited.pop() {
+            if !visited.insert(ancestor.clone()) {
+                continue;
+            }
+            let proof = match check.found.get(&*ancestor) {
+                Some(FoundAncestor::NotCancelled(proof)) => proof,
+                Some(FoundAncestor::Done) => continue,
+                Some(FoundAncestor::Cancelled) => return AncestorSurvey::Cancelled { ancestor },
+                None => match self.cache.get(&ancestor).map(|cached| cached.record.state) {
+                    Some(RecordedState::Done) => continue,
+                    Some(RecordedState::Cancelled) => {
+                        return AncestorSurvey::Cancelled { ancestor };
+                    }
+                    Some(RecordedState::Open) | None => {
+                        let Some(proof) = self.cache.open_proof(&ancestor) else {
+                            unproven.push(ancestor);
+                            continue;
+                        };
+                        proof
+                    }
+                },
+            };
+            if proof.open_at < oldest {
+                unproven.push(ancestor);
+            }
+            at = at.min(proof.open_at);
+            if proof.dependencies.is_empty() {
+                continue;
+            }
+            if proof.ancestors_open_at >= oldest {
+                at = at.min(proof.ancestors_open_at);
+            } else {
+                unvisited.extend(proof.dependencies.iter().cloned());
+            }
+        }
+        if unproven.is_empty() {
+            AncestorSurvey::NoneCancelled { at }
+        } else {
+            AncestorSurvey::Unproven {
+                ancestors: unproven,
+            }
+        }
+    }
+
+    fn look_up_ancestors(&mut self, ctx: &mut Context, id: &str, mut ancestors: Vec<Rc<str>>) {
+        ancestors.truncate(MAX_LOOKUPS);
+        let Some(check) = self.ancestor_checks.0.get_mut(id) else {
+            return;
+        };
+        // Those that exceed a limit of this node fail at once, and are repeated at a later tick.
+        check.in_flight = ancestors.len();
+        check.lookups_sent_at = ctx.now.monotonic;
+        for ancestor in ancestors {
+            let descendant = id.to_string();
+            let pending = PendingRequest::Ancestor { descendant };
+            if self.cache.open_proof(&ancestor).is_some() {
+                self.queue_verification(ctx, ancestor.to_string(), pending);
+            } else {
+                self.determine_state(ctx, ancestor.to_string(), pending);
+            }
+        }
+        self.send_verification(ctx);
+    }
+
+    /// Handles the state of an ancestor of `descendant`; None if it does not exist.
+    pub(super) fn handle_ancestor_state(
+        &mut self,
+        descendant: &str,
+        ancestor: &str,
+        cached: Option<CachedJobState>,
+    ) {
+        let Some(check) = self.ancestor_checks.0.get_mut(descendant) else {
+            return;
+        };
+        check.in_flight -= 1;
+        let found = match cached.map(|cached| cached.record.state) {
+            Some(RecordedState::Done) => FoundAncestor::Done,
+            Some(RecordedState::Cancelled) => FoundAncestor::Cancelled,
+            Some(RecordedState::Open) => {
+                let proof = self.cache.open_proof(ancestor).cloned();
+                FoundAncestor::NotCancelled(proof.unwrap_or_default())
+            }
+            None => FoundAncestor::NotCancelled(OpenProof {
+                open_at: check.lookups_sent_at,
+                ..OpenProof::default()
+            }),
+        };
+        check.found.insert(ancestor.to_string(), found);
+    }
+
+    /// Stores the cancellation of a job that needs a cancelled one. If the limits don't allow it
+    /// now, it is tried again at the next tick.
+    fn cancel_descendant(&mut self, ctx: &mut Context, id: &str, ancestor: &str) {
+        let cost = StoreCost::transaction(CANCELLATION_WRITES);
+        if !self.take_budget(cost, RequestPriority::Change, ctx.now.monotonic) {
+            return;
+        }
+        let Some(check) = self.ancestor_checks.0.get_mut(id) else {
+            return;
+        };
+        log::info!("cancelling job that needs a cancelled one job={id} cancelled={ancestor}");
+        check.in_flight = 1;
+        let request = cancellation_request(ctx.now.wall, id, check.state);
+        let step = Step::CancelDescendant { id: id.to_string() };
+        ctx.store_request(request, Continuation::Admission(step));
+    }
+
+    /// Handles the response to the cancellation of a job that needs a cancelled one.
+    pub(super) fn handle_descendant_cancelled(
+        &mut self,
+        ctx: &mut Context,
+        id: &str,
+        reply: Result<StoreResponse, CallError>,
+    ) {
+        match reply {
+            Ok(StoreResponse::Committed { .. }) => {
+                let Some(check) = self.ancestor_checks.0.get(id) else {
+                    return;
+                };
+                let record = JobStateRecord {
+                    state: RecordedState::Cancelled,
+                    task_count: check.state.record.task_count,
+                };
+                self.record_state(id, CachedJobState::ended(record));
+                self.answer_waiting(ctx, id);
+            }
+            // The job had already ended, most likely by the leader's cancellation.
+            Ok(StoreResponse::Conflict { .. }) => {
+                for request in self.take_waiting(id) {
+                    let pending = PendingRequest::Status(request);
+                    self.read_state_record(ctx, id.to_string(), pending);
+                }
+            }
+            _ => self.refuse_waiting(ctx, id, RetryReason::StoreUnreachable),
+        }
+    }
+
+    /// Ends a check and answers its requests with the job's state.
+    fn answer_waiting(&mut self, ctx: &mut Context, id: &str) {
+        let Some(check) = self.ancestor_checks.0.remove(id) else {
+            return;
+        };
+        let record = self.cache.get_ended(id).unwrap_or(check.state).record;
+        for request in check.waiting {
+            self.report(ctx, id, record, request);
+        }
+    }
+
+    /// Ends a check without a result.
+    fn refuse_waiting(&mut self, ctx: &mut Context, id: &str, reason: RetryReason) {
+        for request in self.take_waiting(id) {
+            ctx.answer(request, reason.answer());
+        }
+    }
+
+    fn take_waiting(&mut self, id: &str) -> Vec<RequestId> {
+        let check = self.ancestor_checks.0.remove(id);
+        check.map(|check| check.waiting).unwrap_or_default()
+    }
+}
--- a/crates/controller/src/admission/dependency_check.rs
+++ b/crates/controller/src/admission/dependency_check.rs
@@ -6,7 +6,7 @@
 //! none, the state record. Dependencies that are already done are removed from the stored
 //! job.
 
-use super::{Admission, MAX_IN_FLIGHT, STORE_UNREACHABLE, TOO_MANY_REQUESTS};
+use super::{Admission, MAX_IN_FLIGHT, RetryReason};
 use crate::CallError;
 use crate::calls::Context;
 use crate::continuations::{AdmissionStep as Step, Continuation, JobRecordKind, PendingRequest};
@@ -115,25 +115,6 @@
     ctx.hedged_store_request(StoreRequest::Get { key }, Continuation::Admission(step));
 }
 
-/// The state of a dependency according to the response to a read; None if the record was not
-/// found or the read failed.
-fn decode_reply(
-    kind: JobRecordKind,
-    reply: &Result<StoreResponse, CallError>,
-) -> Option<CachedJobState> {
-    let Ok(StoreResponse::Found(row)) = reply else {
-        return None;
-    };
-    match kind {
-        JobRecordKind::State => row
-            .decode_value::<JobStateRecord>()
-            .map(|state| CachedJobState::from_state_record(state, row.version)),
-        JobRecordKind::Open => row
-            .decode_value::<OpenJob>()
-            .map(|job| CachedJobState::from_open_row(&job, row)),
-    }
-}
-
 impl Admission {
     /// Handles a valid submission that depends on other jobs.
     pub(super) fn check_dependencies(
@@ -156,7 +137,7 @@
         if self.in_flight + uncached.len() >= MAX_IN_FLIGHT
             || !self.take_budget(cost, RequestPriority::Change, now)
         {
-            return ctx.answer(request, Answer::retry_later(TOO_MANY_REQUESTS));
+            return ctx.answer(request, RetryReason::TooManyRequests.answer());
         }
         if uncached.is_empty() {
             return self.finish_dependency_check(ctx, check);
@@ -205,11 +186,8 @@
         let Some(mut check) = self.dependency_checks.remove(&check_id) else {
             return;
         };
-        match decode_reply(kind, reply) {
-            Some(cached) => {
-                self.cache.insert(&dependency, cached);
-                check.add_state(&dependency, cached);
-            }
+        match self.cache_dependency(&dependency, kind, reply) {
+            Some(cached) => check.add_state(&dependency, cached),
             None if not_found => check.reject(&dependency, InvalidReason::NeverAccepted),
             None => check.read_failed = true,
         }
@@ -221,12 +199,38 @@
         }
     }
 
+    /// Caches the state of a dependency according to the response to a read. Returns None if
+    /// the record was not found or the read failed.
+    fn cache_dependency(
+        &mut self,
+        dependency: &str,
+        kind: JobRecordKind,
+        reply: &Result<StoreResponse, CallError>,
+    ) -> Option<CachedJobState> {
+        let Ok(StoreResponse::Found(row)) = reply else {
+            return None;
+        };
+        match kind {
+            JobRecordKind::State => {
+                let record = row.decode_value::<JobStateRecord>()?;
+                let state = CachedJobState::from_state_record(record, row.version);
+                self.cache.insert(dependency, state);
+                Some(state)
+            }
+            JobRecordKind::Open => {
+                let job = row.decode_value::<OpenJob>()?;
+                let version = job.state_version(row.version);
+                Some(self.cache.insert_open(dependency, &job, version))
+            }
+        }
+    }
+
     /// Stores the job or rejects the submission.
     fn finish_dependency_check(&mut self, ctx: &mut Context, check: DependencyCheck) {
         let (request, received_at) = (check.request, check.received_at);
         let answer = match &check.invalid {
             Some(invalid) => Answer::refusal(422, invalid.to_string()),
-            None if check.read_failed => Answer::retry_later(STORE_UNREACHABLE),
+            None if check.read_failed => RetryReason::StoreUnreachable.answer(),
             None => {
                 self.in_flight += 1;
                 return self.send_creation(ctx, request, Rc::new(check.into_job()), received_at);
--- a/crates/controller/src/admission/mod.rs
+++ b/crates/controller/src/admission/mod.rs
@@ -37,6 +37,10 @@
 //!   only if both records were read after the request was received, the open record first,
 //!   since the state record is written before the open record is deleted.
 //!
+//! A job that needs a cancelled one, directly or through others, is to be cancelled too. Until
+//! the leader has done that, the job's own records show it as open. A job is therefore reported
+//! as open only on recent proof that none of its ancestors is cancelled (see `ancestors.rs`).
+//!
 //! The task counts in an answer come from the leader's broadcasts. They are for display and
 //! may be outdated.
 //!
@@ -48,6 +52,7 @@
 //! that cancels an open job is neither charged nor limited, and the read of a state record,
 //! which continues a request that is already being handled, is charged but never rejected.
 
+mod ancestors;
 mod dependency_check;
 mod replies;
 mod schedulability;
@@ -56,6 +61,7 @@
 
 pub use self::schedulability::{Unschedulable, check_schedulable};
 
+use self::ancestors::AncestorChecks;
 use self::dependency_check::DependencyCheck;
 use self::verification::Verifications;
 use crate::Config;
@@ -77,9 +83,26 @@
 /// The maximum number of reads and submissions in flight, above which no new ones are sent.
 const MAX_IN_FLIGHT: usize = 256;
 
-const TOO_MANY_REQUESTS: &str = "too many requests";
-const STORE_UNREACHABLE: &str = "the state is out of reach";
-const UNREADABLE_RECORD: &str = "the job's record is unreadable";
+/// Why a request cannot be answered now. The text is sent to the user.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum RetryReason {
+    /// A limit on requests is reached at this node.
+    #[error("too many requests")]
+    TooManyRequests,
+    /// The store has not answered, or has refused.
+    #[error("the state is out of reach")]
+    StoreUnreachable,
+    /// A record of the job is in a format that this version does not support.
+    #[error("the job's record is unreadable")]
+    UnreadableRecord,
+}
+
+impl RetryReason {
+    fn answer(self) -> Answer {
+        Answer::retry_later(&self.to_string())
+    }
+}
+
 const NO_SUCH_JOB: &str = "no such job";
 
 /// Handles users' requests; see the [module](self).
@@ -95,6 +118,8 @@
     /// Submissions whose dependencies are being read, by the id of the check.
     dependency_checks: HashMap<u64, DependencyCheck>,
     last_check_id: u64,
+    /// Checks of the ancestors of jobs that are to be reported as open.
+    ancestor_checks: AncestorChecks,
     request_rate: RequestRate,
     /// Jobs that were observed to be cancelled and not yet reported to the leader in this
     /// process.
@@ -133,6 +158,7 @@
             in_flight: 0,
             dependency_checks: HashMap::new(),
             last_check_id: 0,
+            ancestor_checks: AncestorChecks::default(),
             request_rate: RequestRate::default(),
             cancelled: Vec::new(),
             progress: ProgressTable::default(),
@@ -173,10 +199,14 @@
         available
     }
 
-    /// Records that an open job was stored.
-    pub fn record_admission(&mut self, job: &OpenJob) {
-        self.cache
-            .insert(&job.spec.id, CachedJobState::newly_open(job));
+    /// Records that an open job was stored, by a request sent at `sent_at`.
+    pub fn record_admission(&mut self, job: &OpenJob, sent_at: Micros) {
+        let id = &job.spec.id;
+        self.cache.insert_open(id, job, 0);
+        // The job itself did not exist before. An ancestor that was cancelled earlier counts
+        // from the acceptance of this job.
+        self.cache.record_open(id, sent_at);
+        self.cache.record_ancestors_open(id, sent_at);
     }
 
     /// Records that the leader in this process has stored a job's end.
@@ -219,7 +249,7 @@
     fn determine_state_by_id(&mut self, ctx: &mut Context, id: String, pending: PendingRequest) {
         self.count_request();
         if !is_job_id(&id) {
-            return ctx.answer(pending.request(), Answer::refusal(404, NO_SUCH_JOB));
+            return self.answer_with_state(ctx, &id, None, pending);
         }
         self.determine_state(ctx, id, pending);
     }
@@ -249,7 +279,7 @@
                 .request_budget
                 .try_take(1.0, priority, ctx.now.monotonic)
         {
-            return ctx.answer(pending.request(), Answer::retry_later(TOO_MANY_REQUESTS));
+            return self.refuse(ctx, pending, RetryReason::TooManyRequests);
         }
         self.in_flight += 1;
         let call = StoreRequest::Get {
@@ -272,16 +302,32 @@
         ctx.store_request(call, Continuation::Admission(step));
     }
 
+    /// Answers a request with a refusal after which it may be repeated.
+    fn refuse(&mut self, ctx: &mut Context, pending: PendingRequest, reason: RetryReason) {
+        match pending {
+            PendingRequest::Status(request)
+            | PendingRequest::RejectUnlessExists { request, .. }
+            | PendingRequest::Cancel { request, .. } => ctx.answer(request, reason.answer()),
+            PendingRequest::Ancestor { descendant } => {
+                self.ancestor_checks.lookup_failed(&descendant, reason);
+            }
+        }
+    }
+
     /// Answers a request from the state of its job; `cached` is None if the job does not exist.
-    /// For the cancellation of an open job, sends the transaction instead.
+    /// For the cancellation of an open job, sends the transaction instead. An open job is
+    /// reported only on proof that its ancestors are not cancelled.
     fn answer_with_state(
-        &self,
+        &mut self,
         ctx: &mut Context,
         id: &str,
         cached: Option<CachedJobState>,
         pending: PendingRequest,
     ) {
         match (cached, pending) {
+            (cached, PendingRequest::Ancestor { descendant }) => {
+                self.handle_ancestor_state(&descendant, id, cached);
+            }
             (None, PendingRequest::RejectUnlessExists { request, answer }) => {
                 if answer.status != 503 {
                     log::info!("job rejected job={id} status={}", answer.status);
@@ -300,13 +346,26 @@
             ) if cached.is_open() => {
                 send_cancellation(ctx, id, cached, request, received_at);
             }
-            (Some(cached), pending) => {
-                let status = self.status(id, cached.record);
-                ctx.answer(pending.request(), Answer::body(200, &status));
+            (
+                Some(cached),
+                PendingRequest::Status(request)
+                | PendingRequest::RejectUnlessExists { request, .. }
+                | PendingRequest::Cancel { request, .. },
+            ) => {
+                if cached.is_open() {
+                    self.report_open(ctx, id, cached, request);
+                } else {
+                    self.report(ctx, id, cached.record, request);
+                }
             }
         }
     }
 
+    /// Reports a state to a user.
+    fn report(&self, ctx: &mut Context, id: &str, record: JobStateRecord, request: RequestId) {
+        ctx.answer(request, Answer::body(200, &self.status(id, record)));
+    }
+
     fn status(&self, id: &str, record: JobStateRecord) -> JobStatus {
         let counts = self.progress.get(id).unwrap_or(TaskCounts::NONE);
         let TaskCounts { done, running } = counts;
@@ -324,9 +383,11 @@
         }
     }
 
-    /// Sends a verification of queued requests if the limits allow it. Called at every tick.
+    /// Sends a verification of queued requests and continues checks of ancestors, if the limits
+    /// allow it. Called at every tick.
     pub fn tick(&mut self, ctx: &mut Context) {
         self.send_verification(ctx);
+        self.advance_ancestor_checks(ctx);
     }
 }
 
@@ -337,24 +398,29 @@
     request: RequestId,
     received_at: Micros,
 ) {
+    let step = Step::Cancel {
+        id: id.to_string(),
+        request,
+        received_at,
+    };
+    ctx.store_request(
+        cancellation_request(ctx.now.wall, id, cached),
+        Continuation::Admission(step),
+    );
+}
+
+/// The transaction that stores the cancellation of a job that is cached as open.
+fn cancellation_request(wall: Micros, id: &str, cached: CachedJobState) -> StoreRequest {
     let record = JobStateRecord {
         state: RecordedState::Cancelled,
         task_count: cached.record.task_count,
     };
     let cancelled = CancelledJob {
-        cancelled_at_us: ctx.now.wall,
+        cancelled_at_us: wall,
     };
     let txn = Transaction::default()
         .compare(records::job_state_key(id), cached.version)
         .put(records::job_state_key(id), &record)
         .put(records::cancelled_job_key(id), &cancelled);
-    let step = Step::Cancel {
-        id: id.to_string(),
-        request,
-        received_at,
-    };
-    ctx.store_request(
-        StoreRequest::Transaction(txn),
-        Continuation::Admission(step),
-    );
+    StoreRequest::Transaction(txn)
 }
--- a/crates/controller/src/admission/replies.rs
+++ b/crates/controller/src/admission/replies.rs
@@ -1,6 +1,6 @@
 //! Handles the store's responses to users' requests.
 
-use super::{Admission, RETRY_TIMEOUT, STORE_UNREACHABLE, UNREADABLE_RECORD};
+use super::{Admission, RETRY_TIMEOUT, RetryReason};
 use crate::CallError;
 use crate::calls::Context;
 use crate::continuations::{AdmissionStep as Step, PendingRequest};
@@ -14,11 +14,23 @@
 use std::rc::Rc;
 
 impl Admission {
-    /// Handles the response to the request of an admission step.
+    /// Handles the response to the request of an admission step, which was sent at `sent_at`.
     pub fn reply(
         &mut self,
         ctx: &mut Context,
         step: Step,
+        sent_at: Micros,
+        reply: Result<StoreResponse, CallError>,
+    ) {
+        self.handle_reply(ctx, step, sent_at, reply);
+        self.advance_ancestor_checks(ctx);
+    }
+
+    fn handle_reply(
+        &mut self,
+        ctx: &mut Context,
+        step: Step,
+        sent_at: Micros,
         reply: Result<StoreResponse, CallError>,
     ) {
         match step {
@@ -30,7 +42,7 @@
                 self.in_flight -= 1;
                 self.handle_state_record(ctx, &id, pending, reply);
             }
-            Step::VerifyOpen { jobs } => self.handle_verification(ctx, jobs, &reply),
+            Step::VerifyOpen { jobs } => self.handle_verification(ctx, jobs, sent_at, &reply),
             Step::ReadDependency {
                 check_id,
                 dependency,
@@ -41,6 +53,7 @@
                 job,
                 received_at,
             } => self.handle_create_reply(ctx, request, job, received_at, reply),
+            Step::CancelDescendant { id } => self.handle_descendant_cancelled(ctx, &id, reply),
             Step::Cancel {
                 id,
                 request,
@@ -61,16 +74,16 @@
         match reply {
             Ok(StoreResponse::Found(row)) => {
                 let Some(job) = row.decode_value::<OpenJob>() else {
-                    return answer_unreadable(ctx, &row.key, &pending);
+                    return self.refuse_unreadable(ctx, &row.key, pending);
                 };
                 self.cache
-                    .insert(&id, CachedJobState::from_open_row(&job, &row));
+                    .insert_open(&id, &job, job.state_version(row.version));
                 // The open record of a cancelled job exists until its tasks are gone, so its
                 // existence does not prove that the job is open.
                 self.determine_state(ctx, id, pending);
             }
             Ok(StoreResponse::NotFound { .. }) => self.read_state_record(ctx, id, pending),
-            _ => ctx.answer(pending.request(), Answer::retry_later(STORE_UNREACHABLE)),
+            _ => self.refuse(ctx, pending, RetryReason::StoreUnreachable),
         }
     }
 
@@ -84,7 +97,7 @@
         match reply {
             Ok(StoreResponse::Found(row)) => {
                 let Some(record) = row.decode_value::<JobStateRecord>() else {
-                    return answer_unreadable(ctx, &row.key, &pending);
+                    return self.refuse_unreadable(ctx, &row.key, pending);
                 };
                 let cached = CachedJobState::from_state_record(record, row.version);
                 self.record_state(id, cached);
@@ -97,7 +110,7 @@
                 self.determine_state(ctx, id.to_string(), pending);
             }
             Ok(StoreResponse::NotFound { .. }) => self.answer_with_state(ctx, id, None, pending),
-            _ => ctx.answer(pending.request(), Answer::retry_later(STORE_UNREACHABLE)),
+            _ => self.refuse(ctx, pending, RetryReason::StoreUnreachable),
         }
     }
 
@@ -132,7 +145,9 @@
         }
         self.in_flight -= 1;
         match reply {
-            Ok(StoreResponse::Committed { .. }) => self.answer_accepted(ctx, request, &job),
+            Ok(StoreResponse::Committed { .. }) => {
+                self.answer_accepted(ctx, request, &job, received_at);
+            }
             Ok(StoreResponse::Conflict { failed, .. }) => {
                 self.answer_repeated_submission(ctx, request, &job, &failed);
             }
@@ -148,13 +163,19 @@
                     PendingRequest::RejectUnlessExists { request, answer },
                 );
             }
-            _ => ctx.answer(request, Answer::retry_later(STORE_UNREACHABLE)),
+            _ => ctx.answer(request, RetryReason::StoreUnreachable.answer()),
         }
     }
 
-    fn answer_accepted(&mut self, ctx: &mut Context, request: RequestId, job: &OpenJob) {
+    fn answer_accepted(
+        &mut self,
+        ctx: &mut Context,
+        request: RequestId,
+        job: &OpenJob,
+        received_at: Micros,
+    ) {
         let id = job.spec.id.clone();
-        self.record_admission(job);
+        self.record_admission(job, received_at);
         log_accepted(job);
         // If the job has ended meanwhile, another request may already have reported that, so
         // the answer must not be `queued`.
@@ -183,14 +204,16 @@
         log::info!("repeated submission job={id}");
         // If only the comparison of the open record failed, the job was open when the
         // transaction was executed. If this node does not know of an end since then, no further
-        // read is needed.
-        if failed == [records::open_job_key(&id)] && self.cache.get_ended(&id).is_none() {
+        // read is needed, unless an ancestor may be cancelled.
+        if failed == [records::open_job_key(&id)]
+            && self.cache.get_ended(&id).is_none()
+            && job.spec.depends_on.is_empty()
+        {
             let record = JobStateRecord {
                 state: RecordedState::Open,
                 task_count: job.spec.tasks,
             };
-            let status = self.status(&id, record);
-            return ctx.answer(request, Answer::body(200, &status));
+            return self.report(ctx, &id, record, request);
         }
         self.determine_state(ctx, id, PendingRequest::Status(request));
     }
@@ -216,22 +239,21 @@
                 };
                 self.record_state(&id, CachedJobState::ended(record));
                 log::info!("job cancelled job={id}");
-                let status = self.status(&id, record);
-                ctx.answer(request, Answer::body(200, &status));
+                self.report(ctx, &id, record, request);
             }
             // The job had already ended, or an earlier attempt was committed.
             Ok(StoreResponse::Conflict { .. }) => self.read_state_record(ctx, id, pending),
             Err(_) if ctx.now.monotonic < received_at + RETRY_TIMEOUT => {
                 self.read_open_record(ctx, id, pending);
             }
-            _ => ctx.answer(request, Answer::retry_later(STORE_UNREACHABLE)),
+            _ => ctx.answer(request, RetryReason::StoreUnreachable.answer()),
         }
     }
-}
 
-fn answer_unreadable(ctx: &mut Context, key: &str, pending: &PendingRequest) {
-    log::error!("unreadable job record key={key}");
-    ctx.answer(pending.request(), Answer::retry_later(UNREADABLE_RECORD));
+    fn refuse_unreadable(&mut self, ctx: &mut Context, key: &str, pending: PendingRequest) {
+        log::error!("unreadable job record key={key}");
+        self.refuse(ctx, pending, RetryReason::UnreadableRecord);
+    }
 }
 
 fn log_accepted(job: &OpenJob) {
--- a/crates/controller/src/admission/submission.rs
+++ b/crates/controller/src/admission/submission.rs
@@ -1,6 +1,6 @@
 //! Validates submissions and stores the submitted jobs.
 
-use super::{Admission, MAX_IN_FLIGHT, TOO_MANY_REQUESTS, check_schedulable};
+use super::{Admission, MAX_IN_FLIGHT, RetryReason, check_schedulable};
 use crate::calls::Context;
 use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
 use crate::messages::{Answer, RequestId};
@@ -50,7 +50,7 @@
         if self.in_flight >= MAX_IN_FLIGHT
             || !self.take_budget(StoreCost::transaction(1.0), RequestPriority::Change, now)
         {
-            return ctx.answer(request, Answer::retry_later(TOO_MANY_REQUESTS));
+            return ctx.answer(request, RetryReason::TooManyRequests.answer());
         }
         self.in_flight += 1;
         self.send_creation(ctx, request, Rc::new(job), now);
--- a/crates/controller/src/admission/verification.rs
+++ b/crates/controller/src/admission/verification.rs
@@ -4,13 +4,13 @@
 //! a transaction is in flight must wait for a later one, since only a comparison that is
 //! sent after the request was received may answer it.
 
-use super::{Admission, STORE_UNREACHABLE, TOO_MANY_REQUESTS};
+use super::{Admission, RetryReason};
 use crate::CallError;
 use crate::calls::Context;
 use crate::continuations::{AdmissionStep, Continuation, PendingRequest};
-use crate::messages::Answer;
 use crate::records;
 use crate::request_budget::RequestPriority;
+use crate::time::Micros;
 use dillcleat_wire::store::{StoreRequest, StoreResponse, Transaction};
 use std::collections::HashMap;
 
@@ -35,13 +35,24 @@
 }
 
 impl Admission {
-    /// Queues a request about a job that is cached as open.
+    /// Queues a request about a job that is cached as open, and sends the queued ones.
     pub(super) fn verify(&mut self, ctx: &mut Context, id: String, pending: PendingRequest) {
+        self.queue_verification(ctx, id, pending);
+        self.send_verification(ctx);
+    }
+
+    /// Queues a request about a job that is cached as open. A later
+    /// [`send_verification`](Self::send_verification) compares it together with others.
+    pub(super) fn queue_verification(
+        &mut self,
+        ctx: &mut Context,
+        id: String,
+        pending: PendingRequest,
+    ) {
         if self.verifications.queued.len() >= MAX_QUEUED_REQUESTS {
-            return ctx.answer(pending.request(), Answer::retry_later(TOO_MANY_REQUESTS));
+            return self.refuse(ctx, pending, RetryReason::TooManyRequests);
         }
         self.verifications.queued.push((id, pending));
-        self.send_verification(ctx);
     }
 
     /// Sends a transaction for the queued requests if the limits allow it. Consumes budget even
@@ -104,18 +115,28 @@
                 .or_default()
                 .push(pending);
         }
+        // An answer above may have continued the check of a job's ancestors, which queues more.
+        still_queued.append(&mut self.verifications.queued);
         self.verifications.queued = still_queued;
         (txn, jobs)
     }
 
-    /// Handles the response to a transaction that compared the state records of `jobs`.
+    /// Handles the response to a transaction, sent at `sent_at`, that compared the state records
+    /// of `jobs`.
     pub(super) fn handle_verification(
         &mut self,
         ctx: &mut Context,
         jobs: Vec<String>,
+        sent_at: Micros,
         reply: &Result<StoreResponse, CallError>,
     ) {
         self.verifications.transactions_in_flight -= 1;
+        // Recorded first: the answers may need the proofs of other jobs of the transaction.
+        for id in &jobs {
+            if is_verified(id, reply) {
+                self.cache.record_open(id, sent_at);
+            }
+        }
         for id in jobs {
             let requests = self
                 .verifications
@@ -123,18 +144,13 @@
                 .remove(&id)
                 .unwrap_or_default();
             match reply {
-                Ok(StoreResponse::Committed { .. }) => {
-                    self.handle_verified_state(ctx, &id, requests, false);
-                }
-                // A conflict lists the changed keys. The other jobs of the transaction were
-                // unchanged.
-                Ok(StoreResponse::Conflict { failed, .. }) => {
-                    let changed = failed.contains(&records::job_state_key(&id));
+                Ok(StoreResponse::Committed { .. } | StoreResponse::Conflict { .. }) => {
+                    let changed = !is_verified(&id, reply);
                     self.handle_verified_state(ctx, &id, requests, changed);
                 }
                 _ => {
                     for pending in requests {
-                        ctx.answer(pending.request(), Answer::retry_later(STORE_UNREACHABLE));
+                        self.refuse(ctx, pending, RetryReason::StoreUnreachable);
                     }
                 }
             }
@@ -162,3 +178,13 @@
         }
     }
 }
+
+/// Whether the response to a transaction shows that the state record of a job in it is
+/// unchanged. A conflict lists the changed keys.
+fn is_verified(id: &str, reply: &Result<StoreResponse, CallError>) -> bool {
+    match reply {
+        Ok(StoreResponse::Committed { .. }) => true,
+        Ok(StoreResponse::Conflict { failed, .. }) => !failed.contains(&records::job_state_key(id)),
+        _ => false,
+    }
+}
--- a/crates/controller/src/continuations.rs
+++ b/crates/controller/src/continuations.rs
@@ -15,7 +15,7 @@
 use dillcleat_wire::store::LeaseId;
 use std::rc::Rc;
 
-/// A user's request that is answered once the state of its job is known.
+/// A request that is answered once the state of its job is known.
 #[derive(Debug, Clone)]
 pub enum PendingRequest {
     /// Reports the job's state: a poll, or a submission of a known job.
@@ -35,17 +35,11 @@
         /// When the request was received, on the monotonic clock.
         received_at: Micros,
     },
-}
-
-impl PendingRequest {
-    /// The id of the HTTP request.
-    pub fn request(&self) -> RequestId {
-        match self {
-            PendingRequest::Status(request)
-            | PendingRequest::RejectUnlessExists { request, .. }
-            | PendingRequest::Cancel { request, .. } => *request,
-        }
-    }
+    /// Looks the job up for the check of the ancestors of a job that needs it.
+    Ancestor {
+        /// The id of the job that needs this one.
+        descendant: String,
+    },
 }
 
 /// One of the two records of a job.
@@ -98,6 +92,11 @@
         /// When the request was received, on the monotonic clock.
         received_at: Micros,
     },
+    /// Stores the cancellation of a job that needs a cancelled one.
+    CancelDescendant {
+        /// The id of the job that needs the cancelled one.
+        id: String,
+    },
     /// Stores the cancellation of a job.
     Cancel {
         /// The id of the job.
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -145,7 +145,8 @@
 
     /// Records that the API server in this process has stored an open job.
     pub fn record_admission(&mut self, job: &OpenJob) {
-        self.admission.record_admission(job);
+        // Without a time, the ancestors are checked before the job is first reported.
+        self.admission.record_admission(job, 0);
     }
 
     /// The configuration of this node.
@@ -305,7 +306,7 @@
         let mut ctx = Context::new(now, &self.config, out, &mut self.calls);
         match continuation {
             Continuation::Admission(step) => {
-                self.admission.reply(&mut ctx, step, reply);
+                self.admission.reply(&mut ctx, step, sent_at, reply);
                 let cancelled = self.admission.take_cancelled();
                 if let Some(leader) = &mut self.leader
                     && !cancelled.is_empty()
--- a/crates/controller/src/request_budget.rs
+++ b/crates/controller/src/request_budget.rs
@@ -65,7 +65,7 @@
 impl From<&PendingRequest> for RequestPriority {
     fn from(pending: &PendingRequest) -> Self {
         match pending {
-            PendingRequest::Status(_) => RequestPriority::Poll,
+            PendingRequest::Status(_) | PendingRequest::Ancestor { .. } => RequestPriority::Poll,
             PendingRequest::RejectUnlessExists { .. } | PendingRequest::Cancel { .. } => {
                 RequestPriority::Change
             }
