Fault search: cancelled pipelines before an outage

The new fault `CancelNeededJobs` does, and `--troubles cancelled-pipelines` places it just before the outages, in part with a cloud outage (jobs wait), repeated submissions and a restart of all nodes at its end.

--- a/crates/simulator/examples/fault_search.rs
+++ b/crates/simulator/examples/fault_search.rs
@@ -39,6 +39,9 @@
     /// The store refuses the leader, then all nodes for longer than the cancellation deadline
     #[value(name = "gap")]
     StoreOutages,
+    /// Jobs that others need are cancelled while the store refuses the leader, before an outage
+    #[value(name = "cancelled-pipelines")]
+    CancelledPipelines,
     /// Command batches overtake the replies to heartbeats, and attempts end early
     #[value(name = "slow-links")]
     SlowLinks,
@@ -95,6 +98,7 @@
                         Faults::Pipelines => Scenario::pipelines(seed),
                         Faults::Combined => Scenario::combined_faults(seed),
                         Faults::StoreOutages => Scenario::store_outages(seed),
+                        Faults::CancelledPipelines => Scenario::cancelled_pipelines(seed),
                         Faults::SlowLinks => Scenario::slow_links(seed),
                         Faults::StoreCallCrash => Scenario::crash_at_call(seed),
                     };
--- a/crates/simulator/src/fault_injection.rs
+++ b/crates/simulator/src/fault_injection.rs
@@ -180,6 +180,7 @@
             Fault::CancelOnCompletion { percent, time } => {
                 self.cancel_on_completion = FaultWindow::new(now + time, percent);
             }
+            Fault::CancelNeededJobs { jobs } => self.cancel_needed_jobs(jobs),
             Fault::CancelRunningJobs { jobs, hang } => self.cancel_running_jobs(jobs, hang),
             Fault::LostWriteReplies { percent, time } => {
                 self.lost_write_replies = FaultWindow::new(now + time, percent);
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -93,6 +93,8 @@
     /// Users cancel this many running jobs within 200 ms, while up to eight of their
     /// machines hang.
     CancelRunningJobs { jobs: usize, hang: Micros },
+    /// Users cancel this many unfinished jobs on which others depend, within 200 ms.
+    CancelNeededJobs { jobs: usize },
     /// Users repeat submissions of unfinished jobs, some with other content, cancel jobs that
     /// are done, and send submissions that are invalid or cannot run.
     IrregularRequests { time: Micros },
@@ -111,6 +113,7 @@
 const LEADER_ZONE_PARTITIONS_SEED_SALT: u64 = 0x0c07;
 const PIPELINES_SEED_SALT: u64 = 0xa3a1;
 const STORE_OUTAGES_SEED_SALT: u64 = 0x6a9;
+const CANCELLED_PIPELINES_SEED_SALT: u64 = 0x0e9a;
 const SLOW_LINKS_SEED_SALT: u64 = 0x510b;
 
 /// Node index in a fault that means the leader when the fault begins, or the last node if
@@ -151,6 +154,7 @@
             | Fault::SlowLinks { time, .. }
             | Fault::InboundLoss { time, .. } => *time,
             Fault::MachineFailure { .. }
+            | Fault::CancelNeededJobs { .. }
             | Fault::ZoneMachineFailure { .. }
             | Fault::FaultyMachine => 0,
             Fault::SpotPreemption { notice } => notice.unwrap_or(0),
@@ -445,6 +449,53 @@
         scenario
     }
 
+    /// [`Scenario::store_outages`] with pipelines, of which users cancel jobs that others need
+    /// while the leader alone is without the store, so that the leader learns of it only after
+    /// the outage. The cloud may be out as well, so that jobs wait, users may repeat submissions
+    /// meanwhile, and all nodes may restart at the end of the outage.
+    pub fn cancelled_pipelines(seed: u64) -> Scenario {
+        let mut scenario = Scenario::store_outages(seed);
+        let mut rng = Rng::with_seed(seed.rotate_left(29) ^ CANCELLED_PIPELINES_SEED_SALT);
+        scenario.pipelines = rng.usize(8..20);
+        scenario.end += 600 * SECOND;
+        let outages = scenario
+            .faults
+            .iter()
+            .filter_map(|(at, fault)| match fault {
+                Fault::StoreOutage { time } => Some((*at, *time)),
+                _ => None,
+            });
+        let outages: Vec<(Micros, Micros)> = outages.collect();
+        for (outage_start, outage) in outages {
+            // The leader is isolated at least half a second before the outage.
+            let jobs = rng.usize(2..12);
+            let cancelled_at = outage_start - rng.u64(SECOND / 4..SECOND / 2);
+            let cancellation = Fault::CancelNeededJobs { jobs };
+            scenario.faults.push((cancelled_at, cancellation));
+            if rng.bool() {
+                let before = rng.u64(5 * SECOND..15 * SECOND);
+                let time = before + 5 * SECOND;
+                let cloud_outage = Fault::CloudOutage { time };
+                scenario.faults.push((outage_start - before, cloud_outage));
+            }
+            if rng.bool() {
+                let time = rng.u64(10 * SECOND..60 * SECOND);
+                let requests = Fault::IrregularRequests { time };
+                scenario.faults.push((outage_start, requests));
+            }
+            if rng.u8(..4) == 0 {
+                let crash = Fault::AllNodesCrash {
+                    first_node: rng.usize(..3),
+                    first_down: rng.u64(SECOND / 10..SECOND),
+                    others_down: rng.u64(SECOND..10 * SECOND),
+                };
+                let at = outage_start + outage - rng.u64(..3 * SECOND);
+                scenario.faults.push((at, crash));
+            }
+        }
+        scenario
+    }
+
     /// Many jobs of one task on machines whose replies to heartbeats are overtaken by command
     /// batches. Attempts end early there: a machine is faulty, spot instances are preempted,
     /// and jobs are cancelled. In half of the runs leaders crash meanwhile.
--- a/crates/simulator/src/simulation/extra_requests.rs
+++ b/crates/simulator/src/simulation/extra_requests.rs
@@ -146,6 +146,24 @@
         }
     }
 
+    /// Cancels several unfinished jobs on which others depend, at about the same time.
+    pub(crate) fn cancel_needed_jobs(&mut self, jobs: usize) {
+        let is_open = |u: &User| u.accepted && u.final_state.is_none();
+        let open_dependents = self.users.iter().filter(|u| is_open(u));
+        let needed: BTreeSet<usize> = open_dependents
+            .flat_map(|u| u.pipeline_stage.dependencies.iter().copied())
+            .collect();
+        let mut cancelled: Vec<usize> = needed
+            .into_iter()
+            .filter(|job| is_open(&self.users[*job]) && self.users[*job].kube_job.is_none())
+            .collect();
+        self.auxiliary_rng.shuffle(&mut cancelled);
+        for job in cancelled.into_iter().take(jobs) {
+            let at = self.now + self.auxiliary_rng.u64(..SECOND / 5);
+            self.schedule(at, Event::CancelJob { job });
+        }
+    }
+
     /// Adds users who submit short jobs of one task, some of which they cancel.
     pub(super) fn add_short_jobs(&mut self) {
         let Some((from, time)) = self.scenario.single_task_stream else {
--- a/crates/simulator/tests/combined_faults.rs
+++ b/crates/simulator/tests/combined_faults.rs
@@ -14,6 +14,9 @@
 /// In these seeds, the reply to a heartbeat arrives after its launch was also sent in a command
 /// batch, carried out, and its attempt had exited.
 const OVERTAKEN_REPLY_SEEDS: [u64; 3] = [22, 44, 98];
+/// In these seeds, an outage begins before the leader has read the cancellation of a job that
+/// others need.
+const CANCELLED_PIPELINE_SEEDS: [u64; 3] = [134, 149, 195];
 
 fn run_combined_faults(seeds: std::ops::Range<u64>) {
     for seed in seeds {
@@ -81,3 +84,12 @@
         run_clean(Scenario::slow_links(seed));
     }
 }
+
+/// Guards against jobs that are reported as open after an outage although a job that they need was
+/// cancelled before it.
+#[test]
+fn jobs_after_a_cancelled_one_are_not_reported_as_open_after_an_outage() {
+    for seed in CANCELLED_PIPELINE_SEEDS {
+        run_clean(Scenario::cancelled_pipelines(seed));
+    }
+}
