Ancestor proofs stay fresh for at least the time of a check

With a cancel_s below 16 s a proof could be stale by the end of the check that made it, and the job would be answered 503 until the check gave up.

--- a/crates/controller/src/admission/ancestors.rs
+++ b/crates/controller/src/admission/ancestors.rs
@@ -5,8 +5,7 @@
 //! able to write for a long time. Within the time limit of cancellations
 //! ([`cancel_time_limit`](Config::cancel_time_limit)), counted from the confirmation to the
 //! user, every node must stop reporting the descendants as open. So a node reports a job as open
-//! only if none of its ancestors was cancelled at a time that is at most a part of the limit ago
-//! ([`MAX_PROOF_AGE_DIVISOR`]).
+//! only if none of its ancestors was cancelled at a time that is at most half of the limit ago.
 //!
 //! The proofs are cached for each job: its own state record is compared whenever the job is
 //! polled, and a comparison of an ancestor serves all its descendants. Only ancestors without a
@@ -28,12 +27,14 @@
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 
-/// The part of the time limit of cancellations that the proof for an answer may be old. The rest
-/// is for the answer to reach the user.
-const MAX_PROOF_AGE_DIVISOR: u64 = 2;
-/// The part of that age from which on a check looks an ancestor up again, so that its result
-/// serves several polls.
-const REFRESH_AGE_DIVISOR: u64 = 2;
+/// The part of the time limit of cancellations up to which a check counts proofs as fresh.
+const FRESH_PROOF_AGE_DIVISOR: u64 = 4;
+/// The minimum of that age. Proofs must stay fresh for as long as a check takes.
+const MIN_FRESH_PROOF_AGE: Micros = RETRY_TIMEOUT;
+/// The maximum age of the proof for an answer, as a multiple of the age up to which a proof is
+/// fresh: the result of a check serves several polls. With a usual time limit, half of it
+/// remains for the answer to reach the user.
+const VALID_PROOF_AGE_FACTOR: u64 = 2;
 /// The maximum number of lookups in flight for one check.
 const MAX_LOOKUPS: usize = 128;
 /// The keys that a cancellation writes: the state record and the cancellation record.
@@ -89,6 +90,15 @@
     }
 }
 
+/// The known state of an ancestor.
+#[derive(Debug)]
+enum AncestorState<'a> {
+    NotCancelled(&'a OpenProof),
+    Done,
+    Cancelled,
+    Unknown,
+}
+
 /// What is known about the ancestors of a job.
 #[derive(Debug)]
 enum AncestorSurvey {
@@ -100,15 +110,9 @@
     Unproven { ancestors: Vec<Rc<str>> },
 }
 
-/// The time since which proofs are recent enough to answer a request at `now`.
-fn oldest_valid_proof(config: &Config, now: Micros) -> Micros {
-    now.saturating_sub(config.cancel_time_limit / MAX_PROOF_AGE_DIVISOR)
-}
-
-/// The time since which proofs are not renewed by a check at `now`.
-fn oldest_fresh_proof(config: &Config, now: Micros) -> Micros {
-    let max_age = config.cancel_time_limit / MAX_PROOF_AGE_DIVISOR / REFRESH_AGE_DIVISOR;
-    now.saturating_sub(max_age)
+/// The age up to which proofs are not renewed by a check.
+fn fresh_proof_age(config: &Config) -> Micros {
+    (config.cancel_time_limit / FRESH_PROOF_AGE_DIVISOR).max(MIN_FRESH_PROOF_AGE)
 }
 
 impl Admission {
@@ -122,10 +126,10 @@
         request: RequestId,
     ) {
         let now = ctx.now.monotonic;
+        let oldest_valid = now.saturating_sub(fresh_proof_age(ctx.config) * VALID_PROOF_AGE_FACTOR);
         let proof = self.cache.open_proof(id);
         let is_proved = proof.is_none_or(|proof| {
-            proof.dependencies.is_empty()
-                || proof.ancestors_open_at >= oldest_valid_proof(ctx.config, now)
+            proof.dependencies.is_empty() || proof.ancestors_open_at >= oldest_valid
         });
         let Some(proof) = proof.filter(|_| !is_proved) else {
             return self.report(ctx, id, cached.record, request);
@@ -163,7 +167,8 @@
         if let Some(reason) = check.failure {
             return self.refuse_waiting(ctx, id, reason);
         }
-        match self.survey_ancestors(check, oldest_fresh_proof(ctx.config, now)) {
+        let oldest_fresh = now.saturating_sub(fresh_proof_age(ctx.config));
+        match self.survey_ancestors(check, oldest_fresh) {
             AncestorSurvey::NoneCancelled { at } => {
                 self.cache.record_ancestors_open(id, at);
                 self.answer_waiting(ctx, id);
@@ -189,23 +194,14 @@
             if !visited.insert(ancestor.clone()) {
                 continue;
             }
-            let proof = match check.found.get(&*ancestor) {
-                Some(FoundAncestor::NotCancelled(proof)) => proof,
-                Some(FoundAncestor::Done) => continue,
-                Some(FoundAncestor::Cancelled) => return AncestorSurvey::Cancelled { ancestor },
-                None => match self.cache.get(&ancestor).map(|cached| cached.record.state) {
-                    Some(RecordedState::Done) => continue,
-                    Some(RecordedState::Cancelled) => {
-                        return AncestorSurvey::Cancelled { ancestor };
-                    }
-                    Some(RecordedState::Open) | None => {
-                        let Some(proof) = self.cache.open_proof(&ancestor) else {
-                            unproven.push(ancestor);
-                            continue;
-                        };
-                        proof
-                    }
-                },
+            let proof = match self.ancestor_state(check, &ancestor) {
+                AncestorState::NotCancelled(proof) => proof,
+                AncestorState::Done => continue,
+                AncestorState::Cancelled => return AncestorSurvey::Cancelled { ancestor },
+                AncestorState::Unknown => {
+                    unproven.push(ancestor);
+                    continue;
+                }
             };
             if proof.open_at < oldest {
                 unproven.push(ancestor);
@@ -229,6 +225,28 @@
         }
     }
 
+    /// The state of an ancestor according to the check and the cache.
+    fn ancestor_state<'a>(&'a self, check: &'a AncestorCheck, ancestor: &str) -> AncestorState<'a> {
+        if let Some(found) = check.found.get(ancestor) {
+            return match found {
+                FoundAncestor::NotCancelled(proof) => AncestorState::NotCancelled(proof),
+                FoundAncestor::Done => AncestorState::Done,
+                FoundAncestor::Cancelled => AncestorState::Cancelled,
+            };
+        }
+        let Some(cached) = self.cache.get(ancestor) else {
+            return AncestorState::Unknown;
+        };
+        match cached.record.state {
+            RecordedState::Done => AncestorState::Done,
+            RecordedState::Cancelled => AncestorState::Cancelled,
+            RecordedState::Open => self
+                .cache
+                .open_proof(ancestor)
+                .map_or(AncestorState::Unknown, AncestorState::NotCancelled),
+        }
+    }
+
     fn look_up_ancestors(&mut self, ctx: &mut Context, id: &str, mut ancestors: Vec<Rc<str>>) {
         ancestors.truncate(MAX_LOOKUPS);
         let Some(check) = self.ancestor_checks.0.get_mut(id) else {
