--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -17,7 +17,9 @@
 pub mod service_shares;
 pub mod simulation;
 pub mod single_node;
+mod slow_links;
 pub mod store;
+mod store_outages;
 pub mod worker;
 
 pub use fleet::{Fleet, FleetMeasurements, FleetSettings};
