Leader: keep the states of waiting and done tasks as bitmaps

No heartbeat was answered for long, the replicas of the production service were killed, and work that was accepted afterwards did not run.

Cause: `Job` held a record of 40 bytes for every task of every open job and an entry in a tree for every waiting one, also for tasks that were never placed: 4.6 MB for an array. What follows the end of an array grew with it as well: the queued deletion of each of its task records held the key twice.

Fix: `JobTasks` holds a bitmap each of the waiting and of the done tasks, a record only for placed tasks, and one bitmap for each number of attempts that waiting tasks have had. The versions of chunks are kept up to the last stored one. Deletions of task records name job and range and are queued once; records of jobs that may have ended are kept as ranges. The memory of a leader now depends on the tasks that are placed, which its fleet limits.

--- a/crates/controller/src/leader/autoscaling/deletion.rs
+++ b/crates/controller/src/leader/autoscaling/deletion.rs
@@ -161,7 +161,7 @@
             if job.cancelled_at.is_none_or(|at| now < at + removal_timeout) {
                 continue;
             }
-            for (task, machine) in job.placed_tasks() {
+            for (task, machine) in job.tasks.placed() {
                 if self.may_hold_cancelled_task(machine, id, task) {
                     overdue.insert(machine.clone());
                 }
--- a/crates/controller/src/leader/autoscaling/planning.rs
+++ b/crates/controller/src/leader/autoscaling/planning.rs
@@ -229,7 +229,7 @@
     /// instead of for each task.
     fn run_times_by_job(&self, ctx: &Context) -> Vec<f64> {
         let run_time_s = |job: Option<&Job>| {
-            let job = job.filter(|job| job.placed_count() > 0);
+            let job = job.filter(|job| job.tasks.placed_count() > 0);
             job.map_or(0.0, |job| self.mean_run_time_s(ctx.config, job))
         };
         self.jobs.values_by_index().map(run_time_s).collect()
--- a/crates/controller/src/leader/dependencies.rs
+++ b/crates/controller/src/leader/dependencies.rs
@@ -213,7 +213,7 @@
         job.cancelled_at.get_or_insert(ctx.now.monotonic);
         job.cancellation_confirmed = true;
         let record = job.state_record(RecordedState::Cancelled);
-        let placed = job.placed_count();
+        let placed = job.tasks.placed_count();
         self.events
             .push(LeaderEvent::JobEnded(id.to_string(), record));
         if placed > 0 {
--- a/crates/controller/src/leader/derived/queue_entries.rs
+++ b/crates/controller/src/leader/derived/queue_entries.rs
@@ -89,7 +89,7 @@
         [
             Some(job.blocked_until),
             job.failures.retry_at(),
-            useful_until.filter(|_| job.waiting_count() > 0),
+            useful_until.filter(|_| job.tasks.waiting_count() > 0),
             job.starves_at(ctx.config),
         ]
         .into_iter()
@@ -108,7 +108,7 @@
         && job.placeable_count() > 0
         && now >= job.blocked_until
         && job.failures.may_start(
-            job.placed_count(),
+            job.tasks.placed_count(),
             job.placement_requirements.starving(),
             now,
         )
--- a/crates/controller/src/leader/derived/sums.rs
+++ b/crates/controller/src/leader/derived/sums.rs
@@ -66,7 +66,7 @@
         ranked_by_class_estimate: bool,
     ) -> JobContribution {
         let service = job.spec.kind == JobKind::Service;
-        let placed = job.placed_count() as i64;
+        let placed = job.tasks.placed_count() as i64;
         let task_cpus = to_millionths(job.spec.cpus);
         let is_active = service && job.cancelled_at.is_none() && !job.blocked_on_dependencies;
         JobContribution {
@@ -83,7 +83,7 @@
             ages: job.ageing_since.is_some(),
             service,
             replica_cpus: if is_active {
-                (placed + job.waiting_count() as i64).saturating_mul(task_cpus)
+                (placed + job.tasks.waiting_count() as i64).saturating_mul(task_cpus)
             } else {
                 0
             },
--- a/crates/controller/src/leader/heartbeats.rs
+++ b/crates/controller/src/leader/heartbeats.rs
@@ -1,6 +1,5 @@
 //! Handling of worker heartbeats: updates of the machines, and replies with commands.
 
-use super::job::TaskState;
 use super::queue_watch::MAX_READ_AGE;
 use super::zone_partition::heartbeat_missed_after;
 use super::{Leader, LeaderEvent};
@@ -284,10 +283,11 @@
             // The job's end is stored, or the job never existed.
             return !self.unknown_jobs.protects_task(task);
         };
-        let Some(state) = job.task(task.index) else {
+        if task.index >= job.tasks.count() {
             return true;
-        };
-        if matches!(state.state, TaskState::Placed { .. }) && state.attempt == attempt {
+        }
+        let placement = job.tasks.placement(task.index);
+        if placement.is_some_and(|placement| placement.attempt == attempt) {
             return false;
         }
         if job.cancelled_at.is_some() {
--- a/crates/controller/src/leader/job.rs
+++ b/crates/controller/src/leader/job.rs
@@ -1,49 +1,17 @@
 //! The leader's state of an open job and its tasks.
 
+use super::job_tasks::JobTasks;
 use super::task_ranges::TaskRanges;
 use super::urgency::Urgency;
 use crate::failure_attribution::JobFailures;
 use crate::progress::TaskCounts;
-use crate::records::{
-    DoneTasks, JobStateRecord, OpenJob, PlacedTask, RecordedState, TaskRange, TaskRecord,
-    WaitingTask,
-};
+use crate::records::{JobStateRecord, OpenJob, RecordedState, TaskRange, TaskRecord};
 use crate::sched::PlacementRequirements;
 use crate::{Config, Micros};
 use dillcleat_wire::user::{JobKind, JobSpec, Priority};
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
-/// The placement state of a task.
-#[derive(Debug, Clone)]
-pub(super) enum TaskState {
-    /// The task is not on any machine and has to be placed.
-    Waiting,
-    /// The task is, or may be, on a machine. It leaves this state only when the attempt is
-    /// proved to have ended or not to have been launched.
-    Placed {
-        machine: Rc<str>,
-        /// The incarnation of the machine's worker at the time of the placement.
-        incarnation: u64,
-        /// Whether the placement is stored. The task is not launched before it is.
-        stored: bool,
-    },
-    /// The task has completed.
-    Done,
-}
-
-/// One task of a job.
-#[derive(Debug, Clone)]
-pub(super) struct Task {
-    /// The number of the latest attempt; 0 before the first.
-    pub attempt: u64,
-    pub state: TaskState,
-}
-
 /// An open job.
-///
-/// `waiting` holds exactly the indexes of the tasks in [`TaskState::Waiting`], and
-/// `done` counts those in [`TaskState::Done`].
 #[derive(Debug)]
 pub(super) struct Job {
     pub spec: JobSpec,
@@ -70,11 +38,8 @@
     parallelism_limit: Option<u32>,
     /// The assignment of tasks to stored records.
     pub task_ranges: TaskRanges,
-    tasks: Vec<Task>,
-    waiting: BTreeSet<u32>,
-    done: u32,
-    /// Tasks that a machine has reported as running.
-    running: BTreeSet<u32>,
+    /// The states of the tasks.
+    pub tasks: JobTasks,
     /// The monotonic time of the cancellation, if the job is cancelled. If this is set and
     /// `cancellation_confirmed` is not, the job's state record is known to have changed but
     /// has not been read yet.
@@ -122,10 +87,6 @@
     ) -> Job {
         let task_count = open.spec.tasks;
         let size = f64::from(task_count) * open.spec.cpus * task_run_time_s;
-        let never_placed = Task {
-            attempt: 0,
-            state: TaskState::Waiting,
-        };
         Job {
             team,
             state_version,
@@ -136,10 +97,7 @@
             due_at: None,
             parallelism_limit: open.parallelism_limit,
             task_ranges: TaskRanges::new(task_count, open.tasks_per_chunk, tasks_per_part),
-            tasks: vec![never_placed; task_count as usize],
-            waiting: (0..task_count).collect(),
-            done: 0,
-            running: BTreeSet::new(),
+            tasks: JobTasks::new(task_count),
             cancelled_at: None,
             cancellation_confirmed: false,
             ending: false,
@@ -180,55 +138,25 @@
 
     /// Whether every task has completed.
     pub(super) fn all_done(&self) -> bool {
-        self.done as usize == self.tasks.len()
-    }
-
-    pub(super) fn task(&self, index: u32) -> Option<&Task> {
-        self.tasks.get(index as usize)
-    }
-
-    pub(super) fn waiting_count(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Iterates over the tasks that were reported as running, with their machines.
-    pub(super) fn running_tasks(&self) -> impl Iterator<Item = (u32, &Rc<str>)> {
-        let running = self.running.iter();
-        running.filter_map(|index| match &self.tasks[*index as usize].state {
-            TaskState::Placed { machine, .. } => Some((*index, machine)),
-            _ => None,
-        })
+        self.tasks.done_count() == self.tasks.count()
     }
 
     /// The counts of done and of running tasks.
     pub(super) fn task_counts(&self) -> TaskCounts {
         TaskCounts {
-            done: self.done,
-            running: self.running.len() as u32,
+            done: self.tasks.done_count(),
+            running: self.tasks.running_count(),
         }
     }
 
-    pub(super) fn placed_count(&self) -> usize {
-        self.tasks.len() - self.waiting.len() - self.done as usize
-    }
-
     /// The number of waiting tasks that the parallelism limit allows to place now.
     pub(super) fn placeable_count(&self) -> usize {
         let limit = self
             .parallelism_limit
             .map_or(usize::MAX, |limit| limit as usize);
-        self.waiting
-            .len()
-            .min(limit.saturating_sub(self.placed_count()))
-    }
-
-    /// Iterates over the placed tasks, with their machines.
-    pub(super) fn placed_tasks(&self) -> impl Iterator<Item = (u32, &Rc<str>)> {
-        let tasks = self.tasks.iter().enumerate();
-        tasks.filter_map(|(index, task)| match &task.state {
-            TaskState::Placed { machine, .. } => Some((index as u32, machine)),
-            _ => None,
-        })
+        self.tasks
+            .waiting_count()
+            .min(limit.saturating_sub(self.tasks.placed_count()))
     }
 
     /// The number of tasks that still have to be started to learn the job's size.
@@ -239,7 +167,7 @@
         config
             .tuning
             .training_tasks
-            .saturating_sub(self.samples.len() as u32 + self.placed_count() as u32)
+            .saturating_sub(self.samples.len() as u32 + self.tasks.placed_count() as u32)
     }
 
     /// Whether the record of these tasks may be written. A chunk that was split is never
@@ -263,173 +191,32 @@
     }
 
     /// Builds the record of a range of tasks.
-    pub(super) fn task_chunk(&self, range: TaskRange) -> TaskRecord {
-        let mut chunk = TaskRecord::default();
-        for index in self.task_ranges.indexes(range) {
-            let task = &self.tasks[index as usize];
-            let attempt = task.attempt;
-            match &task.state {
-                TaskState::Waiting if attempt > 0 => {
-                    chunk.waiting.push(WaitingTask { index, attempt });
-                }
-                TaskState::Waiting => {}
-                TaskState::Placed {
-                    machine,
-                    incarnation,
-                    ..
-                } => chunk.placed.push(PlacedTask {
-                    index,
-                    attempt,
-                    machine: machine.to_string(),
-                    incarnation: *incarnation,
-                }),
-                TaskState::Done => match chunk.done.last_mut() {
-                    Some(range) if range.last + 1 == index => range.last = index,
-                    _ => chunk.done.push(DoneTasks {
-                        first: index,
-                        last: index,
-                    }),
-                },
-            }
-        }
-        chunk
+    pub(super) fn task_record(&self, range: TaskRange) -> TaskRecord {
+        self.tasks.record(self.task_ranges.indexes(range))
     }
 
     /// Iterates over the placements in a range that are not stored, as pairs of task index
     /// and attempt.
     pub(super) fn unstored_placements(&self, range: TaskRange) -> impl Iterator<Item = (u32, u64)> {
-        self.task_ranges.indexes(range).filter_map(|index| {
-            let task = &self.tasks[index as usize];
-            let unstored = matches!(task.state, TaskState::Placed { stored: false, .. });
-            unstored.then_some((index, task.attempt))
-        })
+        self.tasks
+            .unstored_placements(self.task_ranges.indexes(range))
     }
 
     /// Applies the waiting and done tasks of a stored record. Its placements are applied
     /// separately because they also change machines.
-    pub(super) fn apply_chunk(&mut self, chunk: &TaskRecord) {
-        let task_count = self.tasks.len() as u32;
-        for waiting in &chunk.waiting {
-            if let Some(task) = self.tasks.get_mut(waiting.index as usize) {
-                task.attempt = waiting.attempt;
-            }
-        }
-        for range in &chunk.done {
-            for index in range.first..=range.last.min(task_count.saturating_sub(1)) {
-                self.tasks[index as usize].state = TaskState::Done;
-                self.waiting.remove(&index);
-                self.done += 1;
-            }
-        }
-        if self.done > 0 {
+    pub(super) fn apply_task_record(&mut self, record: &TaskRecord) {
+        self.tasks.apply_record(record);
+        if self.tasks.done_count() > 0 {
             self.failures.record_success();
         }
     }
 
-    /// Places a new attempt of the first waiting task on a machine; the placement is not
-    /// stored yet. Returns the index of the task and the attempt.
-    pub(super) fn place_next(&mut self, machine: &Rc<str>, incarnation: u64) -> Option<(u32, u64)> {
-        let index = self.waiting.pop_first()?;
-        let task = &mut self.tasks[index as usize];
-        task.attempt += 1;
-        task.state = TaskState::Placed {
-            machine: machine.clone(),
-            incarnation,
-            stored: false,
-        };
-        Some((index, task.attempt))
-    }
-
-    /// Applies a stored placement of a task. Returns false if the job has no such task.
-    pub(super) fn apply_placement(&mut self, placed: &PlacedTask, machine: &Rc<str>) -> bool {
-        let Some(task) = self.tasks.get_mut(placed.index as usize) else {
-            return false;
-        };
-        task.attempt = placed.attempt;
-        task.state = TaskState::Placed {
-            machine: machine.clone(),
-            incarnation: placed.incarnation,
-            stored: true,
-        };
-        self.waiting.remove(&placed.index);
-        true
-    }
-
-    /// Marks a placement as stored. Returns its machine if the placement is still current.
-    pub(super) fn confirm_placement(&mut self, index: u32, attempt: u64) -> Option<Rc<str>> {
-        let task = &mut self.tasks[index as usize];
-        match &mut task.state {
-            TaskState::Placed {
-                machine, stored, ..
-            } if task.attempt == attempt => {
-                *stored = true;
-                Some(machine.clone())
-            }
-            _ => None,
-        }
-    }
-
-    /// Returns a placed task to waiting. Returns its machine, or `None` if the task was not
-    /// placed.
-    pub(super) fn revert_placement(&mut self, index: u32) -> Option<Rc<str>> {
-        let task = &mut self.tasks[index as usize];
-        let TaskState::Placed { machine, .. } = &task.state else {
-            return None;
-        };
-        let machine = machine.clone();
-        task.state = TaskState::Waiting;
-        self.waiting.insert(index);
-        Some(machine)
-    }
-
-    /// Records that a machine has reported a task as running.
-    pub(super) fn record_running(&mut self, index: u32) {
-        self.running.insert(index);
-    }
-
-    /// Resets a task as if it had never been placed. Returns the machine it was placed on.
-    pub(super) fn reset_task(&mut self, index: u32) -> Option<Rc<str>> {
-        let task = &mut self.tasks[index as usize];
-        let before = std::mem::replace(&mut task.state, TaskState::Waiting);
-        task.attempt = 0;
-        self.waiting.insert(index);
-        match before {
-            TaskState::Placed { machine, .. } => return Some(machine),
-            TaskState::Done => self.done -= 1,
-            TaskState::Waiting => {}
-        }
-        None
-    }
-
-    /// Returns a task to waiting after its attempt ended without completing.
-    pub(super) fn return_to_waiting(&mut self, index: u32, attempt: u64) {
-        self.running.remove(&index);
-        let task = &mut self.tasks[index as usize];
-        if task.attempt == attempt && matches!(task.state, TaskState::Placed { .. }) {
-            task.state = TaskState::Waiting;
-            self.waiting.insert(index);
-        }
-    }
-
-    /// Marks a task as done after an attempt completed. Returns false if the attempt is not
-    /// the current one.
-    pub(super) fn complete_task(&mut self, index: u32, attempt: u64) -> bool {
-        self.running.remove(&index);
-        let task = &mut self.tasks[index as usize];
-        if task.attempt != attempt || !matches!(task.state, TaskState::Placed { .. }) {
-            return false;
-        }
-        task.state = TaskState::Done;
-        self.done += 1;
-        true
-    }
-
     /// Adds the run time of a completed training task, in seconds. Sets the job's size once
     /// there are enough samples.
     pub(super) fn add_sample(&mut self, config: &Config, run_time_s: f64) {
         let training_tasks = config.tuning.training_tasks.max(1) as usize;
         self.samples.push(run_time_s);
-        if self.samples.len() >= training_tasks.min(self.tasks.len()) {
+        if self.samples.len() >= training_tasks.min(self.tasks.count() as usize) {
             let mean_s = self.samples.iter().sum::<f64>() / self.samples.len() as f64;
             self.trained = true;
             self.size = f64::from(self.spec.tasks) * self.spec.cpus * mean_s;
--- a/crates/controller/src/leader/job_lifecycle.rs
+++ b/crates/controller/src/leader/job_lifecycle.rs
@@ -3,7 +3,6 @@
 use super::{Leader, LeaderEvent};
 use crate::calls::Context;
 use crate::machines::TaskKey;
-use crate::records;
 use crate::write_queue::{NewPlacement, PendingWrite};
 use std::rc::Rc;
 
@@ -35,7 +34,8 @@
     /// in the batch does not count: otherwise the current placement would never be reverted.
     fn is_being_stored(&self, task: &TaskKey) -> bool {
         let (id, index) = task;
-        let current = self.jobs.get(id).and_then(|job| job.task(*index));
+        let job = self.jobs.get(id);
+        let current = job.and_then(|job| job.tasks.placement(*index));
         current.is_some_and(|current| {
             self.writer.is_storing(&NewPlacement {
                 task: task.clone(),
@@ -76,7 +76,7 @@
         let Some(job) = self.jobs.get(id) else {
             return unstored;
         };
-        for (index, machine) in job.placed_tasks() {
+        for (index, machine) in job.tasks.placed() {
             let Some(machine) = self.machines.get_mut(machine) else {
                 continue;
             };
@@ -98,7 +98,7 @@
     pub(super) fn revert_unstored_placement(&mut self, key: &TaskKey) {
         let (id, index) = key;
         if let Some(job) = self.jobs.get_mut(id)
-            && let Some(machine) = job.revert_placement(*index)
+            && let Some(machine) = job.tasks.revert_placement(*index)
             && let Some(machine) = self.machines.get_mut(&machine)
         {
             machine.slots.remove(key);
@@ -112,7 +112,7 @@
         if let Some(job) = self.jobs.get_mut(id)
             && job.cancellation_confirmed
             && !job.ending
-            && job.placed_count() == 0
+            && job.tasks.placed_count() == 0
         {
             job.ending = true;
             self.writer
@@ -137,8 +137,9 @@
         self.untrack_dependencies(ctx, id);
         if let Some(job) = self.jobs.remove(id) {
             for range in job.task_ranges.stored_ranges() {
+                let job = id.clone();
                 self.writer
-                    .enqueue(PendingWrite::DeleteKey(records::tasks_key(id, range)));
+                    .enqueue(PendingWrite::DeleteTasks { job, range });
             }
         }
     }
--- a/crates/controller/src/leader/mod.rs
+++ b/crates/controller/src/leader/mod.rs
@@ -15,6 +15,7 @@
 mod heartbeats;
 mod job;
 mod job_lifecycle;
+mod job_tasks;
 mod machine_types;
 mod queue_records;
 mod queue_watch;
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -310,11 +310,11 @@
             return;
         };
         let Some(id) = self.jobs.name(id).cloned() else {
-            return self.add_unknown_job_record(id, row);
+            return self.add_unknown_job_record(id, range, row);
         };
         let Some(chunk) = row.decode_value::<TaskRecord>() else {
             log::error!("unreadable task record key={}", row.key);
-            return self.demote_to_unknown(ctx, &id, range, &row.key);
+            return self.demote_to_unknown(ctx, &id, range);
         };
         if matches!(range, TaskRange::Part { .. }) {
             // Parts are written only after the lower limits have taken effect. They override
@@ -329,7 +329,7 @@
             return;
         };
         job.task_ranges.set_version(range, row.version);
-        job.apply_chunk(&chunk);
+        job.apply_task_record(&chunk);
         for placed in chunk.placed {
             self.apply_placement(ctx, &id, index, placed);
         }
@@ -348,7 +348,7 @@
             return;
         };
         let name: Rc<str> = Rc::from(placed.machine.as_str());
-        if !job.apply_placement(&placed, &name) {
+        if !job.tasks.apply_placement(&placed, &name) {
             return;
         }
         // A machine without a record may be running nevertheless. Its description is
@@ -379,7 +379,7 @@
             return;
         };
         for index in job.task_ranges.indexes(range) {
-            if let Some(machine) = job.reset_task(index)
+            if let Some(machine) = job.tasks.reset(index)
                 && let Some(machine) = self.machines.get_mut(&machine)
             {
                 machine.slots.remove(&(id.clone(), index));
--- a/crates/controller/src/leader/scheduling.rs
+++ b/crates/controller/src/leader/scheduling.rs
@@ -242,7 +242,7 @@
         let mut placed: Vec<TaskKey> = Vec::new();
         for _ in 0..assignment.tasks {
             let incarnation = machine.incarnation();
-            let Some((index, attempt)) = job.place_next(&machine_name, incarnation) else {
+            let Some((index, attempt)) = job.tasks.place_next(&machine_name, incarnation) else {
                 break;
             };
             let mut slot = TaskSlot::new(attempt, incarnation, assignment.job, &job.spec, false);
--- a/crates/controller/src/leader/scheduling/views.rs
+++ b/crates/controller/src/leader/scheduling/views.rs
@@ -69,7 +69,7 @@
         if !job.spec.spread && !job.spec.single_zone {
             return zones;
         }
-        let names = job.placed_tasks().map(|(_, name)| name);
+        let names = job.tasks.placed().map(|(_, name)| name);
         for name in names.filter(|name| !excluded.contains(*name)) {
             if let Some(machine) = self.machines.get(name) {
                 *zones.entry(machine.zone.clone()).or_default() += 1;
--- a/crates/controller/src/leader/state_writes.rs
+++ b/crates/controller/src/leader/state_writes.rs
@@ -239,6 +239,10 @@
                 batch.delete(records::cancelled_job_key(id));
                 true
             }
+            PendingWrite::DeleteTasks { job, range } => {
+                batch.delete(records::tasks_key(job, *range));
+                true
+            }
             PendingWrite::Machine(name) => self.add_machine(name, batch),
             PendingWrite::DeleteKey(key) => {
                 batch.delete(key.clone());
@@ -254,7 +258,7 @@
         };
         let key = records::tasks_key(id, range);
         batch.compare(key.clone(), job.task_ranges.version(range));
-        batch.put(key, &job.task_chunk(range));
+        batch.put(key, &job.task_record(range));
         let placements_before = batch.placements.len();
         let unstored = job.unstored_placements(range);
         batch
--- a/crates/controller/src/leader/task_events.rs
+++ b/crates/controller/src/leader/task_events.rs
@@ -39,7 +39,7 @@
             TaskEvent::Running((id, index)) => {
                 log::debug!("task running job={id} task={index} machine={machine}");
                 if let Some(job) = self.jobs.get_mut(&id) {
-                    job.record_running(index);
+                    job.tasks.record_running(index);
                 }
             }
             TaskEvent::Lost {
@@ -97,7 +97,7 @@
     pub(super) fn return_to_waiting(&mut self, key: &TaskKey, attempt: u64) {
         let (id, index) = key;
         if let Some(job) = self.jobs.get_mut(id) {
-            job.return_to_waiting(*index, attempt);
+            job.tasks.return_to_waiting(*index, attempt);
             if job.cancelled_at.is_none() {
                 self.enqueue_task_record(key);
             }
@@ -111,7 +111,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if !job.complete_task(*index, exited.attempt) {
+        if !job.tasks.complete(*index, exited.attempt) {
             return;
         }
         if let Some(run_time) = exited.run_time {
@@ -167,7 +167,7 @@
     /// Whether a replica of the service has run for long enough to be assumed to work.
     /// Replicas don't complete, so this is the only evidence that a service works.
     fn has_serving_replica(&self, job: &Job, id: &Rc<str>, now: Micros) -> bool {
-        job.running_tasks().any(|(index, machine)| {
+        job.tasks.running().any(|(index, machine)| {
             let machine = self.machines.get(machine);
             let slot = machine.and_then(|machine| machine.slots.get(&(id.clone(), index)));
             let since = slot.and_then(|slot| slot.running_since);
--- a/crates/controller/src/leader/task_ranges.rs
+++ b/crates/controller/src/leader/task_ranges.rs
@@ -26,7 +26,7 @@
     task_count: u32,
     tasks_per_chunk: u32,
     tasks_per_part: u32,
-    /// The version of each chunk; 0 if it is not stored.
+    /// The version of each chunk up to the last one that was stored; 0 if it is not stored.
     chunk_versions: Vec<u64>,
     /// Chunks that were split and are no longer written.
     split_chunks: BTreeSet<u32>,
@@ -42,7 +42,7 @@
             task_count,
             tasks_per_chunk,
             tasks_per_part: tasks_per_part.max(1),
-            chunk_versions: vec![0; task_count.div_ceil(tasks_per_chunk) as usize],
+            chunk_versions: Vec::new(),
             split_chunks: BTreeSet::new(),
             parts: BTreeMap::new(),
         }
@@ -136,11 +136,7 @@
     /// Records that the range's record is stored with this version.
     pub fn set_version(&mut self, range: TaskRange, version: u64) {
         match range {
-            TaskRange::Chunk(chunk) => {
-                if let Some(known) = self.chunk_versions.get_mut(chunk as usize) {
-                    *known = version;
-                }
-            }
+            TaskRange::Chunk(chunk) => self.set_chunk_version(chunk, version),
             TaskRange::Part { chunk, from, to } => {
                 self.split_chunks.insert(chunk);
                 self.parts.insert(from, StoredPart { last: to, version });
@@ -148,6 +144,18 @@
         }
     }
 
+    /// Has no effect for a chunk that the job doesn't have.
+    fn set_chunk_version(&mut self, chunk: u32, version: u64) {
+        if chunk >= self.task_count.div_ceil(self.tasks_per_chunk) {
+            return;
+        }
+        let index = chunk as usize;
+        if index >= self.chunk_versions.len() {
+            self.chunk_versions.resize(index + 1, 0);
+        }
+        self.chunk_versions[index] = version;
+    }
+
     /// All ranges that have a stored record.
     pub fn stored_ranges(&self) -> Vec<TaskRange> {
         let versions = self.chunk_versions.iter().enumerate();
--- a/crates/controller/src/leader/unknown_jobs.rs
+++ b/crates/controller/src/leader/unknown_jobs.rs
@@ -41,8 +41,8 @@
     /// The earliest time at which its cancellation may have been confirmed, if it is
     /// cancelled.
     cancelled_at: Option<Micros>,
-    /// The keys of its task records.
-    record_keys: Vec<String>,
+    /// The tasks that each of its task records covers.
+    records: Vec<TaskRange>,
     /// The machines that may hold its tasks according to its readable records.
     machines: BTreeSet<Rc<str>>,
     /// Whether any machine may hold its tasks, because a task record is unreadable.
@@ -164,9 +164,9 @@
     }
 
     /// Adds a task record of an unknown job, so that the record is kept.
-    pub(super) fn add_unknown_job_record(&mut self, id: &str, row: &KeyValue) {
+    pub(super) fn add_unknown_job_record(&mut self, id: &str, range: TaskRange, row: &KeyValue) {
         let job = self.unknown_jobs.entry(id);
-        job.record_keys.push(row.key.clone());
+        job.records.push(range);
         if !job.has_description {
             // The job has probably ended, and its records were not completely deleted.
             self.dependencies.request_state_read(Rc::from(id));
@@ -183,13 +183,7 @@
 
     /// Treats a job with an unreadable task record as unknown, as if its description were
     /// unreadable. Otherwise a write of that record would lose its contents.
-    pub(super) fn demote_to_unknown(
-        &mut self,
-        ctx: &Context,
-        id: &Rc<str>,
-        range: TaskRange,
-        key: &str,
-    ) {
+    pub(super) fn demote_to_unknown(&mut self, ctx: &Context, id: &Rc<str>, range: TaskRange) {
         self.untrack_dependencies(ctx, id);
         let Some(job) = self.jobs.remove(id) else {
             return;
@@ -205,9 +199,10 @@
             gpu_millionths: to_millionths(job.spec.gpus),
         });
         // The number of placed tasks in the record is unknown, so all of them are counted.
-        unknown.placed = job.placed_count() as i64 + job.task_ranges.indexes(range).len() as i64;
-        unknown.record_keys.push(key.to_string());
-        for (index, machine) in job.placed_tasks() {
+        unknown.placed =
+            job.tasks.placed_count() as i64 + job.task_ranges.indexes(range).len() as i64;
+        unknown.records.push(range);
+        for (index, machine) in job.tasks.placed() {
             if let Some(machine) = self.machines.get_mut(machine) {
                 machine.slots.remove(&(id.clone(), index));
             }
@@ -232,9 +227,11 @@
             return;
         }
         self.request_stops(id);
-        if let Some(job) = self.unknown_jobs.0.remove(id) {
-            for key in job.record_keys {
-                self.writer.enqueue(PendingWrite::DeleteKey(key));
+        if let Some((id, job)) = self.unknown_jobs.0.remove_entry(id) {
+            for range in job.records {
+                let job = id.clone();
+                self.writer
+                    .enqueue(PendingWrite::DeleteTasks { job, range });
             }
         }
     }
--- a/crates/controller/src/leader/write_replies.rs
+++ b/crates/controller/src/leader/write_replies.rs
@@ -322,7 +322,9 @@
             PendingWrite::JobCancelled(id) => self.dependent_cancelled(ctx, id),
             PendingWrite::DeleteJobRecords(id) => self.remove_ended_job(ctx, id),
             PendingWrite::MachineTypes => self.machine_types.record_written(revision),
-            PendingWrite::Machine(_) | PendingWrite::DeleteKey(_) => {}
+            PendingWrite::Machine(_)
+            | PendingWrite::DeleteTasks { .. }
+            | PendingWrite::DeleteKey(_) => {}
         }
     }
 
@@ -332,7 +334,7 @@
         let NewPlacement { task: key, attempt } = placement;
         let (id, index) = key;
         let job = self.jobs.get_mut(id);
-        let machine = job.and_then(|job| job.confirm_placement(*index, *attempt));
+        let machine = job.and_then(|job| job.tasks.confirm_placement(*index, *attempt));
         let Some(machine) = machine else {
             return;
         };
--- a/crates/controller/src/write_queue.rs
+++ b/crates/controller/src/write_queue.rs
@@ -39,6 +39,13 @@
     JobCancelled(Rc<str>),
     /// The deletion of the records of a cancelled job all of whose tasks are gone.
     DeleteJobRecords(Rc<str>),
+    /// The deletion of a task record of a job that has ended.
+    DeleteTasks {
+        /// The id of the job.
+        job: Rc<str>,
+        /// The tasks that the record covers.
+        range: TaskRange,
+    },
     /// The record of a machine.
     Machine(String),
     /// The deletion of a key that is no longer needed.
@@ -52,7 +59,12 @@
     /// and an unneeded key may remain for a while. Placements must not wait for the many
     /// machine records that are written when a fleet boots.
     fn is_deferrable(&self) -> bool {
-        matches!(self, PendingWrite::Machine(_) | PendingWrite::DeleteKey(_))
+        matches!(
+            self,
+            PendingWrite::Machine(_)
+                | PendingWrite::DeleteTasks { .. }
+                | PendingWrite::DeleteKey(_)
+        )
     }
 }
 
@@ -66,6 +78,10 @@
             PendingWrite::JobDone(job) => write!(f, "write=job_done job={job}"),
             PendingWrite::JobCancelled(job) => write!(f, "write=job_cancelled job={job}"),
             PendingWrite::DeleteJobRecords(job) => write!(f, "write=delete_job_records job={job}"),
+            PendingWrite::DeleteTasks { job, range } => {
+                let key = records::tasks_key(job, *range);
+                write!(f, "write=delete_tasks key={key}")
+            }
             PendingWrite::Machine(machine) => write!(f, "write=machine machine={machine}"),
             PendingWrite::DeleteKey(key) => write!(f, "write=delete_key key={key}"),
             PendingWrite::MachineTypes => write!(f, "write=machine_types"),
@@ -83,7 +99,7 @@
 /// The writes that are queued, and the batch that is in flight.
 ///
 /// A write is queued at most once: `queued` contains every write of `urgent`,
-/// `cancellations`, `deferrable` and `rejected`.
+/// `cancellations`, `deferrable` and `rejected`, except for deletions of task records.
 #[derive(Debug, Default)]
 pub struct WriteQueue {
     urgent: VecDeque<PendingWrite>,
@@ -114,16 +130,22 @@
         }
     }
 
+    /// Returns whether the write is to be queued. Deletions of task records always are: there may
+    /// be thousands of them for each job, and a repeated one has no effect.
+    fn mark_queued(&mut self, write: &PendingWrite) -> bool {
+        matches!(write, PendingWrite::DeleteTasks { .. }) || self.queued.insert(write.clone())
+    }
+
     /// Queues a write behind the others in its sub-queue, unless it is already queued.
     pub fn push(&mut self, write: PendingWrite) {
-        if self.queued.insert(write.clone()) {
+        if self.mark_queued(&write) {
             self.sub_queue(&write).push_back(write);
         }
     }
 
     /// Queues a write before the others in its sub-queue, unless it is already queued.
     pub fn push_front(&mut self, write: PendingWrite) {
-        if self.queued.insert(write.clone()) {
+        if self.mark_queued(&write) {
             self.sub_queue(&write).push_front(write);
         }
     }
