Leader: never send a batch again that the store's rate limit cannot admit

Cause: a batch was sized by the old limit, 40 mutations, and after the answer 429 it was sent again as it was, ten times a second. The lower limit admits 30 at once. One batch is in flight at a time, so nothing else was written; the lease is renewed, so no other node took over.

Fix: the bursts of a leader comply with the announced limit from the start. A batch that was refused and was surely not applied goes back to the queue and is built again after a pause, in half the size from the second refusal in a row on, since others may use up the limit. A batch with an earlier attempt without an answer stays as it is: unlike 400, 429 does not prove that the late attempt is not executed, and other writes of its records would conflict with it. It is within the lower limit.

--- a/crates/controller/src/leader/state_writes.rs
+++ b/crates/controller/src/leader/state_writes.rs
@@ -48,7 +48,7 @@
     pub fn new(config: &Config) -> StateWriter {
         StateWriter {
             queue: WriteQueue::default(),
-            rate: WriteRate::new(config.current_store_write_rps),
+            rate: WriteRate::new(config),
             pending_reads: VecDeque::new(),
             max_value_bytes: config.current_max_value_bytes,
         }
@@ -90,9 +90,17 @@
         self.max_value_bytes
     }
 
-    /// Limits writes to `store_rps` mutations per second.
-    pub fn limit_rate(&mut self, store_rps: f64) {
-        self.rate.lower_limit(store_rps);
+    /// Lowers the rate of writes to the announced lower limit.
+    pub fn use_lower_rate(&mut self, config: &Config) {
+        self.rate.lower_limit(config.store_write_rps);
+    }
+
+    /// Handles the refusal of a batch that was never applied as over the store's rate limit: its
+    /// writes may be sent again after a pause, in smaller batches if this happens repeatedly.
+    pub fn batch_rate_limited(&mut self, now: Micros, batch: &WriteBatch) {
+        self.rate.put_back(batch.mutation_count());
+        self.queue
+            .pause_after_rate_limit(now + RETRY_INTERVAL, batch.writes.len());
     }
 
     /// Reduces the batch size after a batch of `rejected_writes` writes was too large.
@@ -166,6 +174,9 @@
     /// none.
     fn next_batch(&mut self, ctx: &Context) -> Option<WriteBatch> {
         let now = ctx.now.monotonic;
+        if self.writer.queue.is_paused(now) {
+            return None;
+        }
         self.writer.queue.requeue_rejected(now);
         let deferrable_per_s = ctx.config.store_write_rps * DEFERRABLE_WRITE_SHARE;
         self.writer
--- a/crates/controller/src/leader/write_replies.rs
+++ b/crates/controller/src/leader/write_replies.rs
@@ -34,11 +34,8 @@
                 );
                 self.events.push(LeaderEvent::StepDown);
             }
+            Ok(StoreResponse::RateLimited) => self.handle_rate_limited_batch(ctx, batch),
             other => {
-                if matches!(other, Ok(StoreResponse::RateLimited)) {
-                    // The store may have switched to its lower limit without notice.
-                    self.writer.limit_rate(ctx.config.store_write_rps);
-                }
                 batch.outcome_unknown |= other.is_err();
                 self.writer.resend_later(ctx.now.monotonic, batch);
             }
@@ -93,6 +90,22 @@
         }
     }
 
+    /// Handles a batch that exceeded the store's rate limit, which may have been lowered.
+    ///
+    /// If an earlier attempt had no response, it may still be applied later, unlike after a
+    /// rejection for the size. The batch then stays as it is: another batch with the same records
+    /// could conflict with the late one. It complies with the lower limit from the start
+    /// ([`WriteRate`](crate::write_queue::WriteRate)).
+    fn handle_rate_limited_batch(&mut self, ctx: &mut Context, batch: WriteBatch) {
+        let now = ctx.now.monotonic;
+        self.writer.use_lower_rate(ctx.config);
+        if batch.outcome_unknown {
+            return self.writer.resend_later(now, batch);
+        }
+        self.writer.batch_rate_limited(now, &batch);
+        self.requeue_batch(batch);
+    }
+
     /// Handles the reply to [`Self::request_outcome`]. If the key still has the version that the
     /// batch compared, no attempt of the batch was applied.
     pub(super) fn outcome_reply(
--- a/crates/controller/src/write_queue.rs
+++ b/crates/controller/src/write_queue.rs
@@ -115,6 +115,10 @@
     deferrable_budget: TokenBucket,
     /// The maximum number of writes in a batch, set after the store rejected a larger one.
     max_batch_writes: Option<usize>,
+    /// The number of batches in a row that were over the store's rate limit.
+    rate_limited_batches: u32,
+    /// No batch is sent before this time.
+    paused_until: Micros,
     in_flight: Option<WriteBatch>,
     /// When the batch in flight is resent. Set only if a batch had no response.
     resend_at: Option<Micros>,
@@ -223,9 +227,27 @@
         self.max_batch_writes = Some(rejected_writes / 2);
     }
 
+    /// Delays the next batch after the store refused one of `refused_writes` writes as over its
+    /// rate limit. After the first such refusal, which may be due to the requests of others, the
+    /// batch size is halved each time, so that the writes are not refused for as long as others use
+    /// most of the limit.
+    pub fn pause_after_rate_limit(&mut self, until: Micros, refused_writes: usize) {
+        self.paused_until = until;
+        if self.rate_limited_batches > 0 {
+            self.max_batch_writes = Some((refused_writes / 2).max(1));
+        }
+        self.rate_limited_batches += 1;
+    }
+
+    /// Whether batches are delayed.
+    pub fn is_paused(&self, now: Micros) -> bool {
+        now < self.paused_until
+    }
+
     /// Doubles a reduced batch size after a batch was committed. Once it reaches `limit`,
     /// the number of writes is no longer restricted.
     pub fn grow_batches(&mut self, limit: usize) {
+        self.rate_limited_batches = 0;
         self.max_batch_writes = self.max_batch_writes.map(|writes| writes * 2);
         self.max_batch_writes.take_if(|writes| *writes >= limit);
     }
--- a/crates/simulator/examples/fault_search.rs
+++ b/crates/simulator/examples/fault_search.rs
@@ -45,6 +45,9 @@
     /// Command batches overtake the replies to heartbeats, and attempts end early
     #[value(name = "slow-links")]
     SlowLinks,
+    /// The store lowers its limit of writes per second while many jobs end or are cancelled
+    #[value(name = "lowered-write-rate")]
+    LoweredWriteRate,
     /// A process crashes at a call to the store: three seeds for each call
     #[value(name = "calls")]
     StoreCallCrash,
@@ -75,7 +78,8 @@
     // run with the most such launches.
     let most_late = Mutex::new((0, 0, 0));
     let next = AtomicU64::new(args.from);
-    let (failed_runs, watched_jobs, watched_ends, late_deletions, refused) = (
+    let (failed_runs, watched_jobs, watched_ends, late_deletions, refused, rate_limited) = (
+        AtomicUsize::new(0),
         AtomicUsize::new(0),
         AtomicUsize::new(0),
         AtomicUsize::new(0),
@@ -100,6 +104,7 @@
                         Faults::StoreOutages => Scenario::store_outages(seed),
                         Faults::CancelledPipelines => Scenario::cancelled_pipelines(seed),
                         Faults::SlowLinks => Scenario::slow_links(seed),
+                        Faults::LoweredWriteRate => Scenario::lowered_write_rate(seed),
                         Faults::StoreCallCrash => Scenario::crash_at_call(seed),
                     };
                     let scenario = Scenario { form, ..scenario };
@@ -123,6 +128,7 @@
                     *most = late_in_run.max(*most);
                     drop(most);
                     refused.fetch_add(o.refused_over_lowered_limits, Ordering::Relaxed);
+                    rate_limited.fetch_add(o.rate_limited_transactions, Ordering::Relaxed);
                     let clean = o.violations.is_empty()
                         && o.protocol_errors.is_empty()
                         && o.unfinished.is_empty()
@@ -149,6 +155,10 @@
     if refused > 0 {
         println!("{refused} requests exceeded the lowered limits");
     }
+    let rate_limited = rate_limited.into_inner();
+    if rate_limited > 0 {
+        println!("{rate_limited} transactions exceeded the limit of writes per second");
+    }
     let late_deletions = late_deletions.into_inner();
     if late_deletions > 0 {
         println!("{late_deletions} machines were deleted by late calls");
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::cloud::{Cloud, RentedMachine};
 use crate::rules::MachineAttributes;
 use crate::store::{PageLimit, SimulatedStore, Watches};
+use crate::token_bucket::TokenBucket;
 use crate::worker::{HEARTBEAT_TIMEOUT, TaskBehaviour, Worker, WorkerEvent};
 use dillcleat_controller::config::StartObjective;
 use dillcleat_controller::records::{
@@ -165,34 +166,6 @@
     RecordCloudListAndRefill,
 }
 
-/// A token bucket with a burst of one second's worth of tokens.
-struct TokenBucket {
-    tokens_per_s: f64,
-    tokens: f64,
-    refilled_at: Micros,
-}
-
-impl TokenBucket {
-    fn new(tokens_per_s: f64) -> TokenBucket {
-        TokenBucket {
-            tokens_per_s,
-            tokens: tokens_per_s,
-            refilled_at: 0,
-        }
-    }
-
-    fn take(&mut self, n: f64, now: Micros) -> bool {
-        let refill = (now - self.refilled_at) as f64 / SECOND as f64 * self.tokens_per_s;
-        self.tokens = (self.tokens + refill).min(self.tokens_per_s);
-        self.refilled_at = now;
-        let enough = self.tokens >= n;
-        if enough {
-            self.tokens -= n;
-        }
-        enough
-    }
-}
-
 pub struct Fleet {
     settings: FleetSettings,
     now: Micros,
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -9,6 +9,7 @@
 mod fault_injection;
 pub mod fleet;
 pub mod loopback;
+mod lowered_write_rate;
 pub mod objects;
 pub mod output_digest;
 pub mod processes;
@@ -20,10 +21,13 @@
 mod slow_links;
 pub mod store;
 mod store_outages;
+mod token_bucket;
 pub mod worker;
 
 pub use fleet::{Fleet, FleetMeasurements, FleetSettings};
 pub use rules::{Checker, LateLaunches, Rule, Violation};
-pub use scenario::{CrashPoint, Fault, LEADER, PartitionMode, Scenario, SubmissionForm};
+pub use scenario::{
+    CrashPoint, Fault, LEADER, LoweredWriteRate, PartitionMode, Scenario, SubmissionForm,
+};
 pub use service_shares::ServiceShares;
 pub use simulation::{Outcome, Simulation};
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -212,6 +212,15 @@
     }
 }
 
+/// A limit of the store's writes per second that is lowered during the run. The controllers know
+/// both limits, but not when the lower one applies.
+#[derive(Debug, Clone, Copy)]
+pub struct LoweredWriteRate {
+    pub at: Micros,
+    pub before_per_s: f64,
+    pub after_per_s: f64,
+}
+
 /// The workload, environment and faults of a simulation.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -259,6 +268,8 @@
     pub upgrade: Option<(Micros, Micros)>,
     /// When the store lowers its limits.
     pub limits_lowered_at: Option<Micros>,
+    /// The limit of the store's writes per second; `None` if there is none.
+    pub lowered_write_rate: Option<LoweredWriteRate>,
     /// End of the submissions and faults. The remaining time is for the jobs to finish.
     pub activity_end: Micros,
     /// End of the simulation.
@@ -469,6 +480,7 @@
             cancelled_dependents: None,
             upgrade: None,
             limits_lowered_at: None,
+            lowered_write_rate: None,
             activity_end,
             end: activity_end + 500 * SECOND,
         }
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -84,6 +84,8 @@
     /// Number of requests that exceeded a limit of the store after the limits had been
     /// reduced without notice.
     pub refused_over_lowered_limits: usize,
+    /// Number of transactions that exceeded the store's limit of writes per second.
+    pub rate_limited_transactions: usize,
     /// Keys of tasks and of open or cancelled jobs that remained in the store at the end.
     pub leftover_keys: Vec<String>,
     /// Parts of the leaders' derived state that differed when they were recomputed.
@@ -227,6 +229,10 @@
         node: usize,
     },
     ReduceStoreLimits,
+    /// The store enforces a limit of this many writes per second from now on.
+    LimitWriteRate {
+        per_s: f64,
+    },
     Fault(Box<Fault>),
     RecordCloudListing,
 }
@@ -514,6 +520,11 @@
     if scenario.large_site {
         config = large_site_config(config, scenario.scale);
     }
+    if let Some(rate) = scenario.lowered_write_rate {
+        config.current_store_write_rps = rate.before_per_s;
+        config.store_write_rps = rate.after_per_s;
+        config.max_txn_ops = INITIAL_STORE_LIMITS.max_txn_ops;
+    }
     if scenario.tight_quotas {
         let scale = f64::from(scenario.scale);
         for team in &mut config.teams {
@@ -709,6 +720,11 @@
         if let Some(at) = simulation.scenario.limits_lowered_at {
             simulation.schedule(at, Event::ReduceStoreLimits);
         }
+        if let Some(rate) = simulation.scenario.lowered_write_rate {
+            simulation.store.limit_write_rate(rate.before_per_s);
+            let per_s = rate.after_per_s;
+            simulation.schedule(rate.at, Event::LimitWriteRate { per_s });
+        }
         simulation.schedule(SECOND, Event::AdvanceWorkers);
         simulation.schedule(SECOND, Event::RecordCloudListing);
         simulation.schedule(10 * SECOND, Event::PollUnknownJob);
@@ -774,6 +790,7 @@
             unfinished,
             leftover_keys: [self.store.keys("t/"), self.store.keys("q/")].concat(),
             refused_over_lowered_limits: self.store.refused_over_lowered_limits,
+            rate_limited_transactions: self.store.rate_limited_transactions,
             protocol_errors: self.store.protocol_errors,
             violations: self.checker.violations,
             stale: self.stale,
@@ -1085,6 +1102,7 @@
                 REDUCED_STORE_LIMITS.max_value_bytes,
                 REDUCED_STORE_LIMITS.max_txn_ops,
             ),
+            Event::LimitWriteRate { per_s } => self.store.limit_write_rate(per_s),
             Event::Fault(fault) => self.start_fault(*fault),
             Event::RecordCloudListing => {
                 self.cloud.record_list(self.now);
--- a/crates/simulator/src/store.rs
+++ b/crates/simulator/src/store.rs
@@ -1,5 +1,6 @@
 //! A simulated consensus-backed key-value store.
 
+use crate::token_bucket::TokenBucket;
 use dillcleat_controller::{MILLISECOND, Micros, records};
 use dillcleat_wire::store::{
     KeyValue, LeaseId, Mutation, RangePage, StoreRequest, StoreResponse, Transaction, Value,
@@ -56,6 +57,10 @@
     outage_since: Micros,
     max_value_bytes: usize,
     max_txn_ops: usize,
+    /// The limit of mutations per second, if it is enforced.
+    write_rate: Option<TokenBucket>,
+    /// Transactions that were refused because of that limit.
+    pub rate_limited_transactions: usize,
     /// The limits were lowered during the run. The controllers are not notified, so a
     /// request beyond a limit is answered 400 and is not an error of the controller.
     limits_lowered: bool,
@@ -79,6 +84,8 @@
             outage_since: 0,
             max_value_bytes,
             max_txn_ops,
+            write_rate: None,
+            rate_limited_transactions: 0,
             limits_lowered: false,
             refused_over_lowered_limits: 0,
             protocol_errors: Vec::new(),
@@ -91,6 +98,14 @@
         self.limits_lowered = true;
     }
 
+    /// Enforces a limit of mutations per second, with a burst of one second's worth.
+    pub fn limit_write_rate(&mut self, per_s: f64) {
+        match &mut self.write_rate {
+            Some(bucket) => bucket.lower_rate(per_s),
+            None => self.write_rate = Some(TokenBucket::new(per_s)),
+        }
+    }
+
     /// Sets the page size of range listings.
     pub fn with_page_limit(mut self, page: PageLimit) -> Self {
         self.page = page;
@@ -230,7 +245,7 @@
                     revision: self.revision,
                 })
             }
-            StoreRequest::Transaction(txn) => self.txn(txn),
+            StoreRequest::Transaction(txn) => self.txn(txn, now),
             StoreRequest::GrantLease { ttl_ms } => {
                 let lease = LeaseId(self.next_lease);
                 self.next_lease += 1;
@@ -291,7 +306,7 @@
         StoreResponse::Malformed
     }
 
-    fn txn(&mut self, txn: &Transaction) -> StoreResponse {
+    fn txn(&mut self, txn: &Transaction, now: Micros) -> StoreResponse {
         let mut bytes = 0;
         for change in &txn.then {
             if let Mutation::Put { key, value, .. } = change {
@@ -320,6 +335,12 @@
             );
             return self.refuse_oversized(what);
         }
+        let mutations = txn.then.len() as f64;
+        let bucket = self.write_rate.as_mut();
+        if bucket.is_some_and(|bucket| !bucket.take(mutations, now)) {
+            self.rate_limited_transactions += 1;
+            return StoreResponse::RateLimited;
+        }
         // Keys that only the leader writes must be fenced by a condition on the term. Most
         // conflicting writes would also fail on a version, so a missing condition on the
         // term would rarely show in the outcome of a run.
--- a/crates/simulator/tests/combined_faults.rs
+++ b/crates/simulator/tests/combined_faults.rs
@@ -17,6 +17,8 @@
 /// In these seeds, an outage begins before the leader has read the cancellation of a job that
 /// others need.
 const CANCELLED_PIPELINE_SEEDS: [u64; 3] = [134, 149, 195];
+/// In these seeds, the batch that the leader sends when the limit is lowered exceeds it.
+const LOWERED_WRITE_RATE_SEEDS: [u64; 3] = [8, 17, 54];
 
 fn run_combined_faults(seeds: std::ops::Range<u64>) {
     for seed in seeds {
@@ -93,3 +95,13 @@
         run_clean(Scenario::cancelled_pipelines(seed));
     }
 }
+
+/// Guards against a leader that repeats a batch of writes which the lowered limit of the store never
+/// allows, so that nothing that it has to write is written any more.
+#[test]
+fn jobs_run_after_the_write_rate_was_lowered() {
+    for seed in LOWERED_WRITE_RATE_SEEDS {
+        let outcome = run_clean(Scenario::lowered_write_rate(seed));
+        assert!(outcome.rate_limited_transactions > 0, "seed {seed}");
+    }
+}
