Admission: charge and repeat cancellations within the store's write limit

Cause: the transaction of a cancellation was neither charged to the users' budget of writes nor sent again after 429. Users repeat it, so that the store is kept at its limit. There a write of one key is admitted sooner than one of two, and a cancellation writes two: it was refused each time that its user asked.

Fix: cancellations are charged to the budget, which they may overdraw by one key, so that submissions don't win over them. One that exceeds the budget or the store's limit is sent again every 200 ms for as long as its user waits, then refused. The cancellation that a node stores for a job behind a cancelled one is handled alike. The code has a module of its own.

--- a/crates/controller/src/admission/ancestors.rs
+++ b/crates/controller/src/admission/ancestors.rs
@@ -13,7 +13,8 @@
 //! cancellation of the job itself, as for a cancellation by the user, before it is reported. A
 //! job that is done needs no proof, nor do its ancestors, which are done as well.
 
-use super::{Admission, RETRY_TIMEOUT, RetryReason, cancellation_request};
+use super::cancellation::{CANCELLATION_RETRY_INTERVAL, cancellation_request};
+use super::{Admission, RETRY_TIMEOUT, RetryReason};
 use crate::CallError;
 use crate::Config;
 use crate::calls::Context;
@@ -21,7 +22,6 @@
 use crate::job_cache::{CachedJobState, Dependencies, OpenProof};
 use crate::messages::RequestId;
 use crate::records::{JobStateRecord, RecordedState};
-use crate::request_budget::{RequestPriority, StoreCost};
 use crate::time::Micros;
 use dillcleat_wire::store::StoreResponse;
 use std::collections::{BTreeMap, HashSet};
@@ -37,8 +37,6 @@
 const VALID_PROOF_AGE_FACTOR: u64 = 2;
 /// The maximum number of lookups in flight for one check.
 const MAX_LOOKUPS: usize = 128;
-/// The keys that a cancellation writes: the state record and the cancellation record.
-const CANCELLATION_WRITES: f64 = 2.0;
 
 /// What a check has found out about an ancestor, in addition to the cache.
 #[derive(Debug)]
@@ -62,6 +60,8 @@
     lookups_sent_at: Micros,
     /// The number of lookups, or writes of the job's cancellation, without a result.
     in_flight: usize,
+    /// The job's cancellation is not sent before this time.
+    cancel_at: Micros,
     found: BTreeMap<String, FoundAncestor>,
     /// Why a lookup failed, unless it is to be tried again.
     failure: Option<RetryReason>,
@@ -145,6 +145,7 @@
                 started_at: now,
                 lookups_sent_at: now,
                 in_flight: 0,
+                cancel_at: now,
                 found: BTreeMap::new(),
                 failure: None,
             });
@@ -294,10 +295,12 @@
     }
 
     /// Stores the cancellation of a job that needs a cancelled one. If the limits don't allow it
-    /// now, it is tried again at the next tick.
+    /// now, it is tried again at a later tick.
     fn cancel_descendant(&mut self, ctx: &mut Context, id: &str, ancestor: &str) {
-        let cost = StoreCost::transaction(CANCELLATION_WRITES);
-        if !self.take_budget(cost, RequestPriority::Change, ctx.now.monotonic) {
+        let now = ctx.now.monotonic;
+        let check = self.ancestor_checks.0.get(id);
+        let is_due = check.is_some_and(|check| now >= check.cancel_at);
+        if !is_due || !self.take_cancellation_budget(now) {
             return;
         }
         let Some(check) = self.ancestor_checks.0.get_mut(id) else {
@@ -336,6 +339,14 @@
                     self.read_state_record(ctx, id.to_string(), pending);
                 }
             }
+            Ok(StoreResponse::RateLimited) => {
+                let now = ctx.now.monotonic;
+                self.return_cancellation_budget(now);
+                if let Some(check) = self.ancestor_checks.0.get_mut(id) {
+                    check.in_flight = 0;
+                    check.cancel_at = now + CANCELLATION_RETRY_INTERVAL;
+                }
+            }
             _ => self.refuse_waiting(ctx, id, RetryReason::StoreUnreachable),
         }
     }
--- a/crates/controller/src/admission/mod.rs
+++ b/crates/controller/src/admission/mod.rs
@@ -49,10 +49,12 @@
 //! Reads, submissions and verifications are charged to a `RequestBudget`, and a new read or
 //! submission is sent only while fewer than `MAX_IN_FLIGHT` are in flight. A request that
 //! exceeds a limit is rejected at once with 503 and `Retry-After`. Exceptions: the transaction
-//! that cancels an open job is neither charged nor limited, and the read of a state record,
-//! which continues a request that is already being handled, is charged but never rejected.
+//! that cancels an open job is charged and delayed for a while instead (see `cancellation.rs`),
+//! and the read of a state record, which continues a request that is already being handled, is
+//! charged but never rejected.
 
 mod ancestors;
+mod cancellation;
 mod dependency_check;
 mod replies;
 mod schedulability;
@@ -62,6 +64,7 @@
 pub use self::schedulability::{Unschedulable, check_schedulable};
 
 use self::ancestors::AncestorChecks;
+use self::cancellation::DelayedCancellation;
 use self::dependency_check::DependencyCheck;
 use self::verification::Verifications;
 use crate::Config;
@@ -70,10 +73,10 @@
 use crate::job_cache::{CachedJobState, JobCache};
 use crate::messages::{Answer, RequestId};
 use crate::progress::{ProgressTable, TaskCounts};
-use crate::records::{self, CancelledJob, JobStateRecord, OpenJob, RecordedState};
+use crate::records::{self, JobStateRecord, OpenJob, RecordedState};
 use crate::request_budget::{RequestBudget, RequestPriority, StoreCost};
 use crate::time::{Micros, SECOND, seconds};
-use dillcleat_wire::store::{StoreRequest, Transaction};
+use dillcleat_wire::store::StoreRequest;
 use dillcleat_wire::user::{JobState, JobStatus, is_job_id};
 use std::collections::HashMap;
 
@@ -120,6 +123,8 @@
     last_check_id: u64,
     /// Checks of the ancestors of jobs that are to be reported as open.
     ancestor_checks: AncestorChecks,
+    /// Cancellations that exceeded a limit and are sent again.
+    delayed_cancellations: Vec<DelayedCancellation>,
     request_rate: RequestRate,
     /// Jobs that were observed to be cancelled and not yet reported to the leader in this
     /// process.
@@ -159,6 +164,7 @@
             dependency_checks: HashMap::new(),
             last_check_id: 0,
             ancestor_checks: AncestorChecks::default(),
+            delayed_cancellations: Vec::new(),
             request_rate: RequestRate::default(),
             cancelled: Vec::new(),
             progress: ProgressTable::default(),
@@ -344,7 +350,7 @@
                     received_at,
                 },
             ) if cached.is_open() => {
-                send_cancellation(ctx, id, cached, request, received_at);
+                self.send_cancellation(ctx, id, cached, request, received_at);
             }
             (
                 Some(cached),
@@ -383,44 +389,11 @@
         }
     }
 
-    /// Sends a verification of queued requests and continues checks of ancestors, if the limits
-    /// allow it. Called at every tick.
+    /// Sends delayed cancellations and a verification of queued requests, and continues checks of
+    /// ancestors, if the limits allow it. Called at every tick.
     pub fn tick(&mut self, ctx: &mut Context) {
+        self.send_due_cancellations(ctx);
         self.send_verification(ctx);
         self.advance_ancestor_checks(ctx);
     }
 }
-
-fn send_cancellation(
-    ctx: &mut Context,
-    id: &str,
-    cached: CachedJobState,
-    request: RequestId,
-    received_at: Micros,
-) {
-    let step = Step::Cancel {
-        id: id.to_string(),
-        request,
-        received_at,
-    };
-    ctx.store_request(
-        cancellation_request(ctx.now.wall, id, cached),
-        Continuation::Admission(step),
-    );
-}
-
-/// The transaction that stores the cancellation of a job that is cached as open.
-fn cancellation_request(wall: Micros, id: &str, cached: CachedJobState) -> StoreRequest {
-    let record = JobStateRecord {
-        state: RecordedState::Cancelled,
-        task_count: cached.record.task_count,
-    };
-    let cancelled = CancelledJob {
-        cancelled_at_us: wall,
-    };
-    let txn = Transaction::default()
-        .compare(records::job_state_key(id), cached.version)
-        .put(records::job_state_key(id), &record)
-        .put(records::cancelled_job_key(id), &cancelled);
-    StoreRequest::Transaction(txn)
-}
--- a/crates/controller/tests/cancelled_ancestors.rs
+++ b/crates/controller/tests/cancelled_ancestors.rs
@@ -205,6 +205,36 @@
     matches!(call, StoreRequest::Transaction(txn) if !txn.then.is_empty())
 }
 
+/// Guards against a job behind a cancelled one that stays open, since the writes of others keep its
+/// cancellation from being stored each time that its user asks.
+#[test]
+fn rate_limited_cancellation_of_a_descendant_is_sent_again_while_its_user_waits() {
+    const REFUSALS: usize = 5;
+    let (mut node, mut store) = pipeline_with_cancelled_job();
+    let asked_at = node.now;
+    let request = node.poll("req-4");
+    let mut refused = 0;
+    while node.answer(request).is_none() {
+        while !node.pending_calls.is_empty() {
+            if refused < REFUSALS && writes_cancellation(&node) {
+                let (call, _) = node.take_call();
+                node.reply(call, Ok(StoreResponse::RateLimited));
+                refused += 1;
+            } else {
+                node.execute_next(&mut store);
+            }
+        }
+        node.now += 50 * MILLISECOND;
+        node.tick();
+    }
+    assert_eq!(node.answer(request), CANCELLED);
+    assert_eq!(refused, REFUSALS);
+    // It is not sent again without a pause.
+    let time = node.now - asked_at;
+    assert!(time > REFUSALS as Micros * 100 * MILLISECOND, "{time} us");
+    assert!(time < 5 * SECOND, "{time} us");
+}
+
 /// Guards against a job that is reported as open because the leader has stored its
 /// cancellation first, and against an answer for only one of several requests.
 #[test]
