Admission: one type for the state of an ancestor

`FoundAncestor` and `AncestorState` held the same states, once owned and once borrowed; a clone of the proof is cheap. The record of a cancelled job is built in one place, `JobStateRecord::cancelled`. No change of behaviour.

--- a/crates/controller/src/admission/ancestors.rs
+++ b/crates/controller/src/admission/ancestors.rs
@@ -21,7 +21,7 @@
 use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
 use crate::job_cache::{CachedJobState, Dependencies, OpenProof};
 use crate::messages::RequestId;
-use crate::records::{JobStateRecord, RecordedState};
+use crate::records::RecordedState;
 use crate::time::Micros;
 use dillcleat_wire::store::StoreResponse;
 use std::collections::{BTreeMap, HashSet};
@@ -38,9 +38,9 @@
 /// The maximum number of lookups in flight for one check.
 const MAX_LOOKUPS: usize = 128;
 
-/// What a check has found out about an ancestor, in addition to the cache.
-#[derive(Debug)]
-enum FoundAncestor {
+/// The known state of an ancestor.
+#[derive(Debug, Clone)]
+enum AncestorState {
     /// The ancestor is open, or there is no such job.
     NotCancelled(OpenProof),
     Done,
@@ -62,7 +62,8 @@
     in_flight: usize,
     /// The job's cancellation is not sent before this time.
     cancel_at: Micros,
-    found: BTreeMap<String, FoundAncestor>,
+    /// The states of ancestors that the check has found out, in addition to the cache.
+    found: BTreeMap<String, AncestorState>,
     /// Why a lookup failed, unless it is to be tried again.
     failure: Option<RetryReason>,
 }
@@ -90,15 +91,6 @@
     }
 }
 
-/// The known state of an ancestor.
-#[derive(Debug)]
-enum AncestorState<'a> {
-    NotCancelled(&'a OpenProof),
-    Done,
-    Cancelled,
-    Unknown,
-}
-
 /// What is known about the ancestors of a job.
 #[derive(Debug)]
 enum AncestorSurvey {
@@ -196,10 +188,10 @@
                 continue;
             }
             let proof = match self.ancestor_state(check, &ancestor) {
-                AncestorState::NotCancelled(proof) => proof,
-                AncestorState::Done => continue,
-                AncestorState::Cancelled => return AncestorSurvey::Cancelled { ancestor },
-                AncestorState::Unknown => {
+                Some(AncestorState::NotCancelled(proof)) => proof,
+                Some(AncestorState::Done) => continue,
+                Some(AncestorState::Cancelled) => return AncestorSurvey::Cancelled { ancestor },
+                None => {
                     unproven.push(ancestor);
                     continue;
                 }
@@ -226,25 +218,18 @@
         }
     }
 
-    /// The state of an ancestor according to the check and the cache.
-    fn ancestor_state<'a>(&'a self, check: &'a AncestorCheck, ancestor: &str) -> AncestorState<'a> {
+    /// The state of an ancestor according to the check and the cache; `None` if it is unknown.
+    fn ancestor_state(&self, check: &AncestorCheck, ancestor: &str) -> Option<AncestorState> {
         if let Some(found) = check.found.get(ancestor) {
-            return match found {
-                FoundAncestor::NotCancelled(proof) => AncestorState::NotCancelled(proof),
-                FoundAncestor::Done => AncestorState::Done,
-                FoundAncestor::Cancelled => AncestorState::Cancelled,
-            };
+            return Some(found.clone());
         }
-        let Some(cached) = self.cache.get(ancestor) else {
-            return AncestorState::Unknown;
-        };
-        match cached.record.state {
-            RecordedState::Done => AncestorState::Done,
-            RecordedState::Cancelled => AncestorState::Cancelled,
-            RecordedState::Open => self
-                .cache
-                .open_proof(ancestor)
-                .map_or(AncestorState::Unknown, AncestorState::NotCancelled),
+        match self.cache.get(ancestor)?.record.state {
+            RecordedState::Done => Some(AncestorState::Done),
+            RecordedState::Cancelled => Some(AncestorState::Cancelled),
+            RecordedState::Open => {
+                let proof = self.cache.open_proof(ancestor)?;
+                Some(AncestorState::NotCancelled(proof.clone()))
+            }
         }
     }
 
@@ -280,13 +265,13 @@
         };
         check.in_flight -= 1;
         let found = match cached.map(|cached| cached.record.state) {
-            Some(RecordedState::Done) => FoundAncestor::Done,
-            Some(RecordedState::Cancelled) => FoundAncestor::Cancelled,
+            Some(RecordedState::Done) => AncestorState::Done,
+            Some(RecordedState::Cancelled) => AncestorState::Cancelled,
             Some(RecordedState::Open) => {
                 let proof = self.cache.open_proof(ancestor).cloned();
-                FoundAncestor::NotCancelled(proof.unwrap_or_default())
+                AncestorState::NotCancelled(proof.unwrap_or_default())
             }
-            None => FoundAncestor::NotCancelled(OpenProof {
+            None => AncestorState::NotCancelled(OpenProof {
                 open_at: check.lookups_sent_at,
                 ..OpenProof::default()
             }),
@@ -325,10 +310,7 @@
                 let Some(check) = self.ancestor_checks.0.get(id) else {
                     return;
                 };
-                let record = JobStateRecord {
-                    state: RecordedState::Cancelled,
-                    task_count: check.state.record.task_count,
-                };
+                let record = check.state.record.cancelled();
                 self.record_state(id, CachedJobState::ended(record));
                 self.answer_waiting(ctx, id);
             }
--- a/crates/controller/src/admission/cancellation.rs
+++ b/crates/controller/src/admission/cancellation.rs
@@ -10,7 +10,7 @@
 use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
 use crate::job_cache::CachedJobState;
 use crate::messages::RequestId;
-use crate::records::{self, CancelledJob, JobStateRecord, RecordedState};
+use crate::records::{self, CancelledJob};
 use crate::request_budget::{RequestPriority, StoreCost};
 use crate::time::{MILLISECOND, Micros};
 use dillcleat_wire::store::{StoreRequest, Transaction};
@@ -121,10 +121,7 @@
 
 /// The transaction that stores the cancellation of a job that is cached as open.
 pub(super) fn cancellation_request(wall: Micros, id: &str, cached: CachedJobState) -> StoreRequest {
-    let record = JobStateRecord {
-        state: RecordedState::Cancelled,
-        task_count: cached.record.task_count,
-    };
+    let record = cached.record.cancelled();
     let cancelled = CancelledJob {
         cancelled_at_us: wall,
     };
--- a/crates/controller/src/records.rs
+++ b/crates/controller/src/records.rs
@@ -174,6 +174,16 @@
     pub task_count: u32,
 }
 
+impl JobStateRecord {
+    /// The record of the same job after its cancellation.
+    pub fn cancelled(self) -> JobStateRecord {
+        JobStateRecord {
+            state: RecordedState::Cancelled,
+            ..self
+        }
+    }
+}
+
 /// The open record of a job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct OpenJob {
