fault_search: lower the store's limits of values and transactions with its rate

The search met a lowered write rate and lowered sizes only in separate kinds. The new kind `lowered-limits` has both within five seconds of each other, while writes stay unanswered, leaders crash and jobs are cancelled; the large array has chunks that exceed the lowered limit of values.

--- a/crates/simulator/examples/fault_search.rs
+++ b/crates/simulator/examples/fault_search.rs
@@ -48,6 +48,9 @@
     /// The store lowers its limit of writes per second while many jobs end or are cancelled
     #[value(name = "lowered-write-rate")]
     LoweredWriteRate,
+    /// As `lowered-write-rate`, but the store's other limits are lowered as well
+    #[value(name = "lowered-limits")]
+    LoweredLimits,
     /// A process crashes at a call to the store: three seeds for each call
     #[value(name = "calls")]
     StoreCallCrash,
@@ -105,6 +108,7 @@
                         Faults::CancelledPipelines => Scenario::cancelled_pipelines(seed),
                         Faults::SlowLinks => Scenario::slow_links(seed),
                         Faults::LoweredWriteRate => Scenario::lowered_write_rate(seed),
+                        Faults::LoweredLimits => Scenario::lowered_limits(seed),
                         Faults::StoreCallCrash => Scenario::crash_at_call(seed),
                     };
                     let scenario = Scenario { form, ..scenario };
--- a/crates/simulator/src/lowered_write_rate.rs
+++ b/crates/simulator/src/lowered_write_rate.rs
@@ -1,4 +1,5 @@
-//! Scenarios in which the store lowers its limit of writes per second.
+//! Scenarios in which the store lowers its limit of writes per second, alone or with its other
+//! limits.
 
 use crate::scenario::{Fault, LEADER, LoweredWriteRate, Scenario};
 use dillcleat_controller::{Micros, SECOND};
@@ -6,6 +7,8 @@
 
 /// Salt of the seed of [`Scenario::lowered_write_rate`].
 const LOWERED_WRITE_RATE_SEED_SALT: u64 = 0x1a7e;
+/// Salt of the seed of [`Scenario::lowered_limits`].
+const LOWERED_LIMITS_SEED_SALT: u64 = 0x7a1e;
 
 /// Draws a fault near the lowering of the limit that leaves writes without an answer, changes
 /// the leader, or makes many changes at once.
@@ -57,4 +60,14 @@
         scenario.end = scenario.activity_end + 1200 * SECOND;
         scenario
     }
+
+    /// As [`Scenario::lowered_write_rate`], but the store also lowers its limits of the size of a
+    /// value and of the mutations of a transaction, within seconds before or after.
+    pub fn lowered_limits(seed: u64) -> Scenario {
+        let mut rng = Rng::with_seed(seed.rotate_left(13) ^ LOWERED_LIMITS_SEED_SALT);
+        let mut scenario = Scenario::lowered_write_rate(seed);
+        let rate_lowered_at = scenario.lowered_write_rate.map_or(0, |rate| rate.at);
+        scenario.limits_lowered_at = Some(rate_lowered_at - 5 * SECOND + rng.u64(..10 * SECOND));
+        scenario
+    }
 }
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -524,6 +524,12 @@
         config.current_store_write_rps = rate.before_per_s;
         config.store_write_rps = rate.after_per_s;
         config.max_txn_ops = INITIAL_STORE_LIMITS.max_txn_ops;
+        if scenario.limits_lowered_at.is_some() {
+            config.max_value_bytes = REDUCED_STORE_LIMITS.max_value_bytes;
+            config.max_txn_ops = REDUCED_STORE_LIMITS.max_txn_ops;
+            // Chunks that exceed the lowered limit.
+            config.tasks_per_chunk = PREVIOUS_TASKS_PER_CHUNK;
+        }
     }
     if scenario.tight_quotas {
         let scale = f64::from(scenario.scale);
@@ -636,12 +642,13 @@
                     previous_version: scenario.upgrade.is_some(),
                 })
                 .collect(),
-            store: match scenario.upgrade {
-                None => SimulatedStore::new(config.max_value_bytes, config.max_txn_ops),
-                Some(_) => SimulatedStore::new(
+            store: if scenario.upgrade.is_some() || scenario.limits_lowered_at.is_some() {
+                SimulatedStore::new(
                     INITIAL_STORE_LIMITS.max_value_bytes,
                     INITIAL_STORE_LIMITS.max_txn_ops,
-                ),
+                )
+            } else {
+                SimulatedStore::new(config.max_value_bytes, config.max_txn_ops)
             },
             cloud: Cloud::new(
                 machine_types(scenario.tight_quotas),
--- a/crates/simulator/tests/combined_faults.rs
+++ b/crates/simulator/tests/combined_faults.rs
@@ -19,6 +19,7 @@
 const CANCELLED_PIPELINE_SEEDS: [u64; 3] = [134, 149, 195];
 /// In these seeds, the batch that the leader sends when the limit is lowered exceeds it.
 const LOWERED_WRITE_RATE_SEEDS: [u64; 3] = [8, 17, 19];
+const LOWERED_LIMITS_SEEDS: [u64; 3] = [4, 38, 41];
 /// In these seeds, users cancel so many jobs that the store refuses most cancellations.
 const MANY_CANCELLATIONS_SEEDS: [u64; 3] = [220, 261, 545];
 
@@ -108,6 +109,18 @@
     }
 }
 
+/// As above, if the store lowers its limits of values and transactions at the same time.
+#[test]
+fn jobs_run_after_all_limits_were_lowered() {
+    let mut oversized_requests = 0;
+    for seed in LOWERED_LIMITS_SEEDS {
+        let outcome = run_clean(Scenario::lowered_limits(seed));
+        assert!(outcome.rate_limited_transactions > 0, "seed {seed}");
+        oversized_requests += outcome.refused_over_lowered_limits;
+    }
+    assert!(oversized_requests > 0);
+}
+
 /// Guards against cancellations which users repeat until they use up the limit of the store, so that
 /// no request is answered any more.
 #[test]
