Write limits: one way to return tokens and to halve batches

Tokens of a refused batch or cancellation were returned by taking a negative number in two places: TokenBucket::put_back. The halving after a refusal as over the rate limit stood beside shrink_batches, which serves both now, and of the number of refusals only whether there was one was used: a flag. cancellation_rate_limited had one caller and two lines.

--- a/crates/controller/src/admission/cancellation.rs
+++ b/crates/controller/src/admission/cancellation.rs
@@ -43,7 +43,7 @@
 
     /// Returns the writes of a cancellation that the store refused to the budget.
     pub(super) fn return_cancellation_budget(&mut self, now: Micros) {
-        self.write_budget.charge(-CANCELLATION_WRITES, now);
+        self.write_budget.put_back(CANCELLATION_WRITES, now);
     }
 
     /// Sends the cancellation of a job that is cached as open.
@@ -69,20 +69,8 @@
         );
     }
 
-    /// Handles the refusal of a cancellation as over the store's rate limit.
-    pub(super) fn cancellation_rate_limited(
-        &mut self,
-        ctx: &mut Context,
-        id: String,
-        request: RequestId,
-        received_at: Micros,
-    ) {
-        self.return_cancellation_budget(ctx.now.monotonic);
-        self.delay_cancellation(ctx, id, request, received_at);
-    }
-
     /// Schedules the retry of a cancellation, or refuses it if its user has waited for too long.
-    fn delay_cancellation(
+    pub(super) fn delay_cancellation(
         &mut self,
         ctx: &mut Context,
         id: String,
--- a/crates/controller/src/admission/replies.rs
+++ b/crates/controller/src/admission/replies.rs
@@ -245,7 +245,8 @@
             // The job had already ended, or an earlier attempt was committed.
             Ok(StoreResponse::Conflict { .. }) => self.read_state_record(ctx, id, pending),
             Ok(StoreResponse::RateLimited) => {
-                self.cancellation_rate_limited(ctx, id, request, received_at);
+                self.return_cancellation_budget(ctx.now.monotonic);
+                self.delay_cancellation(ctx, id, request, received_at);
             }
             Err(_) if ctx.now.monotonic < received_at + RETRY_TIMEOUT => {
                 self.read_open_record(ctx, id, pending);
--- a/crates/controller/src/request_budget.rs
+++ b/crates/controller/src/request_budget.rs
@@ -103,6 +103,12 @@
         self.bucket.take(count);
     }
 
+    /// Returns `count` that was taken for a request without effect.
+    pub fn put_back(&mut self, count: f64, now: Micros) {
+        self.refill(now);
+        self.bucket.put_back(count);
+    }
+
     /// Takes `count` if it is available to this priority; returns whether it was.
     pub fn try_take(&mut self, count: f64, priority: RequestPriority, now: Micros) -> bool {
         let available = self.is_available(count, priority, now);
--- a/crates/controller/src/token_bucket.rs
+++ b/crates/controller/src/token_bucket.rs
@@ -39,4 +39,9 @@
     pub fn take(&mut self, tokens: f64) {
         self.available -= tokens;
     }
+
+    /// Returns tokens that were taken but not used.
+    pub fn put_back(&mut self, tokens: f64) {
+        self.available += tokens;
+    }
 }
--- a/crates/controller/src/write_queue.rs
+++ b/crates/controller/src/write_queue.rs
@@ -115,8 +115,8 @@
     deferrable_budget: TokenBucket,
     /// The maximum number of writes in a batch, set after the store rejected a larger one.
     max_batch_writes: Option<usize>,
-    /// The number of batches in a row that were over the store's rate limit.
-    rate_limited_batches: u32,
+    /// Whether a batch was over the store's rate limit since the last one was committed.
+    rate_limited_since_commit: bool,
     /// No batch is sent before this time.
     paused_until: Micros,
     in_flight: Option<WriteBatch>,
@@ -221,22 +221,22 @@
         self.max_batch_writes.unwrap_or(usize::MAX)
     }
 
-    /// Halves the batch size after the store rejected a batch of `rejected_writes` writes as
-    /// too large.
+    /// Halves the batch size, to not less than one write, after the store rejected a batch of
+    /// `rejected_writes` writes.
     pub fn shrink_batches(&mut self, rejected_writes: usize) {
-        self.max_batch_writes = Some(rejected_writes / 2);
+        self.max_batch_writes = Some((rejected_writes / 2).max(1));
     }
 
     /// Delays the next batch after the store refused one of `refused_writes` writes as over its
-    /// rate limit. After the first such refusal, which may be due to the requests of others, the
-    /// batch size is halved each time, so that the writes are not refused for as long as others use
-    /// most of the limit.
+    /// rate limit. After the first such refusal since a commit, which may be due to the requests of
+    /// others, the batch size is halved each time, so that the writes are not refused for as long
+    /// as others use most of the limit.
     pub fn pause_after_rate_limit(&mut self, until: Micros, refused_writes: usize) {
         self.paused_until = until;
-        if self.rate_limited_batches > 0 {
-            self.max_batch_writes = Some((refused_writes / 2).max(1));
+        if self.rate_limited_since_commit {
+            self.shrink_batches(refused_writes);
         }
-        self.rate_limited_batches += 1;
+        self.rate_limited_since_commit = true;
     }
 
     /// Whether batches are delayed.
@@ -247,7 +247,7 @@
     /// Doubles a reduced batch size after a batch was committed. Once it reaches `limit`,
     /// the number of writes is no longer restricted.
     pub fn grow_batches(&mut self, limit: usize) {
-        self.rate_limited_batches = 0;
+        self.rate_limited_since_commit = false;
         self.max_batch_writes = self.max_batch_writes.map(|writes| writes * 2);
         self.max_batch_writes.take_if(|writes| *writes >= limit);
     }
--- a/crates/controller/src/write_queue/rate.rs
+++ b/crates/controller/src/write_queue/rate.rs
@@ -52,6 +52,6 @@
 
     /// Returns the mutations of a batch that the store refused.
     pub fn put_back(&mut self, mutations: usize) {
-        self.bucket.take(-(mutations as f64));
+        self.bucket.put_back(mutations as f64);
     }
 }
