--- a/crates/simulator/examples/fault_search.rs
+++ b/crates/simulator/examples/fault_search.rs
@@ -45,6 +45,13 @@
     /// Command batches overtake the replies to heartbeats, and attempts end early
     #[value(name = "slow-links")]
     SlowLinks,
+    /// Copies of requests that were carried out arrive again, attempts end early, and the leader
+    /// changes
+    #[value(name = "late-copies")]
+    LateCopies,
+    /// As `meetings`, with such copies and a leader that crashes for a fifth of a second
+    #[value(name = "meetings-late-copies")]
+    CombinedLateCopies,
     /// The store lowers its limit of writes per second while many jobs end or are cancelled
     #[value(name = "lowered-write-rate")]
     LoweredWriteRate,
@@ -107,6 +114,10 @@
                         Faults::StoreOutages => Scenario::store_outages(seed),
                         Faults::CancelledPipelines => Scenario::cancelled_pipelines(seed),
                         Faults::SlowLinks => Scenario::slow_links(seed),
+                        Faults::LateCopies => Scenario::late_copies(seed),
+                        Faults::CombinedLateCopies => {
+                            Scenario::combined_faults_with_late_copies(seed)
+                        }
                         Faults::LoweredWriteRate => Scenario::lowered_write_rate(seed),
                         Faults::LoweredLimits => Scenario::lowered_limits(seed),
                         Faults::StoreCallCrash => Scenario::crash_at_call(seed),
--- a/crates/simulator/src/fault_injection.rs
+++ b/crates/simulator/src/fault_injection.rs
@@ -185,6 +185,9 @@
             Fault::LostWriteReplies { percent, time } => {
                 self.lost_write_replies = FaultWindow::new(now + time, percent);
             }
+            Fault::LateCopies { percent, time } => {
+                self.late_copies = FaultWindow::new(now + time, percent);
+            }
             Fault::HeartbeatsForNextLeader { percent, time } => {
                 self.heartbeats_for_next_leader = FaultWindow::new(now + time, percent);
             }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -8,6 +8,7 @@
 mod combined_faults;
 mod fault_injection;
 pub mod fleet;
+mod late_copies;
 pub mod loopback;
 mod lowered_write_rate;
 pub mod objects;
--- a/crates/simulator/src/rules.rs
+++ b/crates/simulator/src/rules.rs
@@ -1,9 +1,11 @@
 //! The invariants of the scheduler, checked against the events of a simulation.
 
+mod attempt_starts;
 mod waiting_jobs;
 
 pub use waiting_jobs::MachineCapacity;
 
+use self::attempt_starts::AttemptStarts;
 use dillcleat_controller::{Micros, SECOND};
 use dillcleat_wire::TaskName;
 use dillcleat_wire::settings::Team;
@@ -24,6 +26,8 @@
 pub enum Rule {
     /// A task starts while another attempt of it runs.
     RanTwice,
+    /// An attempt of a task starts on a machine on which it has started before.
+    AttemptStartedAgain,
     /// The tasks of a team use more than its quota.
     QuotaExceeded,
     /// A task starts on a machine that its job does not allow.
@@ -156,6 +160,7 @@
     /// The machine of each running task.
     running: BTreeMap<TaskName, MachineAttributes>,
     task_starts: u64,
+    attempt_starts: AttemptStarts,
     late_launches: LateLaunches,
     polls: PollCounts,
     /// No fault is active from this time on: a stricter limit applies to unanswered polls, and
@@ -172,6 +177,7 @@
             jobs: BTreeMap::new(),
             running: BTreeMap::new(),
             task_starts: 0,
+            attempt_starts: AttemptStarts::default(),
             late_launches: LateLaunches::default(),
             polls: PollCounts::default(),
             faults_end: Micros::MAX,
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -79,6 +79,10 @@
     SlowLinks { machines: usize, time: Micros },
     /// This percentage of the transactions are executed at once, but their answers are lost.
     LostWriteReplies { percent: u8, time: Micros },
+    /// This percentage of the command batches, transactions, lease requests, cloud requests and
+    /// peer messages that were carried out arrive once more, up to three times, milliseconds to
+    /// minutes later. The answers to the copies are lost.
+    LateCopies { percent: u8, time: Micros },
     /// This percentage of the heartbeats are duplicated. The copies arrive at every node
     /// within 600 ms after the next election.
     HeartbeatsForNextLeader { percent: u8, time: Micros },
@@ -145,6 +149,7 @@
             | Fault::CancelOnCompletion { time, .. }
             | Fault::CancelRunningJobs { hang: time, .. }
             | Fault::IrregularRequests { time }
+            | Fault::LateCopies { time, .. }
             | Fault::LostWriteReplies { time, .. }
             | Fault::HeartbeatsForNextLeader { time, .. }
             | Fault::HeartbeatLoss { time, .. }
--- /dev/null
+++ b/crates/simulator/src/simulation/late_copies.rs
@@ -0,0 +1,102 @@
+//! Copies of requests that were carried out and answered, which arrive once more.
+
+use super::*;
+
+/// The maximum number of copies of a request.
+const MAX_COPIES: u32 = 3;
+/// The ranges from which the delay of a copy is drawn: shorter than a heartbeat interval, up to
+/// several worker leases, and minutes.
+const COPY_DELAYS: [std::ops::Range<Micros>; 3] = [
+    10 * MILLISECOND..2 * SECOND,
+    2 * SECOND..45 * SECOND,
+    45 * SECOND..200 * SECOND,
+];
+
+/// A request of which a copy may arrive.
+#[derive(Debug, Clone)]
+pub(crate) enum RequestCopy {
+    Commands {
+        addr: String,
+        commands: Box<CommandBatch>,
+    },
+    Store(StoreRequest),
+    Cloud(CloudRequest),
+    Peer {
+        from: String,
+        to: usize,
+        message: Message,
+    },
+}
+
+/// Whether a copy of a call to the store may have an effect: the call changes the store and was
+/// carried out.
+pub(super) fn can_be_copied(call: &StoreRequest, answer: &StoreResponse) -> bool {
+    let is_change = matches!(
+        call,
+        StoreRequest::Transaction(_)
+            | StoreRequest::GrantLease { .. }
+            | StoreRequest::RenewLease { .. }
+            | StoreRequest::RevokeLease { .. }
+    );
+    is_change
+        && !matches!(
+            answer,
+            StoreResponse::RateLimited | StoreResponse::Unavailable
+        )
+}
+
+impl Simulation {
+    /// Schedules copies of a request that was carried out, if the fault affects it.
+    pub(super) fn schedule_copies(&mut self, copy: RequestCopy) {
+        if !self.is_affected(self.late_copies) {
+            return;
+        }
+        for _ in 0..self.auxiliary_rng.u32(1..=MAX_COPIES) {
+            let range = self.auxiliary_rng.usize(..COPY_DELAYS.len());
+            let delay = self.auxiliary_rng.u64(COPY_DELAYS[range].clone());
+            let copy = Box::new(copy.clone());
+            self.schedule(self.now + delay, Event::RequestCopy(copy));
+        }
+    }
+
+    /// Delivers a copy of a request. Nobody receives the answer.
+    pub(super) fn deliver_copy(&mut self, copy: RequestCopy) {
+        match copy {
+            RequestCopy::Commands { addr, commands } => self.deliver_commands_copy(addr, commands),
+            RequestCopy::Store(call) => {
+                self.store.call(&call, self.now);
+                self.send_changed_watches();
+            }
+            RequestCopy::Cloud(call) => {
+                let (_, _, deleted) = self.cloud.call(&call, self.now, |_| None);
+                for machine in deleted {
+                    self.remove_machine(&machine);
+                }
+            }
+            RequestCopy::Peer { from, to, message } => {
+                let epoch = self.nodes[to].epoch;
+                self.schedule_input(self.now, to, epoch, Input::Peer { from, message });
+            }
+        }
+    }
+
+    fn deliver_commands_copy(&mut self, addr: String, commands: Box<CommandBatch>) {
+        let machine = addr.trim_end_matches(":9000").to_string();
+        let Some(worker) = self.workers.get_mut(&machine) else {
+            return;
+        };
+        if self.now < worker.inbound_lost_until {
+            return;
+        }
+        if self.now < worker.hung_until {
+            let at = worker.hung_until + MILLISECOND;
+            let copy = Box::new(RequestCopy::Commands { addr, commands });
+            return self.schedule(at, Event::RequestCopy(copy));
+        }
+        let lease = self.config.worker_lease;
+        let mut worker_events = worker.advance(self.now, lease, &self.task_behaviours);
+        let (_, _, more) = worker.handle_commands(&commands, self.now, &self.task_behaviours);
+        worker_events.extend(more);
+        self.record_worker_events(&machine, worker_events);
+    }
+}
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -4,12 +4,14 @@
 mod extra_requests;
 mod invalid_requests;
 mod kubernetes_clients;
+mod late_copies;
 mod network;
 mod pipelines;
 mod store_and_cloud;
 mod users;
 mod workers;
 
+use self::late_copies::RequestCopy;
 use self::pipelines::PipelineStage;
 use crate::cloud::Cloud;
 use crate::objects::{self, KubernetesJob, Watcher};
@@ -185,6 +187,8 @@
         node: usize,
         heartbeat: Box<Heartbeat>,
     },
+    /// A copy of a request that was carried out arrives.
+    RequestCopy(Box<RequestCopy>),
     HeartbeatReply {
         machine: String,
         incarnation: u64,
@@ -465,6 +469,7 @@
     pub(crate) cancel_on_completion: FaultWindow,
     pub(crate) lost_write_replies: FaultWindow,
     pub(crate) heartbeats_for_next_leader: FaultWindow,
+    pub(crate) late_copies: FaultWindow,
     /// Copies of heartbeats that the next leader will receive.
     saved_heartbeats: Vec<Heartbeat>,
     last_term: u64,
@@ -679,6 +684,7 @@
             cancel_on_completion: FaultWindow::default(),
             lost_write_replies: FaultWindow::default(),
             heartbeats_for_next_leader: FaultWindow::default(),
+            late_copies: FaultWindow::default(),
             saved_heartbeats: Vec::new(),
             last_term: 0,
             boot_delays: BootDelays::default(),
@@ -999,6 +1005,7 @@
                     body,
                 );
             }
+            Event::RequestCopy(copy) => self.deliver_copy(*copy),
             Event::HeartbeatReply {
                 machine,
                 incarnation,
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -324,6 +324,11 @@
                     {
                         let from = format!("node-{node}");
                         let epoch = self.nodes[to].epoch;
+                        self.schedule_copies(RequestCopy::Peer {
+                            from: from.clone(),
+                            to,
+                            message: message.clone(),
+                        });
                         self.schedule_input(at, to, epoch, Input::Peer { from, message });
                     }
                 }
--- a/crates/simulator/src/simulation/store_and_cloud.rs
+++ b/crates/simulator/src/simulation/store_and_cloud.rs
@@ -4,6 +4,7 @@
 use crate::rules::Rule;
 use crate::scenario::CrashPoint;
 use dillcleat_controller::records;
+use dillcleat_wire::cloud::CloudResponse;
 use dillcleat_wire::store::{WatchBatch, WatchEvent};
 use dillcleat_wire::worker::Command;
 
@@ -123,6 +124,9 @@
         };
         match answer {
             Some(answer) => {
+                if late_copies::can_be_copied(call, &answer) {
+                    self.schedule_copies(RequestCopy::Store(call.clone()));
+                }
                 let reply = Ok(answer);
                 self.reply(caller, Input::Store { id, reply });
                 self.deliver_saved_heartbeats();
@@ -184,6 +188,9 @@
         for machine in deleted {
             self.remove_machine(&machine);
         }
+        if matches!(answer, CloudResponse::ScaledOut(_) | CloudResponse::Deleted) {
+            self.schedule_copies(RequestCopy::Cloud(call.clone()));
+        }
         let reply = Ok(answer);
         self.reply(caller, Input::Cloud { id, reply });
     }
--- a/crates/simulator/src/simulation/workers.rs
+++ b/crates/simulator/src/simulation/workers.rs
@@ -116,6 +116,10 @@
             worker.advance(self.now, self.config.worker_lease, &self.task_behaviours);
         let (status, heartbeat, more) =
             worker.handle_commands(&commands, self.now, &self.task_behaviours);
+        if status == 200 {
+            let commands = commands.clone();
+            self.schedule_copies(RequestCopy::Commands { addr, commands });
+        }
         worker_events.extend(more);
         self.record_worker_events(&machine, worker_events);
         let reply = Ok((status, dillcleat_wire::encode(&heartbeat)));
@@ -139,8 +143,10 @@
         };
         for event in worker_events {
             match event {
-                WorkerEvent::Started(task) => {
+                WorkerEvent::Started { task, attempt } => {
                     self.record_placement("starts", &task, machine);
+                    self.checker
+                        .attempt_started(&task, attempt, machine, self.now);
                     self.checker.task_started(&task, &place, self.now);
                 }
                 WorkerEvent::Ended { task, done } => {
--- a/crates/simulator/src/worker.rs
+++ b/crates/simulator/src/worker.rs
@@ -28,7 +28,7 @@
 /// A start or an end of a task on a machine, for the checker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WorkerEvent {
-    Started(TaskName),
+    Started { task: TaskName, attempt: u64 },
     Ended { task: TaskName, done: bool },
 }
 
@@ -186,13 +186,16 @@
         }
         let faulty = self.faulty;
         let mut changed = false;
-        for ((task, _), attempt) in &mut self.attempts {
+        for ((task, number), attempt) in &mut self.attempts {
             while attempt.until.is_some_and(|at| now >= at) {
                 changed = true;
                 let behaviour = behaviours.get(&task.job);
                 match attempt.state {
                     TaskState::Downloading => {
-                        events.push(WorkerEvent::Started(task.clone()));
+                        events.push(WorkerEvent::Started {
+                            task: task.clone(),
+                            attempt: *number,
+                        });
                         attempt.state = TaskState::Running;
                         let fails = faulty || behaviour.is_some_and(|b| b.fails);
                         attempt.until = match behaviour {
--- a/crates/simulator/tests/rule_checker.rs
+++ b/crates/simulator/tests/rule_checker.rs
@@ -63,11 +63,17 @@
 
 #[test]
 fn checker_reports_a_planted_violation_of_each_rule_it_detects() {
-    let planted: [(Rule, u32, PlantViolation); 22] = [
+    let planted: [(Rule, u32, PlantViolation); 23] = [
         (Rule::RanTwice, 2, |c| {
             c.task_started(&task(0), &place("x", "a", false), 1);
             c.task_started(&task(0), &place("y", "b", false), 2);
         }),
+        (Rule::AttemptStartedAgain, 2, |c| {
+            c.attempt_started(&task(0), 1, "x", 1);
+            c.attempt_started(&task(0), 1, "y", 2);
+            c.attempt_started(&task(0), 2, "x", 3);
+            c.attempt_started(&task(0), 1, "x", 4);
+        }),
         (Rule::QuotaExceeded, 9, |c| {
             c.task_started(&task(0), &place("x", "a", false), 1);
             c.task_started(&task(1), &place("x", "a", false), 2);
