--- a/crates/controller/src/election.rs
+++ b/crates/controller/src/election.rs
@@ -3,12 +3,13 @@
 //!
 //! The election uses two keys. `s/lead` names the leader and is bound to the leader's
 //! **lease**: the store deletes the key when the lease expires or is revoked. `s/term`
-//! holds the **term**, which increases by one with every election and is never deleted. A
+//! holds the **term**, which increases with every election and is never deleted. A
 //! candidate first requests a lease. Then one compare-and-swap checks that `s/lead` is
 //! absent and that `s/term` is unchanged, and writes both.
 //!
 //! **Fencing.** Every write of a leader compares the version of `s/term` that its election
-//! wrote, and every command to a worker carries the term as its fencing token. Delayed
+//! wrote, and every command to a worker carries one of the fencing tokens that the election has
+//! reserved ([`TermTokens`]): those after the previous term, up to the term itself. Delayed
 //! requests of an earlier leader therefore fail. Safety depends on the term alone; the
 //! lease only determines when another node stands for election.
 //!
@@ -34,6 +35,7 @@
 use self::shared_keys::SharedKeys;
 use crate::calls::Context;
 use crate::continuations::{Continuation, ElectionStep as Step};
+use crate::fencing_tokens::TermTokens;
 use crate::records::{self, LeaderRecord, TermRecord};
 use crate::store_latency::{StoreLatency, lease_ttl};
 use crate::{MILLISECOND, Micros, SECOND, micros};
@@ -279,7 +281,7 @@
     /// Second step of a candidacy: claims leadership by compare-and-swap.
     /// `lease_requested_at` is the send time of the request that granted the lease.
     fn claim_leadership(&mut self, ctx: &mut Context, lease: LeaseId, lease_requested_at: Micros) {
-        let term = self.shared.term + 1;
+        let term = TermTokens::term_after(self.shared.term);
         let leader = LeaderRecord {
             member: ctx.config.member.clone(),
             lease,
@@ -319,7 +321,11 @@
             term,
         });
         self.schedule_renewal(ctx);
-        log::info!("elected leader term={term}");
+        let tokens = TermTokens::of_term(term);
+        let (first, last) = (tokens.first(), tokens.last());
+        log::info!(
+            "elected leader term={term} first_token={first} last_token={last} revision={term_version}"
+        );
         LeadershipChange::Elected { term, term_version }
     }
 
--- a/crates/controller/src/leader/autoscaling/cloud_replies.rs
+++ b/crates/controller/src/leader/autoscaling/cloud_replies.rs
@@ -145,7 +145,8 @@
             }
             if !self.machines.contains_key(name) {
                 let (machine_type, zone) = (&request.machine_type, &request.zone);
-                let machine = Machine::new(name, machine_type, zone, request.spot, now);
+                let token = self.unused_token();
+                let machine = Machine::new(name, machine_type, zone, request.spot, token, now);
                 self.machines.insert(machine.name.clone(), machine);
             }
             if let Some(machine) = self.machines.get_mut(name) {
@@ -211,7 +212,9 @@
         if !self.machines.contains_key(&listed.name) {
             log::info!("cloud lists an unknown machine machine={}", listed.name);
             let (machine_type, zone) = (&listed.machine_type, &listed.zone);
-            let mut machine = Machine::new(&listed.name, machine_type, zone, listed.spot, now);
+            let (name, spot) = (&listed.name, listed.spot);
+            let token = self.unused_token();
+            let mut machine = Machine::new(name, machine_type, zone, spot, token, now);
             machine.boot_expected = is_booting;
             self.machines.insert(machine.name.clone(), machine);
         }
--- a/crates/controller/src/leader/boot_estimator/tests.rs
+++ b/crates/controller/src/leader/boot_estimator/tests.rs
@@ -5,7 +5,7 @@
 const BOOT: Micros = 15 * SECOND;
 
 fn started(zone: &str, at: Micros) -> Machine {
-    Machine::new("m", "t", zone, true, at)
+    Machine::new("m", "t", zone, true, 1, at)
 }
 
 #[test]
--- a/crates/controller/src/leader/command_dispatch.rs
+++ b/crates/controller/src/leader/command_dispatch.rs
@@ -129,31 +129,14 @@
     }
 }
 
-/// The outcome of a command batch.
-struct CommandOutcome {
-    /// The heartbeat in the machine's reply.
-    heartbeat: Option<Heartbeat>,
-    /// Whether the launches in the batch may still be carried out.
-    may_still_launch: bool,
-}
-
-impl CommandOutcome {
-    fn of(machine: &str, reply: &Result<(u16, Vec<u8>), CallError>) -> CommandOutcome {
-        let heartbeat = match reply {
-            Ok((200 | 409, body)) => decode_heartbeat(machine, body),
-            _ => None,
-        };
-        // A batch that was not sent or was rejected has no effect. Any other batch without a
-        // valid reply may be carried out at any time.
-        let may_still_launch = match reply {
-            Err(CallError::NotSent) | Ok((409 | 400, _)) => false,
-            Ok((200, _)) => heartbeat.is_none(),
-            _ => true,
-        };
-        CommandOutcome {
-            heartbeat,
-            may_still_launch,
-        }
+/// The heartbeat in the reply to a command batch; None if there is no valid reply.
+fn heartbeat_in_reply(
+    machine: &str,
+    reply: &Result<(u16, Vec<u8>), CallError>,
+) -> Option<Heartbeat> {
+    match reply {
+        Ok((200 | 409, body)) => decode_heartbeat(machine, body),
+        _ => None,
     }
 }
 
@@ -211,9 +194,10 @@
         if machine.is_ready() && commands.is_empty() && !is_probe {
             return;
         }
+        machine.launch_fence.record_sent(&commands);
         let sent = commands.clone();
         let batch = CommandBatch {
-            fencing_token: self.term,
+            fencing_token: machine.launch_fence.token(),
             incarnation: machine.incarnation(),
             commands,
         };
@@ -233,22 +217,20 @@
     ) {
         let now = ctx.now.monotonic;
         self.command_dispatch.record_finished();
-        let outcome = CommandOutcome::of(name, &reply);
+        let heartbeat = heartbeat_in_reply(name, &reply);
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        machine
-            .command_state
-            .record_finished(call, outcome.may_still_launch);
+        machine.command_state.record_finished(call);
         // Retries to machines that don't answer must not delay urgent batches to others.
-        let priority = if outcome.heartbeat.is_some() {
+        let priority = if heartbeat.is_some() {
             machine.reachability.record_command_reply();
             DispatchPriority::Urgent
         } else {
             machine.reachability.record_command_failure(now);
             DispatchPriority::Background
         };
-        match outcome.heartbeat {
+        match heartbeat {
             Some(heartbeat) => self.apply_command_reply(ctx, name, &heartbeat),
             None => machine.command_state.request_at(now + SECOND),
         }
--- a/crates/controller/src/leader/heartbeats.rs
+++ b/crates/controller/src/leader/heartbeats.rs
@@ -12,6 +12,10 @@
 use dillcleat_wire::worker::{Command, Heartbeat, HeartbeatReply};
 use std::rc::Rc;
 
+/// The number of exited attempts in a heartbeat up to which the fencing token is not raised while
+/// a batch is in flight.
+const MAX_EXITED_ATTEMPTS: usize = 64;
+
 /// The properties of a machine, apart from its tasks, that a heartbeat may change and from
 /// which other state is derived.
 #[derive(PartialEq, Eq)]
@@ -83,7 +87,7 @@
             return Answer::retry_later("the state is out of reach");
         }
         let mut reply = HeartbeatReply {
-            fencing_token: self.term,
+            fencing_token: self.tokens.first(),
             commands: Vec::new(),
         };
         // A heartbeat from a removed machine was delayed in the network.
@@ -94,11 +98,16 @@
             // The worker does not receive the answer to a duplicate of its latest heartbeat.
             // Launches in that answer would count as sent, so it contains no commands.
             let is_duplicate = latest.is_some_and(|machine| machine.position() == position);
+            let is_latest_periodic = latest.is_none_or(|m| position > m.latest_periodic());
             self.apply_heartbeat(ctx, heartbeat, HeartbeatSource::Periodic);
+            if is_latest_periodic {
+                self.raise_token_if_needed(name);
+            }
             if let Some(machine) = self.machines.get(name) {
                 if self.lease_must_expire(ctx, machine) {
                     return Answer::retry_later("a cancelled task is not seen gone");
                 }
+                reply.fencing_token = machine.launch_fence.token();
                 if machine.is_ready() && machine.position() == position && !is_duplicate {
                     reply.commands = self.permitted_commands(ctx, machine);
                 }
@@ -108,11 +117,32 @@
         Answer::body(200, &reply)
     }
 
+    /// Raises the fencing token of a machine if that is needed to reap or to prove the end of a
+    /// task. This is done only in the reply to the latest periodic heartbeat: an earlier reply
+    /// under a lower token, which would be dropped and renew no lease, is then settled.
+    fn raise_token_if_needed(&mut self, name: &str) {
+        let index = self.machines.index_of(name);
+        let Some(machine) = index.and_then(|index| self.machines.get_mut_unmarked(index)) else {
+            return;
+        };
+        // The worker would refuse a batch in flight, which then has to be sent again.
+        let may_wait = machine.command_state.is_in_flight()
+            && machine.exited_attempts() <= MAX_EXITED_ATTEMPTS;
+        if may_wait || !machine.needs_higher_token() {
+            return;
+        }
+        match self.tokens.assign_after(machine.launch_fence.token()) {
+            Some(token) => machine.launch_fence.raise_token(token),
+            // The attempts stay listed until another term begins.
+            None => self.events.push(LeaderEvent::TokensExhausted),
+        }
+    }
+
     /// Records the commands that are sent in the reply to the machine's latest heartbeat.
     fn record_reply(&mut self, name: &str, commands: &[Command]) {
         let index = self.machines.index_of(name);
         if let Some(machine) = index.and_then(|index| self.machines.get_mut_unmarked(index)) {
-            machine.record_reply_launches(commands);
+            machine.launch_fence.record_sent(commands);
             if !commands.is_empty() {
                 machine.command_state.clear_request();
             }
@@ -144,7 +174,8 @@
         let was_ready = machine.is_ready();
         let new_incarnation = heartbeat.incarnation > machine.incarnation();
         let is_newer = !machine.is_up() || HeartbeatPosition::of(heartbeat) > machine.position();
-        let events = machine.apply_heartbeat(heartbeat, source, self.term, now);
+        let events = machine.apply_heartbeat(heartbeat, source, self.tokens.first(), now);
+        self.tokens.record_assigned(machine.launch_fence.token());
         let may_be_reachable_again = is_newer
             && source == HeartbeatSource::Periodic
             && self.update_reachability(ctx, index, new_incarnation);
@@ -175,10 +206,19 @@
         Some(MachineSummary::of(machine))
     }
 
+    /// A fencing token under which nothing was sent in this term, for a machine that becomes
+    /// known after the recovery. It may have been known before under a lower one.
+    pub(super) fn unused_token(&mut self) -> u64 {
+        self.tokens.assign_highest().unwrap_or_else(|| {
+            self.events.push(LeaderEvent::TokensExhausted);
+            self.tokens.last()
+        })
+    }
+
     fn add_unknown_machine(&mut self, name: &str, now: Micros) {
         if !self.machines.contains_key(name) {
             log::info!("unknown machine sent a heartbeat machine={name}");
-            let machine = Machine::new(name, "", "", false, now);
+            let machine = Machine::new(name, "", "", false, self.unused_token(), now);
             self.machines.insert(machine.name.clone(), machine);
         }
     }
--- a/crates/controller/src/leader/mod.rs
+++ b/crates/controller/src/leader/mod.rs
@@ -50,6 +50,7 @@
 use crate::CallError;
 use crate::calls::Context;
 use crate::continuations::{Continuation, LeaderStep};
+use crate::fencing_tokens::TermTokens;
 use crate::inherited_estimates::InheritedEstimates;
 use crate::leadership_guard::LeadershipProof;
 use crate::machines::Machine;
@@ -83,8 +84,10 @@
     MachineTypes(Rc<Vec<MachineType>>),
     /// The leader can't continue in this term and must step down.
     StepDown,
-    /// A machine reported this higher term.
+    /// A machine reported this fencing token, which is higher than all of this term.
     HigherTerm(u64),
+    /// The term has no unused fencing tokens left.
+    TokensExhausted,
 }
 
 /// The leader of one term: it recovers its state from the store, schedules tasks, sends
@@ -93,8 +96,10 @@
 /// Most fields hold the state of one concern: see the module of the field's type.
 #[derive(Debug)]
 pub struct Leader {
-    /// The term, which is also the fencing token of every command.
+    /// The term.
     pub term: u64,
+    /// The fencing tokens of the term.
+    tokens: TermTokens,
     /// The version of the stored term record, which every write compares.
     term_version: u64,
     /// The latest proof of leadership that the controller has obtained.
@@ -144,6 +149,7 @@
         let now = ctx.now.monotonic;
         let mut leader = Leader {
             term,
+            tokens: TermTokens::of_term(term),
             term_version,
             leadership_proof: LeadershipProof::default(),
             recovery: Recovery::new(now),
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -243,6 +243,7 @@
                 &record.machine_type,
                 &record.zone,
                 record.spot,
+                self.tokens.first(),
                 ctx.now.monotonic,
             );
             machine.addr = Some(record.addr);
@@ -354,7 +355,8 @@
         // A machine without a record may be running nevertheless. Its description is
         // completed when it sends a heartbeat or the cloud lists it.
         if !self.machines.contains_key(&name) {
-            let machine = Machine::new(&name, "", "", false, ctx.now.monotonic);
+            let token = self.tokens.first();
+            let machine = Machine::new(&name, "", "", false, token, ctx.now.monotonic);
             self.machines.insert(name.clone(), machine);
         }
         let Some(machine) = self.machines.get_mut(&name) else {
--- a/crates/controller/src/leader/zone_partition/tests.rs
+++ b/crates/controller/src/leader/zone_partition/tests.rs
@@ -5,7 +5,7 @@
 use dillcleat_wire::user::{JobKind, JobSpec};
 
 fn machine(kind: JobKind, tasks: u32, cpus: f64) -> Machine {
-    let mut machine = Machine::new("m", "t", "z", false, 0);
+    let mut machine = Machine::new("m", "t", "z", false, 1, 0);
     let spec = JobSpec::plain("req-1", kind, tasks, cpus);
     for i in 0..tasks {
         let slot = TaskSlot::new(1, 1, 0, &spec, true);
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod dependency_graph;
 pub mod election;
 pub mod failure_attribution;
+pub mod fencing_tokens;
 mod inherited_estimates;
 mod job_cache;
 pub mod leader;
--- a/crates/controller/src/machines.rs
+++ b/crates/controller/src/machines.rs
@@ -11,12 +11,14 @@
 mod command_state;
 mod health;
 mod heartbeat_reconciliation;
+mod launch_fence;
 mod needed_commands;
 mod reachability;
 mod task_slot;
 
 pub use self::command_state::CommandState;
 pub use self::health::MachineHealth;
+pub use self::launch_fence::LaunchFence;
 pub use self::reachability::Reachability;
 pub use self::task_slot::{
     MachineLossReason, TaskAttempt, TaskEvent, TaskKey, TaskLossReason, TaskSlot,
@@ -83,6 +85,8 @@
     pub reachability: Reachability,
     /// The commands to be sent and those in flight.
     pub command_state: CommandState,
+    /// The fencing token of messages to the machine, and the launches that it may still execute.
+    pub launch_fence: LaunchFence,
     /// The task failures on the machine.
     pub health: MachineHealth,
     /// Whether a heartbeat has arrived under this term's fencing token.
@@ -94,14 +98,31 @@
     images: Images,
     /// The position of the latest heartbeat that was applied.
     position: HeartbeatPosition,
+    /// The position of the latest periodic heartbeat, also of one that was outdated.
+    latest_periodic: HeartbeatPosition,
     /// The exited attempts that the latest heartbeat lists.
     exited: Vec<TaskAttempt>,
+    /// Whether the latest heartbeat does not list a task that may have been launched under the
+    /// current fencing token.
+    has_unfenced_absence: bool,
     unplaced_attempts: Vec<TaskAttempt>,
 }
 
 impl Machine {
-    /// Creates a machine that has sent no heartbeat to this leader.
-    pub fn new(name: &str, machine_type: &str, zone: &str, spot: bool, now: Micros) -> Self {
+    /// Creates a machine that has sent no heartbeat to this leader. Messages are sent to it under
+    /// the fencing token `token`; none was before.
+    pub fn new(
+        name: &str,
+        machine_type: &str,
+        zone: &str,
+        spot: bool,
+        token: u64,
+        now: Micros,
+    ) -> Self {
+        let before_first_heartbeat = HeartbeatPosition {
+            incarnation: 1,
+            sequence: 0,
+        };
         Machine {
             name: name.into(),
             addr: None,
@@ -120,12 +141,12 @@
             images: Images::default(),
             reachability: Reachability::new(now),
             command_state: CommandState::default(),
+            launch_fence: LaunchFence::new(token),
             health: MachineHealth::default(),
-            position: HeartbeatPosition {
-                incarnation: 1,
-                sequence: 0,
-            },
+            position: before_first_heartbeat,
+            latest_periodic: before_first_heartbeat,
             exited: Vec::new(),
+            has_unfenced_absence: false,
             unplaced_attempts: Vec::new(),
         }
     }
@@ -193,6 +214,17 @@
         self.position
     }
 
+    /// The position of the latest periodic heartbeat. The worker sends the next one only once it
+    /// has received the reply to it, or no longer accepts the reply.
+    pub fn latest_periodic(&self) -> HeartbeatPosition {
+        self.latest_periodic
+    }
+
+    /// The number of exited attempts that the latest heartbeat lists.
+    pub fn exited_attempts(&self) -> usize {
+        self.exited.len()
+    }
+
     /// Records that this incarnation has started, as a stored placement shows.
     pub fn raise_incarnation(&mut self, incarnation: u64) {
         self.position.incarnation = self.position.incarnation.max(incarnation);
--- a/crates/controller/src/machines/command_state.rs
+++ b/crates/controller/src/machines/command_state.rs
@@ -1,14 +1,8 @@
-//! The commands to one machine: whether a batch is to be sent, and which launches may still
-//! be executed.
-//!
-//! A launch is sent in a command batch or in the reply to a heartbeat, and several may be on
-//! their way for the same attempt. Each is tracked here until it is proved that the worker
-//! has executed or dropped it, whatever has become of the attempt meanwhile.
-
-use super::{HeartbeatPosition, TaskAttempt};
+//! The commands to one machine: whether a batch is to be sent, and the batch in flight.
+
+use super::TaskAttempt;
 use crate::{CallId, Micros};
 use dillcleat_wire::worker::Command;
-use std::collections::{BTreeMap, BTreeSet};
 
 /// A command batch that was sent and has no reply yet.
 #[derive(Debug)]
@@ -26,12 +20,6 @@
     probe_requested: bool,
     /// No batch is sent before this time.
     not_before: Micros,
-    /// The launches of the current incarnation that were sent and got no reply. Kept until the
-    /// next incarnation, since a delayed command may be executed at any time.
-    unanswered_launches: BTreeSet<TaskAttempt>,
-    /// The launches of the current incarnation in replies to heartbeats that the worker may not
-    /// have received yet, each with the latest of these heartbeats.
-    reply_launches: BTreeMap<TaskAttempt, HeartbeatPosition>,
 }
 
 /// The attempts that the commands launch.
@@ -102,28 +90,9 @@
         self.in_flight = Some(CommandsInFlight { call, launches });
     }
 
-    /// Records that the call that carried a batch has ended. If it is `unanswered`, its
-    /// launches may still be executed.
-    pub fn record_finished(&mut self, call: CallId, unanswered: bool) {
-        if let Some(batch) = self.in_flight.take_if(|batch| batch.call == call)
-            && unanswered
-        {
-            self.unanswered_launches.extend(batch.launches);
-        }
-    }
-
-    /// Records that commands were sent in the reply to the heartbeat at `replied_to`.
-    pub(super) fn record_reply(&mut self, replied_to: HeartbeatPosition, commands: &[Command]) {
-        let launches = launched_attempts(commands);
-        self.reply_launches
-            .extend(launches.map(|launch| (launch, replied_to)));
-    }
-
-    /// Records that the worker has sent a periodic heartbeat. At most one of these is in
-    /// flight at a time, so the worker has executed or dropped the replies to all earlier ones.
-    pub(super) fn settle_replies_before(&mut self, periodic: HeartbeatPosition) {
-        self.reply_launches
-            .retain(|_, replied_to| *replied_to >= periodic);
+    /// Records that the call that carried a batch has ended.
+    pub fn record_finished(&mut self, call: CallId) {
+        self.in_flight.take_if(|batch| batch.call == call);
     }
 
     /// Whether the batch in flight contains the launch.
@@ -132,18 +101,4 @@
             .as_ref()
             .is_some_and(|batch| batch.launches.contains(launch))
     }
-
-    /// Whether a launch that was sent, in a command batch or in the reply to a heartbeat, may
-    /// still be executed.
-    pub(super) fn may_still_launch(&self, launch: &TaskAttempt) -> bool {
-        self.unanswered_launches.contains(launch)
-            || self.reply_launches.contains_key(launch)
-            || self.is_launch_in_flight(launch)
-    }
-
-    /// Clears the launches for earlier incarnations, which the worker rejects.
-    pub(super) fn begin_incarnation(&mut self) {
-        self.unanswered_launches.clear();
-        self.reply_launches.clear();
-    }
 }
--- a/crates/controller/src/machines/heartbeat_reconciliation.rs
+++ b/crates/controller/src/machines/heartbeat_reconciliation.rs
@@ -13,19 +13,20 @@
 
 impl Machine {
     /// Applies a heartbeat and returns the resulting changes of the placed tasks. A
-    /// heartbeat that is not newer than the latest one has no effect.
+    /// heartbeat that is not newer than the latest one has no effect. `first_token` is the first
+    /// fencing token of this term.
     pub fn apply_heartbeat(
         &mut self,
         heartbeat: &Heartbeat,
         source: HeartbeatSource,
-        term: u64,
+        first_token: u64,
         now: Micros,
     ) -> Vec<TaskEvent> {
         let mut events = Vec::new();
+        // This holds even if the heartbeat is outdated: the worker's token never decreases.
+        self.launch_fence.record_accepted(heartbeat.fencing_token);
         if source == HeartbeatSource::Periodic {
-            // This holds even if a reply to commands has overtaken the heartbeat.
-            let position = HeartbeatPosition::of(heartbeat);
-            self.command_state.settle_replies_before(position);
+            self.latest_periodic = self.latest_periodic.max(HeartbeatPosition::of(heartbeat));
         }
         if self.is_outdated(heartbeat) {
             return events;
@@ -34,11 +35,15 @@
             self.begin_incarnation(heartbeat.incarnation, &mut events);
         }
         self.update_from_heartbeat(heartbeat, now);
-        if heartbeat.fencing_token != term {
+        if heartbeat.fencing_token < first_token {
             // Commands of an earlier leader may still be executed, so the task list does
             // not yet prove that any task is gone.
             return events;
         }
+        if heartbeat.fencing_token > self.launch_fence.token() {
+            self.adopt_unknown_token(heartbeat.fencing_token);
+            return events;
+        }
         self.has_current_token = true;
         let present = self.reconcile_listed_tasks(&heartbeat.tasks, now, &mut events);
         self.remove_absent_tasks(&present, &mut events);
@@ -59,11 +64,22 @@
         }
     }
 
+    /// Adopts a token of this term that was not sent to the machine, since the worker refuses
+    /// messages under a lower one.
+    fn adopt_unknown_token(&mut self, token: u64) {
+        let sent = self.launch_fence.token();
+        let name = &self.name;
+        log::error!(
+            "machine reports a token that was not sent machine={name} token={token} sent={sent}"
+        );
+        self.launch_fence.raise_token(token);
+    }
+
     /// Frees the slots of earlier incarnations. Also called for the first heartbeat, whose
     /// incarnation may be known from a stored placement. A restarted agent has killed all
     /// tasks of earlier incarnations and rejects commands for them.
     fn begin_incarnation(&mut self, incarnation: u64, events: &mut Vec<TaskEvent>) {
-        self.command_state.begin_incarnation();
+        self.launch_fence.begin_incarnation();
         let is_earlier = |_: &TaskKey, slot: &TaskSlot| slot.incarnation < incarnation;
         let reason = TaskLossReason::LaterIncarnation;
         events.extend(remove_lost(&mut self.slots, is_earlier, reason));
@@ -157,22 +173,33 @@
     ///
     /// Absence is a proof only if no launch can still be executed.
     fn remove_absent_tasks(&mut self, present: &BTreeSet<TaskKey>, events: &mut Vec<TaskEvent>) {
-        let commands = &self.command_state;
+        let fence = &self.launch_fence;
+        let mut has_unfenced_absence = false;
         let is_gone = |key: &TaskKey, slot: &TaskSlot| {
-            !present.contains(key)
+            let is_absent = !present.contains(key)
                 && slot.stored
-                && (slot.cancelled || slot.reported_state.is_some())
-                && !commands.may_still_launch(&slot.task_attempt(key))
+                && (slot.cancelled || slot.reported_state.is_some());
+            let attempt = slot.task_attempt(key);
+            has_unfenced_absence |= is_absent && !fence.fences_off(&attempt);
+            is_absent && !fence.may_still_launch(&attempt)
         };
         let reason = TaskLossReason::AbsentFromHeartbeat;
         events.extend(remove_lost(&mut self.slots, is_gone, reason));
+        self.has_unfenced_absence = has_unfenced_absence;
+    }
+
+    /// Whether a higher token is needed to reap an exited attempt, or to prove that an absent one
+    /// is gone.
+    pub fn needs_higher_token(&self) -> bool {
+        let is_unfenced = |attempt| !self.launch_fence.fences_off(attempt);
+        self.has_unfenced_absence || self.exited.iter().any(is_unfenced)
     }
 }
 
 /// Frees the slots for which `is_lost` returns true.
 fn remove_lost(
     slots: &mut BTreeMap<TaskKey, TaskSlot>,
-    is_lost: impl Fn(&TaskKey, &TaskSlot) -> bool,
+    mut is_lost: impl FnMut(&TaskKey, &TaskSlot) -> bool,
     reason: TaskLossReason,
 ) -> impl Iterator<Item = TaskEvent> {
     let lost = slots.extract_if(.., move |key, slot| is_lost(key, slot));
--- a/crates/controller/src/machines/needed_commands.rs
+++ b/crates/controller/src/machines/needed_commands.rs
@@ -23,16 +23,14 @@
         commands
     }
 
-    /// The commands that remove exited attempts whose end is stored. An attempt is not
-    /// reaped while a launch command for it may still arrive, in a command batch or in the
-    /// reply to a heartbeat, since the worker would then start it a second time.
+    /// The commands that remove exited attempts whose end is stored. An attempt is reaped only
+    /// under a higher token than its launches, since a copy of one could start it again.
     fn reap_commands(
         &self,
         is_end_stored: impl Fn(&TaskName, u64) -> bool,
     ) -> impl Iterator<Item = Command> {
         let reapable = self.exited.iter().filter(move |exited| {
-            is_end_stored(&exited.task, exited.attempt)
-                && !self.command_state.may_still_launch(exited)
+            is_end_stored(&exited.task, exited.attempt) && self.launch_fence.fences_off(exited)
         });
         reapable.map(|exited| Command::Reap {
             task: exited.task.clone(),
@@ -78,9 +76,4 @@
             })
         })
     }
-
-    /// Records the launches among the commands in the reply to the latest heartbeat.
-    pub fn record_reply_launches(&mut self, commands: &[Command]) {
-        self.command_state.record_reply(self.position, commands);
-    }
 }
--- a/crates/controller/src/node/leadership.rs
+++ b/crates/controller/src/node/leadership.rs
@@ -117,6 +117,11 @@
                     );
                     change = stepped_down.or(change);
                 }
+                LeaderEvent::TokensExhausted => {
+                    let reason = "the term has no unused fencing tokens left";
+                    let stepped_down = self.election.step_down(&mut ctx, reason, 0);
+                    change = stepped_down.or(change);
+                }
                 LeaderEvent::HigherTerm(term) => {
                     let stepped_down = self.election.observe_term(&mut ctx, term);
                     change = stepped_down.or(change);
--- a/crates/controller/tests/array_memory.rs
+++ b/crates/controller/tests/array_memory.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::leader_fixture::{LeaderFixture, START};
-use common::row;
+use common::{nth_term, row};
 use dillcleat_controller::records::{self, CancelledJob, OpenJob, TaskRange, TaskRecord};
 use dillcleat_controller::{Input, SECOND};
 use dillcleat_wire::store::{KeyValue, WatchEvent};
@@ -98,7 +98,7 @@
         }
     }
     fixture.step(0, Input::Tick);
-    assert_eq!(fixture.node.leading(), Some(1));
+    assert_eq!(fixture.node.leading(), Some(nth_term(1)));
     fixture.env.queue_rows.clear();
     fixture.env.task_rows.clear();
     fixture
--- a/crates/controller/tests/cancellation_watch_lost.rs
+++ b/crates/controller/tests/cancellation_watch_lost.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::step;
+use common::{nth_term, step};
 use dillcleat_controller::{Input, RequestId, SECOND};
 use dillcleat_wire::encode;
 
@@ -12,7 +12,7 @@
     let mut node = common::single_zone_node();
     let start = 1000 * SECOND;
     step(&mut node, start, Input::Tick, &[]);
-    assert_eq!(node.leading(), Some(1));
+    assert_eq!(node.leading(), Some(nth_term(1)));
     let mut last_renewal_s = 0;
     for s in 1..60 {
         let at = start + s * SECOND;
--- a/crates/controller/tests/common/fleet.rs
+++ b/crates/controller/tests/common/fleet.rs
@@ -105,7 +105,8 @@
     up_at: Micros,
     pub incarnation: u64,
     sequence: u64,
-    fencing_token: u64,
+    /// The highest fencing token that the worker has accepted.
+    pub fencing_token: u64,
     tasks: BTreeMap<(TaskName, u64), Task>,
     lease_renewed_at: Micros,
     next_heartbeat_at: Micros,
@@ -168,6 +169,12 @@
         self.tasks.values().filter(running).count()
     }
 
+    /// The number of exited attempts that the worker has not been told to forget.
+    pub fn exited_tasks(&self) -> usize {
+        let exited = |t: &&Task| t.state == TaskState::Exited;
+        self.tasks.values().filter(exited).count()
+    }
+
     pub fn runs_job(&self, job: &str) -> bool {
         let running = |t: &Task| t.state == TaskState::Running;
         let mut tasks = self.tasks.iter();
@@ -178,12 +185,22 @@
 /// Time, machine and task name of a task start.
 pub type TaskStart = (Micros, String, String);
 
+/// A command batch that a machine has executed.
+#[derive(Debug, Clone)]
+pub struct ExecutedBatch {
+    pub machine: String,
+    pub batch: CommandBatch,
+}
+
 pub struct Fleet {
     pub config: Config,
     pub node: Node,
     pub now: Micros,
     pub workers: BTreeMap<String, Worker>,
     pub starts: Vec<TaskStart>,
+    /// The machine, task and number of every attempt that has started.
+    pub attempt_starts: Vec<(String, TaskName, u64)>,
+    pub executed_batches: Vec<ExecutedBatch>,
     pub deletions: Vec<(Micros, String)>,
     /// Tasks that were running on a machine at its deletion.
     pub killed_tasks: Vec<String>,
@@ -230,6 +247,8 @@
             now: START,
             workers: BTreeMap::new(),
             starts: Vec::new(),
+            attempt_starts: Vec::new(),
+            executed_batches: Vec::new(),
             deletions: Vec::new(),
             killed_tasks: Vec::new(),
             max_running_tasks: usize::MAX,
@@ -501,6 +520,8 @@
                     w.next_heartbeat_at = w.next_heartbeat_at.min(now + SECOND / 2);
                     assert!(w.running_tasks() as f64 <= w.cpus, "more tasks than CPUs");
                     self.starts.push((now, name.into(), task.to_string()));
+                    self.attempt_starts
+                        .push((name.into(), task.clone(), *attempt));
                     let running = self
                         .workers
                         .values()
@@ -541,9 +562,29 @@
             w.next_heartbeat_at = w.next_heartbeat_at.min(now + SECOND / 2);
         }
         self.execute_commands(name, &batch.commands);
+        self.executed_batches.push(ExecutedBatch {
+            machine: name.into(),
+            batch: batch.clone(),
+        });
         (200, encode(&self.worker(name).heartbeat()))
     }
 
+    /// Delivers a copy of every batch that a machine has executed, in order. Nobody receives
+    /// the replies. Returns how many of the copies are executed.
+    pub fn deliver_batch_copies(&mut self) -> usize {
+        let copies = self.executed_batches.clone();
+        let existing = copies
+            .iter()
+            .filter(|copy| self.workers.contains_key(&copy.machine));
+        let existing: Vec<&ExecutedBatch> = existing.collect();
+        let replies = existing
+            .iter()
+            .map(|copy| self.receive_commands(&copy.machine, &copy.batch));
+        let executed = replies.filter(|(status, _)| *status == 200).count();
+        self.executed_batches = copies;
+        executed
+    }
+
     /// Passes an input to the node and executes its calls. Returns status code and body of the
     /// node's responses to requests.
     fn handle(&mut self, input: Input) -> Vec<(u16, Vec<u8>)> {
--- a/crates/controller/tests/common/leader_fixture.rs
+++ b/crates/controller/tests/common/leader_fixture.rs
@@ -1,7 +1,9 @@
 //! A leader with one machine that runs a task of a job, and an environment whose failures
 //! the test controls.
 
-use super::{Environment, config_with_team, heartbeat, machine_row, row, step_in_environment};
+use super::{
+    Environment, config_with_team, heartbeat, machine_row, nth_term, row, step_in_environment,
+};
 use dillcleat_controller::records::{self, CancelledJob, OpenJob, TaskRecord};
 use dillcleat_controller::{CallError, Config, Input, Micros, Node, RequestId, SECOND};
 use dillcleat_peer_protocol::Message;
@@ -91,7 +93,7 @@
     pub fn elected() -> LeaderFixture {
         let mut fixture = LeaderFixture::new();
         fixture.step(0, Input::Tick);
-        assert_eq!(fixture.node.leading(), Some(1));
+        assert_eq!(fixture.node.leading(), Some(nth_term(1)));
         fixture
     }
 
@@ -110,6 +112,11 @@
     /// Sends a heartbeat of the machine. Returns the commands in the reply, or `None` if the
     /// machine's lease is not renewed.
     pub fn send_heartbeat(&mut self, at: Micros) -> Option<Vec<Command>> {
+        self.heartbeat_reply(at).map(|reply| reply.commands)
+    }
+
+    /// As [`send_heartbeat`](Self::send_heartbeat), with the whole reply.
+    pub fn heartbeat_reply(&mut self, at: Micros) -> Option<HeartbeatReply> {
         self.sequence += 1;
         let task = TaskStatus {
             task: format!("{JOB_ID}/0").parse().expect("a task's name"),
@@ -137,9 +144,7 @@
         match self.step(at, input)[..] {
             [200] => {
                 let body = self.env.answer_bodies.pop().expect("a body");
-                let reply: HeartbeatReply =
-                    dillcleat_wire::decode(&body).expect("a heartbeat reply");
-                Some(reply.commands)
+                Some(dillcleat_wire::decode(&body).expect("a heartbeat reply"))
             }
             [503 | 421] => None,
             ref other => panic!("unexpected {other:?}"),
@@ -167,7 +172,7 @@
             self.step(at, Input::Tick);
             // The tick renews the leader lease, and the peer's heartbeat has no later term.
             let message = Message::Heartbeat {
-                term: 1,
+                term: nth_term(1),
                 is_leader: false,
                 store_reachable: true,
                 workers_reachable: false,
--- a/crates/controller/tests/common/mod.rs
+++ b/crates/controller/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod leader_fixture;
 pub mod stepped_node;
 
+use dillcleat_controller::fencing_tokens::TOKENS_PER_TERM;
 use dillcleat_controller::records::{self, MachineRecord, MachineTypesRecord};
 use dillcleat_controller::{
     CallError, CallId, Config, Input, Micros, Node, Output, RequestId, Timestamp, Tuning,
@@ -53,6 +54,11 @@
 max_connections = 900
 "#;
 
+/// The number of the `n`th term after an empty store, which is its last fencing token.
+pub const fn nth_term(n: u64) -> u64 {
+    n * TOKENS_PER_TERM
+}
+
 /// A node of a three-member cluster whose members are all in zone `a`.
 pub fn single_zone_node() -> Node {
     let platform = PlatformSettings::parse(SETTINGS).expect("valid settings");
--- a/crates/controller/tests/heartbeat_reconciliation.rs
+++ b/crates/controller/tests/heartbeat_reconciliation.rs
@@ -3,7 +3,9 @@
 
 mod common;
 
-use dillcleat_controller::machines::{HeartbeatSource, Machine, TaskEvent, TaskKey, TaskSlot};
+use dillcleat_controller::machines::{
+    HeartbeatSource, Machine, TaskAttempt, TaskEvent, TaskKey, TaskSlot,
+};
 use dillcleat_controller::{Micros, SECOND};
 use dillcleat_wire::user::{JobKind, JobSpec};
 use dillcleat_wire::worker::{Command, ExitReason, Heartbeat, TaskState, TaskStatus};
@@ -51,7 +53,7 @@
 
 /// A machine in incarnation 1 that runs attempt 1 of the task.
 fn machine() -> Machine {
-    let mut m = Machine::new("m", "t", "z", false, NOW);
+    let mut m = Machine::new("m", "t", "z", false, TERM, NOW);
     assert_eq!(
         m.apply_heartbeat(
             &heartbeat(1, 1, TERM, &[]),
@@ -71,6 +73,27 @@
     m.apply_heartbeat(heartbeat, source, TERM, NOW)
 }
 
+/// Sends commands in a batch that the worker answers.
+fn send_answered_batch(m: &mut Machine, commands: &[Command]) {
+    let call = dillcleat_controller::CallId(1);
+    m.launch_fence.record_sent(commands);
+    m.command_state.record_sent(call, commands);
+    m.command_state.record_finished(call);
+}
+
+/// Raises the fencing token of the machine if that is needed. Returns whether it was.
+fn raise_token(m: &mut Machine) -> bool {
+    let is_needed = m.needs_higher_token();
+    if is_needed {
+        m.launch_fence.raise_token(m.launch_fence.token() + 1);
+    }
+    is_needed
+}
+
+fn is_reap(commands: &[Command]) -> bool {
+    matches!(commands, [Command::Reap { .. }])
+}
+
 #[test]
 fn missing_task_counts_as_lost_only_after_a_newer_heartbeat_with_the_current_fencing_token() {
     let mut m = machine();
@@ -119,10 +142,7 @@
     m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
     let launch = m.needed_commands(true, |_, _| true);
     assert!(matches!(launch[..], [Command::Launch { .. }]));
-    m.command_state
-        .record_sent(dillcleat_controller::CallId(1), &launch);
-    m.command_state
-        .record_finished(dillcleat_controller::CallId(1), true);
+    m.launch_fence.record_sent(&launch);
     if let Some(slot) = m.slots.get_mut(&task_key()) {
         slot.cancelled = true;
     }
@@ -154,7 +174,7 @@
 }
 
 #[test]
-fn launch_in_a_heartbeat_reply_is_unconfirmed_until_the_next_periodic_heartbeat() {
+fn launch_in_a_heartbeat_reply_is_unconfirmed_until_the_worker_accepts_a_higher_token() {
     let mut m = machine();
     m.slots.clear();
     m.add_task(
@@ -164,7 +184,7 @@
         50.0,
     );
     let commands = m.needed_commands(true, |_, _| true);
-    m.record_reply_launches(&commands);
+    m.launch_fence.record_sent(&commands);
     if let Some(slot) = m.slots.get_mut(&task_key()) {
         slot.cancelled = true;
     }
@@ -177,9 +197,16 @@
         ),
         []
     );
+    let periodic = heartbeat(1, 3, TERM, &[]);
+    assert_eq!(apply(&mut m, &periodic, HeartbeatSource::Periodic), []);
+    assert!(raise_token(&mut m));
+    // The worker may not have received the higher token yet.
+    let periodic = heartbeat(1, 4, TERM, &[]);
+    assert_eq!(apply(&mut m, &periodic, HeartbeatSource::Periodic), []);
+    assert!(!raise_token(&mut m), "one raise is enough");
     let events = apply(
         &mut m,
-        &heartbeat(1, 3, TERM, &[]),
+        &heartbeat(1, 5, TERM + 1, &[]),
         HeartbeatSource::Periodic,
     );
     assert!(matches!(events[..], [TaskEvent::Lost { .. }]));
@@ -197,46 +224,89 @@
         m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
         let launch = m.needed_commands(true, |_, _| true);
         assert!(matches!(launch[..], [Command::Launch { .. }]));
-        m.record_reply_launches(&launch);
+        m.launch_fence.record_sent(&launch);
         // The reply to heartbeat 1 is delayed, and a batch with the same launch overtakes it.
-        let call = dillcleat_controller::CallId(1);
-        m.command_state.record_sent(call, &launch);
-        m.command_state.record_finished(call, false);
+        send_answered_batch(&mut m, &launch);
         let exited = heartbeat(1, 2, TERM, &[(1, TaskState::Exited)]);
         let events = apply(&mut m, &exited, HeartbeatSource::CommandReply);
         assert!(matches!(events[..], [TaskEvent::Exited { attempt: 1, .. }]));
         assert_eq!(m.needed_commands(true, |_, _| true), [], "{kind:?}");
-        // The worker sends the next periodic heartbeat once it has the reply or has dropped it.
+        // A copy of the batch may arrive later than the reply to heartbeat 1.
         let exited = heartbeat(1, 3, TERM, &[(1, TaskState::Exited)]);
         apply(&mut m, &exited, HeartbeatSource::Periodic);
-        assert!(matches!(
-            m.needed_commands(true, |_, _| true)[..],
-            [Command::Reap { .. }]
-        ));
+        assert_eq!(m.needed_commands(true, |_, _| true), [], "{kind:?}");
+        assert!(raise_token(&mut m));
+        assert!(is_reap(&m.needed_commands(true, |_, _| true)));
     }
 }
 
-/// Guards against an attempt that is never reaped because replies to commands overtake every
-/// periodic heartbeat of its machine.
 #[test]
-fn overtaken_periodic_heartbeat_proves_that_the_earlier_reply_is_settled() {
+fn attempt_that_a_copy_of_an_answered_launch_could_start_again_is_not_reaped() {
+    let exit_reasons = [
+        ExitReason::Done,
+        ExitReason::Stopped,
+        ExitReason::Error,
+        ExitReason::InsufficientResources,
+        ExitReason::OtherAttemptPresent,
+        ExitReason::UnknownTask,
+    ];
+    for reason in exit_reasons {
+        let mut m = machine();
+        m.slots.clear();
+        let slot = TaskSlot::new(1, 1, 0, &job_spec(), true);
+        m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+        let launch = m.needed_commands(true, |_, _| true);
+        send_answered_batch(&mut m, &launch);
+        let mut exited = heartbeat(1, 2, TERM, &[(1, TaskState::Exited)]);
+        exited.tasks[0].reason = Some(reason);
+        apply(&mut m, &exited, HeartbeatSource::Periodic);
+        assert_eq!(m.needed_commands(true, |_, _| true), [], "{reason:?}");
+        assert!(raise_token(&mut m), "{reason:?}");
+        assert!(is_reap(&m.needed_commands(true, |_, _| true)), "{reason:?}");
+        // Another attempt is launched under the higher token.
+        let slot = TaskSlot::new(2, 1, 0, &job_spec(), true);
+        m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+        let launch = m.needed_commands(true, |_, _| false);
+        assert!(matches!(launch[..], [Command::Launch { attempt: 2, .. }]));
+        send_answered_batch(&mut m, &launch);
+        let both = [(1, TaskState::Exited), (2, TaskState::Exited)];
+        let exited = heartbeat(1, 3, TERM + 1, &both);
+        apply(&mut m, &exited, HeartbeatSource::Periodic);
+        let reaps = m.needed_commands(true, |_, _| true);
+        assert!(matches!(reaps[..], [Command::Reap { attempt: 1, .. }]));
+        assert!(raise_token(&mut m));
+        assert_eq!(m.needed_commands(true, |_, _| true).len(), 2);
+    }
+}
+
+#[test]
+fn attempt_that_an_earlier_leader_launched_is_reaped_without_a_higher_token() {
     let mut m = machine();
-    m.slots.clear();
+    let exited = heartbeat(1, 2, TERM, &[(1, TaskState::Exited)]);
+    apply(&mut m, &exited, HeartbeatSource::Periodic);
+    assert!(!m.needs_higher_token());
+    assert!(is_reap(&m.needed_commands(true, |_, _| true)));
+}
+
+#[test]
+fn token_that_was_not_sent_proves_no_end_of_a_task() {
+    let mut m = machine();
+    let unknown = heartbeat(1, 2, TERM + 7, &[]);
+    assert_eq!(apply(&mut m, &unknown, HeartbeatSource::Periodic), []);
+    // The worker refuses messages under a lower token.
+    assert_eq!(m.launch_fence.token(), TERM + 7);
+    let mut launched = machine();
+    launched.slots.clear();
     let slot = TaskSlot::new(1, 1, 0, &job_spec(), true);
-    m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
-    let launch = m.needed_commands(true, |_, _| true);
-    m.record_reply_launches(&launch);
-    let exited = |sequence| heartbeat(1, sequence, TERM, &[(1, TaskState::Exited)]);
-    apply(&mut m, &exited(3), HeartbeatSource::CommandReply);
-    assert_eq!(m.needed_commands(true, |_, _| true), []);
-    // A copy of the heartbeat whose reply contains the launch proves nothing.
-    apply(&mut m, &exited(1), HeartbeatSource::Periodic);
-    assert_eq!(m.needed_commands(true, |_, _| true), []);
-    apply(&mut m, &exited(2), HeartbeatSource::Periodic);
-    assert!(matches!(
-        m.needed_commands(true, |_, _| true)[..],
-        [Command::Reap { .. }]
-    ));
+    launched.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    let launch = launched.needed_commands(true, |_, _| true);
+    send_answered_batch(&mut launched, &launch);
+    apply(&mut launched, &unknown, HeartbeatSource::Periodic);
+    let attempt = TaskAttempt {
+        task: "req-1/0".parse().expect("a task's name"),
+        attempt: 1,
+    };
+    assert!(launched.launch_fence.may_still_launch(&attempt));
 }
 
 #[test]
--- a/crates/controller/tests/inherited_estimates.rs
+++ b/crates/controller/tests/inherited_estimates.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Environment, step_in_environment};
+use common::{Environment, nth_term, step_in_environment};
 use dillcleat_controller::records::{OpenJob, open_job_key};
 use dillcleat_controller::{Input, Micros, Node, Output, SECOND, Timestamp};
 use dillcleat_peer_protocol::{ClassRunTime, Estimates, JobEstimate, Message};
@@ -68,7 +68,7 @@
     );
     let at = START + delay;
     step_in_environment(&mut node, at, Input::Tick, &[], &mut env);
-    assert_eq!(node.leading(), Some(1));
+    assert_eq!(node.leading(), Some(nth_term(1)));
     let at = at + SECOND * 9 / 10;
     let now = Timestamp {
         monotonic: at,
@@ -108,7 +108,7 @@
     let (size, _, _) = replicated_after_election(estimates(0, -200.0, -1.0), SECOND);
     assert!(size > 0.0);
     assert_eq!(
-        replicated_after_election(estimates(1, -200.0, 2100.0), SECOND),
+        replicated_after_election(estimates(nth_term(1), -200.0, 2100.0), SECOND),
         initial,
         "estimates of the receiver's own term are ignored"
     );
--- a/crates/controller/tests/isolated_leader.rs
+++ b/crates/controller/tests/isolated_leader.rs
@@ -3,7 +3,9 @@
 
 mod common;
 
-use common::{Environment, heartbeat_request, machine_row, step_in_environment, three_zone_node};
+use common::{
+    Environment, heartbeat_request, machine_row, nth_term, step_in_environment, three_zone_node,
+};
 use dillcleat_controller::{CallError, Input, MILLISECOND, Micros, Node, SECOND};
 use dillcleat_peer_protocol::Message;
 use dillcleat_wire::cloud::CloudRequest;
@@ -116,11 +118,11 @@
     fixture.sends_heartbeats = |m| zone_of(m) == "a";
     fixture.peers = &[];
     fixture.env.store_up = false;
-    assert_eq!(fixture.node.leading(), Some(1));
+    assert_eq!(fixture.node.leading(), Some(nth_term(1)));
     assert_eq!(fixture.advance(Fixture::IDLE_DELETION_STARTS_S - 8), []);
     assert_eq!(
         fixture.node.leading(),
-        Some(1),
+        Some(nth_term(1)),
         "the leader has seen no later term"
     );
     // The leader does not delete idle machines either.
--- a/crates/controller/tests/leader_failover.rs
+++ b/crates/controller/tests/leader_failover.rs
@@ -7,8 +7,10 @@
     JOB_ID, LeaderFixture, START, cancellation_row, with_max_clock_drift,
 };
 use common::{
-    heartbeat_request, machine_row, machine_type, machine_types_row, row, step_in_environment,
+    heartbeat_request, machine_row, machine_type, machine_types_row, nth_term, row,
+    step_in_environment,
 };
+use dillcleat_controller::fencing_tokens::TermTokens;
 use dillcleat_controller::records::{
     self, JobStateRecord, LeaderRecord, OpenJob, PlacedTask, RecordedState, TaskRange, TaskRecord,
     TermRecord,
@@ -126,7 +128,7 @@
         let at = t * 100 * MILLISECOND;
         if t % 50 == 0 {
             let message = Message::Heartbeat {
-                term: 1000,
+                term: nth_term(1000),
                 is_leader: false,
                 store_reachable: true,
                 workers_reachable: false,
@@ -137,7 +139,9 @@
         }
         fixture.step(at, Input::Tick);
         fixture.answer_watches(at, Vec::new());
-        fixture.fencing_token = fixture.node.leading().unwrap_or(fixture.fencing_token);
+        let first_token = |term| TermTokens::of_term(term).first();
+        let token = fixture.node.leading().map(first_token);
+        fixture.fencing_token = token.unwrap_or(fixture.fencing_token);
         terms.push(fixture.fencing_token);
         if t % 10 == 0 && fixture.send_heartbeat(at).is_some() {
             renewed_at = at;
@@ -210,7 +214,7 @@
             .any(|p| (p.index, p.attempt) == (0, 2));
         assert!(deleted || !placed_again, "{at}");
     }
-    assert_eq!(fixture.node.leading(), Some(1));
+    assert_eq!(fixture.node.leading(), Some(nth_term(1)));
     assert_eq!(
         stored_placements(&fixture),
         [PlacedTask::from((0, 2, "n".to_string(), 1))]
@@ -272,9 +276,9 @@
     let lead = LeaderRecord {
         member: "n0".into(),
         lease: LeaseId(1),
-        term: 1,
+        term: nth_term(1),
     };
-    let mut term = row(records::TERM_KEY.into(), &TermRecord { term: 1 });
+    let mut term = row(records::TERM_KEY.into(), &TermRecord { term: nth_term(1) });
     term.version = 5;
     fixture.env.shared_rows = vec![row(records::LEADER_KEY.into(), &lead), term];
     fixture.env.revoked_leases.clear();
@@ -288,7 +292,7 @@
     fixture.env.shared_rows.remove(0);
     fixture.env.transactions.clear();
     fixture.step(3 * SECOND / 2, Input::Tick);
-    assert_eq!(fixture.node.leading(), Some(2));
+    assert_eq!(fixture.node.leading(), Some(nth_term(2)));
     let preconditions = &fixture.env.transactions[0].compare;
     assert!(
         preconditions
@@ -514,7 +518,7 @@
     for t in 10..15 {
         fixture.step(t * 100 * MILLISECOND, Input::Tick);
     }
-    assert_eq!(fixture.node.leading(), Some(1));
+    assert_eq!(fixture.node.leading(), Some(nth_term(1)));
     let preconditions = fixture.env.transactions.iter().flat_map(|t| &t.compare);
     let of_types = preconditions.filter(|c| c.key == records::MACHINE_TYPES_KEY);
     let versions: Vec<u64> = of_types.map(|c| c.version).collect();
@@ -529,7 +533,7 @@
     let mut fixture = LeaderFixture::elected();
     // The leader steps down in favor of a peer that workers can reach.
     let message = Message::Heartbeat {
-        term: 7,
+        term: nth_term(7),
         is_leader: false,
         store_reachable: true,
         workers_reachable: true,
@@ -548,7 +552,7 @@
     let lead = LeaderRecord {
         member: "n1".into(),
         lease: LeaseId(8),
-        term: 1,
+        term: nth_term(1),
     };
     let event = WatchEvent::Put {
         key: records::LEADER_KEY.into(),
@@ -574,7 +578,7 @@
     }
     let renewal = fixture.env.held_renewals.pop().expect("a renewal");
     let message = Message::Heartbeat {
-        term: 7,
+        term: nth_term(7),
         is_leader: false,
         store_reachable: true,
         workers_reachable: false,
@@ -608,7 +612,7 @@
     fixture.env.held_listing_prefix = None;
     let depose_and_reelect = |fixture: &mut LeaderFixture, at: Micros| {
         let message = Message::Heartbeat {
-            term: 1000,
+            term: nth_term(1000),
             is_leader: false,
             store_reachable: true,
             workers_reachable: false,
--- a/crates/controller/tests/leader_without_heartbeats.rs
+++ b/crates/controller/tests/leader_without_heartbeats.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{heartbeat_request, machine_row, step};
+use common::{heartbeat_request, machine_row, nth_term, step};
 use dillcleat_controller::{
     Input, MILLISECOND, Micros, Node, Output, SECOND, Timestamp, Tuning, micros,
 };
@@ -37,7 +37,7 @@
     let mut node = common::single_zone_node();
     let start = 1000 * SECOND;
     step(&mut node, start, Input::Tick, &machines);
-    assert_eq!(node.leading(), Some(1));
+    assert_eq!(node.leading(), Some(nth_term(1)));
     if heartbeat_at_start {
         let input = heartbeat_request("m0", "a", 1);
         assert_eq!(step(&mut node, start, input, &machines), [200]);
@@ -54,7 +54,7 @@
             &machines,
         );
         step(&mut node, start + at, Input::Tick, &machines);
-        if node.leading() != Some(1) {
+        if node.leading() != Some(nth_term(1)) {
             break;
         }
         last_led_at = at;
@@ -79,7 +79,7 @@
 /// sooner.
 #[test]
 fn new_leader_steps_down_sooner_if_redirected_workers_do_not_arrive() {
-    let time_led = time_as_leader(false, 1, true, 0);
+    let time_led = time_as_leader(false, nth_term(1), true, 0);
     assert!((4 * SECOND..6 * SECOND).contains(&time_led), "{time_led}");
 }
 
@@ -106,14 +106,14 @@
     step(
         &mut node,
         now.monotonic,
-        peer_heartbeat(1, false, true),
+        peer_heartbeat(nth_term(1), false, true),
         &[],
     );
     assert_eq!(redirect_target(&mut node), None);
     step(
         &mut node,
         now.monotonic,
-        peer_heartbeat(2, true, false),
+        peer_heartbeat(nth_term(2), true, false),
         &[],
     );
     assert_eq!(redirect_target(&mut node).as_deref(), Some("n1"));
@@ -123,14 +123,14 @@
 /// one, which should then lead.
 #[test]
 fn leader_without_heartbeats_steps_down_before_worker_leases_expire() {
-    let time_led = time_as_leader(true, 1, false, 0);
+    let time_led = time_as_leader(true, nth_term(1), false, 0);
     assert!((7 * SECOND..11 * SECOND).contains(&time_led), "{time_led}");
 }
 
 /// If all machines are gone, a leader is needed to detect that.
 #[test]
 fn leader_that_never_received_a_heartbeat_stays() {
-    assert!(time_as_leader(false, 1, false, 0) > 29 * SECOND);
+    assert!(time_as_leader(false, nth_term(1), false, 0) > 29 * SECOND);
 }
 
 /// Another node may lead after a suspension longer than the leader lease.
@@ -151,7 +151,7 @@
         step(
             &mut node,
             start + at,
-            peer_heartbeat(1, peer_is_leader, workers_reach_peer),
+            peer_heartbeat(nth_term(1), peer_is_leader, workers_reach_peer),
             &[],
         );
         step(&mut node, start + at, Input::Tick, &[]);
--- a/crates/controller/tests/lowered_store_limits.rs
+++ b/crates/controller/tests/lowered_store_limits.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{row, timestamp};
+use common::{nth_term, row, timestamp};
 use dillcleat_controller::records::{self, OpenJob, TaskRange, parse_tasks_key};
 use dillcleat_controller::{CallError, Input, MILLISECOND, Micros, Node, Output, SECOND};
 use dillcleat_wire::decode;
@@ -148,7 +148,7 @@
 /// Asserts that the leader has launched every task in its first term, and that its parts
 /// cover all tasks and fit the lowered limit.
 fn assert_all_tasks_launched(fixture: &Fixture) {
-    assert_eq!(fixture.node.leading(), Some(1));
+    assert_eq!(fixture.node.leading(), Some(nth_term(1)));
     assert_eq!(fixture.launched_tasks.len(), TASK_COUNT as usize);
     let mut covered = 0;
     // The first write is the one that the store rejects.
@@ -198,7 +198,7 @@
     assert_eq!((fixture.chunk_reads, fixture.task_writes.len()), (1, 2));
     assert_eq!(
         (fixture.node.leading(), fixture.launched_tasks.len()),
-        (Some(1), TASK_COUNT as usize)
+        (Some(nth_term(1)), TASK_COUNT as usize)
     );
 }
 
@@ -207,7 +207,7 @@
 fn task_write_that_is_always_rejected_is_retried_with_pauses() {
     let rejections = (0..1000).map(|_| rejected()).collect();
     let fixture = Fixture::new(rejections, StoreResponse::NotFound { revision: 3 });
-    assert_eq!(fixture.node.leading(), Some(1));
+    assert_eq!(fixture.node.leading(), Some(nth_term(1)));
     assert!(
         fixture.task_writes.len() < 40,
         "{} writes",
--- a/crates/controller/tests/progress.rs
+++ b/crates/controller/tests/progress.rs
@@ -4,7 +4,9 @@
 
 mod common;
 
-use common::{Environment, config_with_team, heartbeat, machine_row, row, step_in_environment};
+use common::{
+    Environment, config_with_team, heartbeat, machine_row, nth_term, row, step_in_environment,
+};
 use dillcleat_controller::records::{self, OpenJob, TaskRecord};
 use dillcleat_controller::{
     Input, MILLISECOND, Micros, Node, Output, RequestId, SECOND, Timestamp,
@@ -105,7 +107,7 @@
         &[machine_row("m", "a")],
         &mut env,
     );
-    assert_eq!(node.leading(), Some(1));
+    assert_eq!(node.leading(), Some(nth_term(1)));
     (node, START, env)
 }
 
@@ -148,12 +150,12 @@
     while !run_and_collect_progress(&mut node, &mut at, &mut env).is_empty() {
         assert!(at < START + 3 * SECOND);
     }
-    receive(&mut node, at, "n1", peer_heartbeat(1, false));
+    receive(&mut node, at, "n1", peer_heartbeat(nth_term(1), false));
     assert_eq!(
         run_and_collect_progress(&mut node, &mut at, &mut env),
         running
     );
-    receive(&mut node, at, "n1", peer_heartbeat(1, false));
+    receive(&mut node, at, "n1", peer_heartbeat(nth_term(1), false));
     assert_eq!(run_and_collect_progress(&mut node, &mut at, &mut env), []);
     // Zero counts are sent at the job's end, so that peers remove its entry.
     send_heartbeat(&mut node, at, 2, TaskState::Exited, &mut env);
@@ -173,16 +175,16 @@
     receive(&mut node, START, "n1", Message::JobProgress(previous));
     let (mut at, mut env) = (START, Environment::default());
     step_in_environment(&mut node, at, Input::Tick, &[], &mut env);
-    assert_eq!(node.leading(), Some(1));
+    assert_eq!(node.leading(), Some(nth_term(1)));
     let mut all = Vec::new();
     // Counts that may be outdated are not sent to a peer that becomes reachable.
-    receive(&mut node, at, "n1", peer_heartbeat(1, false));
+    receive(&mut node, at, "n1", peer_heartbeat(nth_term(1), false));
     while at < START + 9 * SECOND {
         all.extend(run_and_collect_progress(&mut node, &mut at, &mut env));
     }
     assert_eq!((all, node.progress(JOB_ID)), (vec![], Some((0, 3))));
     while at < START + 11 * SECOND {
-        receive(&mut node, at, "n1", peer_heartbeat(1, false));
+        receive(&mut node, at, "n1", peer_heartbeat(nth_term(1), false));
         let more = run_and_collect_progress(&mut node, &mut at, &mut env);
         if !more.is_empty() {
             assert_eq!(
@@ -200,10 +202,10 @@
 fn progress_from_a_deposed_leader_is_ignored() {
     let mut node = Node::new(config_with_team());
     let progress = |done, running| Message::JobProgress(vec![job_progress(JOB_ID, done, running)]);
-    receive(&mut node, START, "n1", peer_heartbeat(1, true));
+    receive(&mut node, START, "n1", peer_heartbeat(nth_term(1), true));
     receive(&mut node, START, "n1", progress(0, 3));
     assert_eq!(node.progress(JOB_ID), Some((0, 3)));
-    receive(&mut node, START, "n2", peer_heartbeat(2, true));
+    receive(&mut node, START, "n2", peer_heartbeat(nth_term(2), true));
     receive(&mut node, START, "n2", progress(1, 2));
     receive(&mut node, START, "n1", progress(0, 3));
     assert_eq!(node.progress(JOB_ID), Some((1, 2)));
--- a/crates/controller/tests/rate_limited_writes.rs
+++ b/crates/controller/tests/rate_limited_writes.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::stepped_node::MemoryStore;
-use common::{row, timestamp};
+use common::{nth_term, row, timestamp};
 use dillcleat_controller::records::{self, OpenJob};
 use dillcleat_controller::{
     CallError, CallId, Config, Input, MILLISECOND, Micros, Node, Output, RequestId, SECOND,
@@ -258,7 +258,7 @@
 
     /// Asserts that the leader has launched every task in its first term.
     fn assert_all_launched(&self) {
-        assert_eq!(self.node.leading(), Some(1));
+        assert_eq!(self.node.leading(), Some(nth_term(1)));
         assert_eq!(self.launched.len(), JOBS, "{} refused", self.store.refused);
     }
 }
--- a/crates/controller/tests/stale_cancellations.rs
+++ b/crates/controller/tests/stale_cancellations.rs
@@ -7,7 +7,7 @@
 use common::leader_fixture::{
     JOB_ID, LeaderFixture, START, cancellation_row, single_page, with_max_clock_drift,
 };
-use common::{config_with_team, row, step_in_environment};
+use common::{config_with_team, nth_term, row, step_in_environment};
 use dillcleat_controller::{CallError, Input, MILLISECOND, Micros, RequestId, SECOND, records};
 use dillcleat_peer_protocol::Message;
 use dillcleat_wire::cloud::CloudRequest;
@@ -75,7 +75,7 @@
     let mut fixture = LeaderFixture::new();
     fixture.env.held_listing_prefix = Some(records::QUEUE_PREFIX);
     fixture.step(0, Input::Tick);
-    assert_eq!(fixture.node.leading(), Some(1));
+    assert_eq!(fixture.node.leading(), Some(nth_term(1)));
     assert!(
         fixture.send_heartbeat(SECOND).is_none(),
         "nothing has been read"
@@ -157,7 +157,7 @@
     assert!(fixture.send_heartbeat(SECOND).is_some());
     fixture.env.held_listing_prefix = Some(records::QUEUE_PREFIX);
     let message = Message::Heartbeat {
-        term: 7,
+        term: nth_term(7),
         is_leader: false,
         store_reachable: true,
         workers_reachable: false,
@@ -238,7 +238,7 @@
     for t in 12..400 {
         let at = t * 100 * MILLISECOND;
         let message = Message::Heartbeat {
-            term: 1,
+            term: nth_term(1),
             is_leader: false,
             store_reachable: false,
             workers_reachable: false,
@@ -306,7 +306,10 @@
 fn later_term_in_store_deposes_leader() {
     let mut fixture = LeaderFixture::elected();
     fixture.step(SECOND / 10, Input::Tick);
-    let term = row(records::TERM_KEY.into(), &records::TermRecord { term: 9 });
+    let term = row(
+        records::TERM_KEY.into(),
+        &records::TermRecord { term: nth_term(9) },
+    );
     fixture.answer_watches(SECOND / 2, vec![LeaderFixture::put_event(term)]);
     assert_eq!(fixture.node.leading(), None);
 }
--- a/crates/controller/tests/unreachable_machines.rs
+++ b/crates/controller/tests/unreachable_machines.rs
@@ -233,7 +233,7 @@
 /// earlier one has arrived.
 #[test]
 fn unchanged_incarnation_or_prompt_heartbeat_proves_reachability() {
-    let mut machine = Machine::new("m", "t", "a", false, 0);
+    let mut machine = Machine::new("m", "t", "a", false, 1, 0);
     // A worker lease of 14 s with a margin, and the time without a heartbeat after which one
     // counts as missed.
     let (proof_after, missed_after) = (17 * SECOND, 3 * SECOND);
--- a/crates/controller/tests/unrecoverable_jobs.rs
+++ b/crates/controller/tests/unrecoverable_jobs.rs
@@ -4,7 +4,8 @@
 mod common;
 
 use common::{
-    Environment, config_with_team, heartbeat, machine_row, machine_type, row, step_in_environment,
+    Environment, config_with_team, heartbeat, machine_row, machine_type, nth_term, row,
+    step_in_environment,
 };
 use dillcleat_controller::records::{
     self, CancelledJob, JobStateRecord, OpenJob, RecordedState, TaskRange, TaskRecord,
@@ -203,7 +204,7 @@
         ("unreadable chunk", unreadable_chunk),
     ] {
         fixture.advance(0, 2 * SECOND);
-        assert_eq!(fixture.node.leading(), Some(1));
+        assert_eq!(fixture.node.leading(), Some(nth_term(1)));
         let running = Some(TaskState::Running);
         assert_eq!(
             fixture.send_heartbeat(2 * SECOND, "m", running),
--- a/crates/controller/tests/unresponsive_zone_handover.rs
+++ b/crates/controller/tests/unresponsive_zone_handover.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{heartbeat_request, machine_row, step_returning_cloud_calls};
+use common::{heartbeat_request, machine_row, nth_term, step_returning_cloud_calls};
 use dillcleat_controller::{Input, MILLISECOND, Micros, SECOND};
 use dillcleat_peer_protocol::{Message, UnresponsiveZone};
 use dillcleat_wire::cloud::CloudRequest;
@@ -51,7 +51,7 @@
             }
         }
     }
-    assert_eq!(node.leading(), Some(1));
+    assert_eq!(node.leading(), Some(nth_term(1)));
     deleted
 }
 
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -22,6 +22,7 @@
 use crate::store::{SimulatedStore, Watches};
 use crate::worker::{HEARTBEAT_TIMEOUT, TaskBehaviour, Worker, WorkerEvent};
 use dillcleat_controller::config::{DeadlineObjective, StartObjective};
+use dillcleat_controller::fencing_tokens::TOKENS_PER_TERM;
 use dillcleat_controller::{
     Answer, CallError, CallId, Config, Input, MILLISECOND, Micros, Node, Output, RequestId, SECOND,
     Timestamp, Tuning,
@@ -795,7 +796,7 @@
             })
             .map(|u| format!("{} ({:?})", u.spec.id, u.final_state))
             .collect();
-        let leaders_elected = self.store.term();
+        let leaders_elected = self.store.term() / TOKENS_PER_TERM;
         let late_launches = self.checker.late_launches();
         Outcome {
             starts: self.checker.task_starts(),
--- a/crates/simulator/tests/fault_effects.rs
+++ b/crates/simulator/tests/fault_effects.rs
@@ -9,9 +9,14 @@
 
 const SEED: u64 = 5;
 const TEAM_LIMITS_SEED: u64 = 7;
+const HEARTBEAT_SEEDS: std::ops::Range<u64> = 1..7;
 
 /// Runs a scenario in which the leader crashes, during the given fault if there is one.
 fn run_with_fault(fault: Option<Fault>) -> Outcome {
+    run_seed_with_fault(SEED, fault)
+}
+
+fn run_seed_with_fault(seed: u64, fault: Option<Fault>) -> Outcome {
     let crash = Fault::Crash {
         nodes: vec![LEADER],
         down: SECOND,
@@ -22,7 +27,7 @@
         faults,
         jobs: 16,
         small_jobs: true,
-        ..Scenario::quiet(SEED)
+        ..Scenario::quiet(seed)
     })
 }
 
@@ -46,6 +51,7 @@
             zone: 0,
         },
         Fault::LostWriteReplies { percent, time },
+        Fault::LateCopies { percent, time },
         Fault::ExtraRequests { time },
         Fault::CancelOnAcceptance { percent, time },
         Fault::CancelOnCompletion { percent, time },
@@ -65,13 +71,22 @@
     let irregular = run_with_fault(Some(Fault::IrregularRequests { time }));
     let requests = irregular.irregular_requests;
     assert!(requests > 30, "{requests} irregular requests");
-    let repeated = run_with_fault(Some(Fault::HeartbeatsForNextLeader { percent, time }));
-    let (with, without) = (
-        heartbeats_received(&repeated),
-        heartbeats_received(&without_fault),
-    );
+}
+
+/// The two runs of a seed diverge, so that the number of machines may differ as well; several seeds
+/// are added up.
+#[test]
+fn next_leader_receives_copies_of_heartbeats() {
+    let time = 60 * SECOND;
+    let percent = 50;
+    let (mut with, mut without) = (0, 0);
+    for seed in HEARTBEAT_SEEDS {
+        let fault = Fault::HeartbeatsForNextLeader { percent, time };
+        with += heartbeats_received(&run_seed_with_fault(seed, Some(fault)));
+        without += heartbeats_received(&run_seed_with_fault(seed, None));
+    }
     assert!(
-        with > without + 30,
+        with > without + 30 * HEARTBEAT_SEEDS.count() as u64,
         "{with} heartbeats with the fault, {without} without"
     );
 }
