scaling: print the messages between workers and controller, and the writes

Heartbeats a second, tasks and bytes that they list, command batches and those refused with 409, stored changes: the costs of reaping under a higher token.

--- a/crates/simulator/examples/scaling.rs
+++ b/crates/simulator/examples/scaling.rs
@@ -251,6 +251,31 @@
     }
 }
 
+/// Prints the messages between workers and the controller, and the writes to the store.
+fn print_messages(runs: &[Run], measured_s: f64) {
+    println!(
+        "\n| machines | heartbeats a second | tasks listed, mean (maximum) | bytes, mean (maximum) \
+         | command batches a second | refused with 409, a second | stored changes a second |"
+    );
+    println!("|{}", " --- |".repeat(7));
+    for run in runs {
+        let messages = &run.measured.messages;
+        let heartbeats = messages.heartbeats.max(1) as f64;
+        println!(
+            "| {} | {:.0} | {:.2} ({}) | {:.0} ({}) | {:.1} | {:.2} | {:.1} |",
+            run.size,
+            messages.heartbeats as f64 / measured_s,
+            messages.listed_tasks as f64 / heartbeats,
+            messages.max_listed_tasks,
+            messages.heartbeat_bytes as f64 / heartbeats,
+            messages.max_heartbeat_bytes,
+            messages.command_batches as f64 / measured_s,
+            messages.refused_batches as f64 / measured_s,
+            messages.stored_mutations as f64 / measured_s,
+        );
+    }
+}
+
 fn time(t: Option<Micros>) -> String {
     t.map_or("never".into(), |t| format!("{:.2} s", seconds(t)))
 }
@@ -292,6 +317,7 @@
                 })
                 .collect();
             print_table("machines", &runs);
+            print_messages(&runs, common.measured);
         }
         Command::Waiting {
             machines,
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -8,6 +8,7 @@
 //! tasks about constant.
 
 use crate::cloud::{Cloud, RentedMachine};
+use crate::message_load::MessageLoad;
 use crate::rules::MachineAttributes;
 use crate::store::{PageLimit, SimulatedStore, Watches};
 use crate::token_bucket::TokenBucket;
@@ -113,6 +114,8 @@
     /// Calls to the store and bytes of their transactions during the measurement.
     pub store_calls: u64,
     pub transaction_bytes: u64,
+    /// Messages between workers and the controller during the measurement.
+    pub messages: MessageLoad,
     /// Calls during the whole run that the store refused because of its rate limits.
     pub rate_limited_calls: u64,
     /// Maximum number of command batches in flight during the whole run.
@@ -712,6 +715,9 @@
                 worker.advance(self.now, WORKER_LEASE, &self.behaviours);
                 let (status, heartbeat, _) =
                     worker.handle_commands(&batch, self.now, &self.behaviours);
+                if self.measuring() {
+                    self.measurements.messages.record_commands(status);
+                }
                 let body = dillcleat_wire::encode(&heartbeat);
                 let input = Box::new(Input::Commands {
                     id,
@@ -746,6 +752,7 @@
         if self.measuring() {
             self.measurements.store_calls += 1;
             self.measurements.transaction_bytes += bytes as u64;
+            self.measurements.messages.stored_mutations += mutations as u64;
         }
         let allowed = self.store_calls.take(1.0, self.now)
             && self.store_mutations.take(mutations as f64, self.now);
@@ -821,6 +828,10 @@
                 let sender = (machine, self.now, heartbeat.incarnation);
                 self.unanswered_heartbeats.insert(self.last_request, sender);
                 let body = dillcleat_wire::encode(&heartbeat);
+                if self.measuring() {
+                    let messages = &mut self.measurements.messages;
+                    messages.record_heartbeat(&heartbeat, body.len());
+                }
                 self.request(HEARTBEAT_PATH, body);
             }
         }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -11,6 +11,7 @@
 mod late_copies;
 pub mod loopback;
 mod lowered_write_rate;
+pub mod message_load;
 pub mod objects;
 pub mod output_digest;
 pub mod processes;
