Log: one line for the machines of an earlier term, and returned launches

Now machines that an earlier leader had recorded are counted in a line 'command summary' with refused batches, returned launches and unreaped exits, at most once a minute and only when it has changed. An attempt that runs where it is not placed is logged once.

--- a/crates/controller/src/leader/command_dispatch.rs
+++ b/crates/controller/src/leader/command_dispatch.rs
@@ -217,6 +217,9 @@
     ) {
         let now = ctx.now.monotonic;
         self.command_dispatch.record_finished();
+        if matches!(reply, Ok((409, _))) {
+            self.command_log.record_refused_batch();
+        }
         let heartbeat = heartbeat_in_reply(name, &reply);
         let Some(machine) = self.machines.get_mut(name) else {
             return;
--- a/crates/controller/src/leader/heartbeats.rs
+++ b/crates/controller/src/leader/heartbeats.rs
@@ -174,7 +174,11 @@
         let was_ready = machine.is_ready();
         let new_incarnation = heartbeat.incarnation > machine.incarnation();
         let is_newer = !machine.is_up() || HeartbeatPosition::of(heartbeat) > machine.position();
+        let unplaced_before = machine.unplaced_attempts().to_vec();
         let events = machine.apply_heartbeat(heartbeat, source, self.tokens.first(), now);
+        let token = heartbeat.fencing_token;
+        self.command_log
+            .record_unplaced(machine, &unplaced_before, token);
         self.tokens.record_assigned(machine.launch_fence.token());
         let may_be_reachable_again = is_newer
             && source == HeartbeatSource::Periodic
@@ -235,8 +239,12 @@
             log::info!("zone reachable again zone={zone}");
         }
         if !machine.is_up() {
-            let boot_s = seconds(now - machine.known_since());
-            log::info!("machine is up machine={name} zone={zone} boot_s={boot_s}");
+            if machine.recorded {
+                self.command_log.record_recovered_up();
+            } else {
+                let boot_s = seconds(now - machine.known_since());
+                log::info!("machine is up machine={name} zone={zone} boot_s={boot_s}");
+            }
             machine.restart_idle_time(now);
             if machine.boot_expected {
                 self.autoscaler.boot_estimator.record_boot(machine, now);
--- a/crates/controller/src/leader/mod.rs
+++ b/crates/controller/src/leader/mod.rs
@@ -8,6 +8,7 @@
 mod autoscaling;
 mod boot_estimator;
 mod command_dispatch;
+mod command_log;
 mod deadline_risk;
 mod dependencies;
 mod derived;
@@ -36,6 +37,7 @@
 use self::autoscaling::Autoscaler;
 use self::boot_estimator::BootEstimator;
 use self::command_dispatch::CommandDispatch;
+use self::command_log::CommandLog;
 use self::dependencies::DependencyTracker;
 use self::derived::DerivedState;
 use self::estimate_replication::LearnedEstimates;
@@ -122,6 +124,8 @@
     scheduling: SchedulingState,
     /// The queue of machines that are to be sent commands.
     command_dispatch: CommandDispatch,
+    /// Summaries of what became of the commands.
+    command_log: CommandLog,
     /// Writes to the store.
     writer: StateWriter,
     /// Scaling of the fleet, and calls to the cloud.
@@ -161,6 +165,7 @@
             derived: DerivedState::new(ctx.config),
             scheduling: SchedulingState::new(now),
             command_dispatch: CommandDispatch::new(ctx.config.max_commands_in_flight),
+            command_log: CommandLog::default(),
             writer: StateWriter::new(ctx.config),
             autoscaler: Autoscaler::new(ctx.config, now),
             machine_types: MachineTypeCatalog::new(machine_types),
--- a/crates/controller/src/leader/recovery.rs
+++ b/crates/controller/src/leader/recovery.rs
@@ -269,6 +269,8 @@
             self.enqueue_end_if_done(&id);
         }
         self.start_contacting_machines(now);
+        self.command_log
+            .begin(now + 2 * ctx.config.heartbeat_interval);
         log::info!(
             "state recovered term={} jobs={} machines={} jobs_with_estimates={} blocked_jobs={}",
             self.term,
--- a/crates/controller/src/leader/scheduling.rs
+++ b/crates/controller/src/leader/scheduling.rs
@@ -123,6 +123,7 @@
             self.delete_machines_with_cancelled_tasks(ctx);
             self.check_fleet(ctx);
         }
+        self.log_command_summary(now);
         self.send_pending(ctx);
     }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod admission;
 pub mod calls;
 pub mod cloud_queue;
+mod command_counters;
 pub mod config;
 pub mod continuations;
 pub mod dependency_graph;
@@ -54,6 +55,7 @@
 
 pub use dillcleat_sched as sched;
 
+pub use command_counters::CommandCounters;
 pub use config::Config;
 pub use messages::{Answer, CallError, CallId, Input, JobEvent, Output, RequestId};
 pub use node::Node;
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -23,8 +23,8 @@
 use crate::records::OpenJob;
 use crate::request_budget::{RequestPriority, StoreCost};
 use crate::{
-    Answer, CallError, CallId, Config, Input, Micros, Output, RequestId, SchedulerCounters,
-    Timestamp,
+    Answer, CallError, CallId, CommandCounters, Config, Input, Micros, Output, RequestId,
+    SchedulerCounters, Timestamp,
 };
 use dillcleat_wire::cloud::CloudResponse;
 use dillcleat_wire::store::StoreResponse;
@@ -161,6 +161,13 @@
             .map_or(SchedulerCounters::default(), Leader::counters)
     }
 
+    /// What became of this node's commands in the current term.
+    pub fn command_counters(&self) -> CommandCounters {
+        self.leader
+            .as_ref()
+            .map_or(CommandCounters::default(), Leader::command_counters)
+    }
+
     /// Compares each index that a leader maintains incrementally with the same index
     /// computed from scratch, and returns the names of those that differ. For tests.
     pub fn audit(&mut self, now: Timestamp) -> Vec<&'static str> {
--- a/crates/controller/tests/fencing_tokens.rs
+++ b/crates/controller/tests/fencing_tokens.rs
@@ -7,7 +7,7 @@
 use common::leader_fixture::LeaderFixture;
 use common::{config_with_team, machine_type, nth_term, row};
 use dillcleat_controller::records::{self, TermRecord};
-use dillcleat_controller::{Input, SECOND};
+use dillcleat_controller::{CommandCounters, Input, SECOND};
 use dillcleat_wire::store::{Mutation, decode_value};
 use dillcleat_wire::user::{JobKind, JobSpec};
 
@@ -121,3 +121,23 @@
         assert_eq!(fleet.worker("m0").incarnation, 1, "fault {number}");
     }
 }
+
+#[test]
+fn refused_batches_returned_launches_and_unreaped_exits_are_counted() {
+    let mut fleet = Fleet::new(config_with_team(), vec![machine_type(8.0)]);
+    fleet.add_machine("m0", "a", false);
+    fleet.advance(3 * SECOND);
+    assert_eq!(fleet.node.command_counters(), CommandCounters::default());
+    fleet.worker("m0").add_unexpected_task("req-000009/0");
+    fleet.advance(5 * SECOND);
+    let counters = fleet.node.command_counters();
+    assert_eq!(counters.returned_launches, 1, "counted once, then stopped");
+    assert_eq!(fleet.worker("m0").running_tasks(), 0);
+    // Commands for the former incarnation are refused until the leader has heard of the new one.
+    fleet.worker("m0").incarnation += 1;
+    fleet.submit(array("req-000001", 2));
+    fleet.advance(5 * SECOND);
+    assert!(fleet.node.command_counters().refused_batches > 0);
+    assert_eq!(fleet.machines_running("req-000001"), ["m0"]);
+    assert_eq!(fleet.node.command_counters().unreaped_exits, 0);
+}
