--- a/crates/simulator/src/simulation/late_copies.rs
+++ b/crates/simulator/src/simulation/late_copies.rs
@@ -1,6 +1,7 @@
 //! Copies of requests that were carried out and answered, which arrive once more.
 
 use super::*;
+use dillcleat_wire::cloud::CloudResponse;
 
 /// The maximum number of copies of a request.
 const MAX_COPIES: u32 = 3;
@@ -12,6 +13,9 @@
     45 * SECOND..200 * SECOND,
 ];
 
+/// The boot time of machines that a copy of a scale-out starts.
+const COPIED_SCALE_OUT_BOOT_TIME: Micros = 10 * SECOND;
+
 /// A request of which a copy may arrive.
 #[derive(Debug, Clone)]
 pub(crate) enum RequestCopy {
@@ -28,6 +32,15 @@
     },
 }
 
+/// Whether a copy of a call to the cloud may have an effect: the call was carried out, or refused
+/// for lack of capacity.
+pub(super) fn can_be_copied_to_cloud(answer: &CloudResponse) -> bool {
+    matches!(
+        answer,
+        CloudResponse::ScaledOut(_) | CloudResponse::NoCapacity | CloudResponse::Deleted
+    )
+}
+
 /// Whether a copy of a call to the store may have an effect: the call changes the store and was
 /// carried out.
 pub(super) fn can_be_copied(call: &StoreRequest, answer: &StoreResponse) -> bool {
@@ -67,12 +80,7 @@
                 self.store.call(&call, self.now);
                 self.send_changed_watches();
             }
-            RequestCopy::Cloud(call) => {
-                let (_, _, deleted) = self.cloud.call(&call, self.now, |_| None);
-                for machine in deleted {
-                    self.remove_machine(&machine);
-                }
-            }
+            RequestCopy::Cloud(call) => self.deliver_cloud_copy(&call),
             RequestCopy::Peer { from, to, message } => {
                 let epoch = self.nodes[to].epoch;
                 self.schedule_input(self.now, to, epoch, Input::Peer { from, message });
@@ -80,6 +88,20 @@
         }
     }
 
+    /// A copy of a scale-out that found no capacity may start machines of which no controller
+    /// knows.
+    fn deliver_cloud_copy(&mut self, call: &CloudRequest) {
+        let boot_time = |_: &str| Some(COPIED_SCALE_OUT_BOOT_TIME);
+        let (_, started, deleted) = self.cloud.call(call, self.now, boot_time);
+        for machine in started {
+            let at = self.now + COPIED_SCALE_OUT_BOOT_TIME;
+            self.schedule(at, Event::MachineBooted { machine });
+        }
+        for machine in deleted {
+            self.remove_machine(&machine);
+        }
+    }
+
     fn deliver_commands_copy(&mut self, addr: String, commands: Box<CommandBatch>) {
         let machine = addr.trim_end_matches(":9000").to_string();
         let Some(worker) = self.workers.get_mut(&machine) else {
--- a/crates/simulator/src/simulation/store_and_cloud.rs
+++ b/crates/simulator/src/simulation/store_and_cloud.rs
@@ -4,7 +4,6 @@
 use crate::rules::Rule;
 use crate::scenario::CrashPoint;
 use dillcleat_controller::records;
-use dillcleat_wire::cloud::CloudResponse;
 use dillcleat_wire::store::{WatchBatch, WatchEvent};
 use dillcleat_wire::worker::Command;
 
@@ -188,7 +187,7 @@
         for machine in deleted {
             self.remove_machine(&machine);
         }
-        if matches!(answer, CloudResponse::ScaledOut(_) | CloudResponse::Deleted) {
+        if late_copies::can_be_copied_to_cloud(&answer) {
             self.schedule_copies(RequestCopy::Cloud(call.clone()));
         }
         let reply = Ok(answer);
