Log: the most tasks that a heartbeat has listed

A heartbeat is limited to 64 KiB, and exited attempts that wait to be reaped are listed in it: 'command summary' shows how close the machines come.

--- a/crates/controller/src/command_counters.rs
+++ b/crates/controller/src/command_counters.rs
@@ -10,4 +10,7 @@
     pub returned_launches: u64,
     /// Exited attempts that machines list, because they have yet to be reaped.
     pub unreaped_exits: u64,
+    /// The most tasks that a heartbeat has listed, exited ones included. The size of a heartbeat
+    /// is limited.
+    pub max_listed_tasks: u64,
 }
--- a/crates/controller/src/leader/command_log.rs
+++ b/crates/controller/src/leader/command_log.rs
@@ -31,6 +31,12 @@
         self.counters.refused_batches += 1;
     }
 
+    /// Records the number of tasks that a heartbeat lists.
+    pub fn record_listed_tasks(&mut self, tasks: usize) {
+        let counters = &mut self.counters;
+        counters.max_listed_tasks = counters.max_listed_tasks.max(tasks as u64);
+    }
+
     /// Counts a machine known from the store that has sent its first heartbeat of the term.
     pub fn record_recovered_up(&mut self) {
         self.recovered_up += 1;
@@ -78,12 +84,13 @@
         let (counters, recovered_up) = summary;
         log::info!(
             "command summary term={} machines={} recovered_machines_up={recovered_up} \
-             refused_batches={} returned_launches={} unreaped_exits={}",
+             refused_batches={} returned_launches={} unreaped_exits={} max_listed_tasks={}",
             self.term,
             self.machines.len(),
             counters.refused_batches,
             counters.returned_launches,
-            counters.unreaped_exits
+            counters.unreaped_exits,
+            counters.max_listed_tasks
         );
     }
 }
--- a/crates/controller/src/leader/heartbeats.rs
+++ b/crates/controller/src/leader/heartbeats.rs
@@ -179,6 +179,7 @@
         let token = heartbeat.fencing_token;
         self.command_log
             .record_unplaced(machine, &unplaced_before, token);
+        self.command_log.record_listed_tasks(heartbeat.tasks.len());
         self.tokens.record_assigned(machine.launch_fence.token());
         let may_be_reachable_again = is_newer
             && source == HeartbeatSource::Periodic
