--- a/crates/simulator/src/processes.rs
+++ b/crates/simulator/src/processes.rs
@@ -40,10 +40,7 @@
         let child = command
             .env("LOG_LEVEL", level)
             .stdout(Stdio::null())
-            .stderr(match std::env::var_os("LOG_LEVEL") {
-                Some(_) => Stdio::inherit(),
-                None => Stdio::null(),
-            })
+            .stderr(Stdio::inherit())
             .spawn()?;
         Ok(Process(child))
     }
