--- a/crates/controller/src/machines/command_state.rs
+++ b/crates/controller/src/machines/command_state.rs
@@ -22,17 +22,6 @@
     not_before: Micros,
 }
 
-/// The attempts that the commands launch.
-fn launched_attempts(commands: &[Command]) -> impl Iterator<Item = TaskAttempt> {
-    commands.iter().filter_map(|command| match command {
-        Command::Launch { task, attempt } => Some(TaskAttempt {
-            task: task.clone(),
-            attempt: *attempt,
-        }),
-        _ => None,
-    })
-}
-
 impl CommandState {
     /// Whether a batch is to be sent.
     pub fn is_requested(&self) -> bool {
@@ -86,7 +75,7 @@
 
     /// Records that a batch was sent.
     pub fn record_sent(&mut self, call: CallId, commands: &[Command]) {
-        let launches = launched_attempts(commands).collect();
+        let launches = TaskAttempt::launched_by(commands).collect();
         self.in_flight = Some(CommandsInFlight { call, launches });
     }
 
--- a/crates/controller/src/machines/launch_fence.rs
+++ b/crates/controller/src/machines/launch_fence.rs
@@ -39,15 +39,9 @@
 
     /// Records that the commands were sent under the current token.
     pub fn record_sent(&mut self, commands: &[Command]) {
-        for command in commands {
-            if let Command::Launch { task, attempt } = command {
-                let launch = TaskAttempt {
-                    task: task.clone(),
-                    attempt: *attempt,
-                };
-                self.launches.insert(launch, self.token);
-            }
-        }
+        let launches = TaskAttempt::launched_by(commands);
+        self.launches
+            .extend(launches.map(|launch| (launch, self.token)));
     }
 
     /// Records that the worker has accepted a token: it executes no launch under a lower one. A
--- a/crates/controller/src/machines/task_slot.rs
+++ b/crates/controller/src/machines/task_slot.rs
@@ -19,6 +19,17 @@
 }
 
 impl TaskAttempt {
+    /// The attempts that the commands launch.
+    pub fn launched_by(commands: &[Command]) -> impl Iterator<Item = TaskAttempt> {
+        commands.iter().filter_map(|command| match command {
+            Command::Launch { task, attempt } => Some(TaskAttempt {
+                task: task.clone(),
+                attempt: *attempt,
+            }),
+            _ => None,
+        })
+    }
+
     /// The command that stops the attempt without a grace period.
     pub fn stop_command(&self) -> Command {
         Command::Stop {
