--- a/crates/simulator/src/simulation/late_copies.rs
+++ b/crates/simulator/src/simulation/late_copies.rs
@@ -1,13 +1,19 @@
 //! Copies of requests that were carried out and answered, which arrive once more.
 
-use super::*;
-use dillcleat_wire::cloud::CloudResponse;
+use super::workers::{CommandReception, machine_at};
+use super::{Event, Simulation};
+use dillcleat_controller::{Input, MILLISECOND, Micros, SECOND};
+use dillcleat_peer_protocol::Message;
+use dillcleat_wire::cloud::{CloudRequest, CloudResponse};
+use dillcleat_wire::store::{StoreRequest, StoreResponse};
+use dillcleat_wire::worker::CommandBatch;
+use std::ops::Range;
 
 /// The maximum number of copies of a request.
 const MAX_COPIES: u32 = 3;
 /// The ranges from which the delay of a copy is drawn: shorter than a heartbeat interval, up to
 /// several worker leases, and minutes.
-const COPY_DELAYS: [std::ops::Range<Micros>; 3] = [
+const COPY_DELAYS: [Range<Micros>; 3] = [
     10 * MILLISECOND..2 * SECOND,
     2 * SECOND..45 * SECOND,
     45 * SECOND..200 * SECOND,
@@ -103,22 +109,16 @@
     }
 
     fn deliver_commands_copy(&mut self, addr: String, commands: Box<CommandBatch>) {
-        let machine = addr.trim_end_matches(":9000").to_string();
-        let Some(worker) = self.workers.get_mut(&machine) else {
-            return;
-        };
-        if self.now < worker.inbound_lost_until {
-            return;
-        }
-        if self.now < worker.hung_until {
-            let at = worker.hung_until + MILLISECOND;
-            let copy = Box::new(RequestCopy::Commands { addr, commands });
-            return self.schedule(at, Event::RequestCopy(copy));
+        let machine = machine_at(&addr).to_string();
+        match self.receive_commands(&machine, &commands) {
+            CommandReception::Lost => {}
+            CommandReception::HeldUntil(at) => {
+                let copy = Box::new(RequestCopy::Commands { addr, commands });
+                self.schedule(at, Event::RequestCopy(copy));
+            }
+            CommandReception::Handled { events, .. } => {
+                self.record_worker_events(&machine, events);
+            }
         }
-        let lease = self.config.worker_lease;
-        let mut worker_events = worker.advance(self.now, lease, &self.task_behaviours);
-        let (_, _, more) = worker.handle_commands(&commands, self.now, &self.task_behaviours);
-        worker_events.extend(more);
-        self.record_worker_events(&machine, worker_events);
     }
 }
--- a/crates/simulator/src/simulation/network.rs
+++ b/crates/simulator/src/simulation/network.rs
@@ -281,7 +281,7 @@
                 timeout,
             } => {
                 self.check_launches(node, &commands.commands);
-                let machine = addr.trim_end_matches(":9000");
+                let machine = workers::machine_at(&addr);
                 let zone = self.zone_of(machine);
                 let partition_end = zone.map_or(0, |z| self.zone_worker_partition_until[z]);
                 let held_until = self.nodes[node].worker_partition_until.max(partition_end);
--- a/crates/simulator/src/simulation/workers.rs
+++ b/crates/simulator/src/simulation/workers.rs
@@ -2,6 +2,25 @@
 
 use super::*;
 
+/// What becomes of commands that arrive at a machine.
+pub(super) enum CommandReception {
+    /// There is no such machine, or messages to it are lost.
+    Lost,
+    /// The machine hangs and receives them at this time.
+    HeldUntil(Micros),
+    /// The worker has executed or refused them.
+    Handled {
+        status: u16,
+        heartbeat: Box<Heartbeat>,
+        events: Vec<WorkerEvent>,
+    },
+}
+
+/// The name of the machine whose worker has this address.
+pub(super) fn machine_at(addr: &str) -> &str {
+    addr.trim_end_matches(":9000")
+}
+
 impl Simulation {
     pub(super) fn advance_workers(&mut self) {
         self.send_changed_watches();
@@ -91,45 +110,66 @@
         addr: String,
         commands: Box<CommandBatch>,
     ) {
-        let machine = addr.trim_end_matches(":9000").to_string();
-        let Some(worker) = self.workers.get_mut(&machine) else {
-            return;
-        };
-        if self.now < worker.inbound_lost_until {
-            return;
+        let machine = machine_at(&addr).to_string();
+        match self.receive_commands(&machine, &commands) {
+            CommandReception::Lost => {}
+            CommandReception::HeldUntil(at) => {
+                // The worker executes the commands when it resumes; its reply is lost.
+                let caller = Caller {
+                    reply_delivered: false,
+                    ..caller
+                };
+                let event = Event::Commands {
+                    caller,
+                    addr,
+                    commands,
+                };
+                self.schedule(at, event);
+            }
+            CommandReception::Handled {
+                status,
+                heartbeat,
+                events,
+            } => {
+                if status == 200 {
+                    self.schedule_copies(RequestCopy::Commands { addr, commands });
+                }
+                self.record_worker_events(&machine, events);
+                let reply = Ok((status, dillcleat_wire::encode(&heartbeat)));
+                let zone = self.zone_of(&machine);
+                let at = self.now + self.slow_link_delay(&machine, network::SLOW_COMMANDS);
+                let input = Input::Commands {
+                    id: caller.id,
+                    reply,
+                };
+                self.reply_from_at(zone, caller, input, at);
+            }
         }
+    }
+
+    /// What becomes of commands that arrive at a machine now.
+    pub(super) fn receive_commands(
+        &mut self,
+        machine: &str,
+        commands: &CommandBatch,
+    ) -> CommandReception {
+        let reachable = |worker: &&mut Worker| self.now >= worker.inbound_lost_until;
+        let Some(worker) = self.workers.get_mut(machine).filter(reachable) else {
+            return CommandReception::Lost;
+        };
         if self.now < worker.hung_until {
-            // The worker executes the commands when it resumes; its reply is lost.
-            let at = worker.hung_until + MILLISECOND;
-            let caller = Caller {
-                reply_delivered: false,
-                ..caller
-            };
-            let event = Event::Commands {
-                caller,
-                addr,
-                commands,
-            };
-            return self.schedule(at, event);
+            return CommandReception::HeldUntil(worker.hung_until + MILLISECOND);
         }
-        let mut worker_events =
-            worker.advance(self.now, self.config.worker_lease, &self.task_behaviours);
+        let lease = self.config.worker_lease;
+        let mut events = worker.advance(self.now, lease, &self.task_behaviours);
         let (status, heartbeat, more) =
-            worker.handle_commands(&commands, self.now, &self.task_behaviours);
-        if status == 200 {
-            let commands = commands.clone();
-            self.schedule_copies(RequestCopy::Commands { addr, commands });
+            worker.handle_commands(commands, self.now, &self.task_behaviours);
+        events.extend(more);
+        CommandReception::Handled {
+            status,
+            heartbeat: Box::new(heartbeat),
+            events,
         }
-        worker_events.extend(more);
-        self.record_worker_events(&machine, worker_events);
-        let reply = Ok((status, dillcleat_wire::encode(&heartbeat)));
-        let zone = self.zone_of(&machine);
-        let at = self.now + self.slow_link_delay(&machine, network::SLOW_COMMANDS);
-        let input = Input::Commands {
-            id: caller.id,
-            reply,
-        };
-        self.reply_from_at(zone, caller, input, at);
     }
 
     fn record_placement(&mut self, event: &str, task: &dillcleat_wire::TaskName, machine: &str) {
