--- a/crates/controller/tests/common/fleet.rs
+++ b/crates/controller/tests/common/fleet.rs
@@ -570,19 +570,15 @@
     }
 
     /// Delivers a copy of every batch that a machine has executed, in order. Nobody receives
-    /// the replies. Returns how many of the copies are executed.
-    pub fn deliver_batch_copies(&mut self) -> usize {
-        let copies = self.executed_batches.clone();
-        let existing = copies
-            .iter()
-            .filter(|copy| self.workers.contains_key(&copy.machine));
-        let existing: Vec<&ExecutedBatch> = existing.collect();
-        let replies = existing
-            .iter()
-            .map(|copy| self.receive_commands(&copy.machine, &copy.batch));
-        let executed = replies.filter(|(status, _)| *status == 200).count();
+    /// the replies.
+    pub fn deliver_batch_copies(&mut self) {
+        let copies = std::mem::take(&mut self.executed_batches);
+        for copy in &copies {
+            if self.workers.contains_key(&copy.machine) {
+                self.receive_commands(&copy.machine, &copy.batch);
+            }
+        }
         self.executed_batches = copies;
-        executed
     }
 
     /// Passes an input to the node and executes its calls. Returns status code and body of the
--- a/crates/controller/tests/heartbeat_reconciliation.rs
+++ b/crates/controller/tests/heartbeat_reconciliation.rs
@@ -69,6 +69,20 @@
     m
 }
 
+/// Places an attempt of the task on the machine, in incarnation 1.
+fn place_attempt(m: &mut Machine, attempt: u64) {
+    let slot = TaskSlot::new(attempt, 1, 0, &job_spec(), true);
+    m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+}
+
+/// A machine in incarnation 1 on which attempt 1 of the task is placed and not yet launched.
+fn machine_with_unlaunched_task() -> Machine {
+    let mut m = machine();
+    m.slots.clear();
+    place_attempt(&mut m, 1);
+    m
+}
+
 fn apply(m: &mut Machine, heartbeat: &Heartbeat, source: HeartbeatSource) -> Vec<TaskEvent> {
     m.apply_heartbeat(heartbeat, source, TERM, NOW)
 }
@@ -136,10 +150,7 @@
 
 #[test]
 fn task_with_an_unacknowledged_launch_is_neither_lost_nor_reaped() {
-    let mut m = machine();
-    m.slots.clear();
-    let slot = TaskSlot::new(1, 1, 0, &job_spec(), true);
-    m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    let mut m = machine_with_unlaunched_task();
     let launch = m.needed_commands(true, |_, _| true);
     assert!(matches!(launch[..], [Command::Launch { .. }]));
     m.launch_fence.record_sent(&launch);
@@ -175,14 +186,7 @@
 
 #[test]
 fn launch_in_a_heartbeat_reply_is_unconfirmed_until_the_worker_accepts_a_higher_token() {
-    let mut m = machine();
-    m.slots.clear();
-    m.add_task(
-        task_key(),
-        TaskSlot::new(1, 1, 0, &job_spec(), true),
-        (&Rc::from("img"), 1.0),
-        50.0,
-    );
+    let mut m = machine_with_unlaunched_task();
     let commands = m.needed_commands(true, |_, _| true);
     m.launch_fence.record_sent(&commands);
     if let Some(slot) = m.slots.get_mut(&task_key()) {
@@ -251,10 +255,7 @@
         ExitReason::UnknownTask,
     ];
     for reason in exit_reasons {
-        let mut m = machine();
-        m.slots.clear();
-        let slot = TaskSlot::new(1, 1, 0, &job_spec(), true);
-        m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+        let mut m = machine_with_unlaunched_task();
         let launch = m.needed_commands(true, |_, _| true);
         send_answered_batch(&mut m, &launch);
         let mut exited = heartbeat(1, 2, TERM, &[(1, TaskState::Exited)]);
@@ -264,8 +265,7 @@
         assert!(raise_token(&mut m), "{reason:?}");
         assert!(is_reap(&m.needed_commands(true, |_, _| true)), "{reason:?}");
         // Another attempt is launched under the higher token.
-        let slot = TaskSlot::new(2, 1, 0, &job_spec(), true);
-        m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+        place_attempt(&mut m, 2);
         let launch = m.needed_commands(true, |_, _| false);
         assert!(matches!(launch[..], [Command::Launch { attempt: 2, .. }]));
         send_answered_batch(&mut m, &launch);
@@ -295,10 +295,7 @@
     assert_eq!(apply(&mut m, &unknown, HeartbeatSource::Periodic), []);
     // The worker refuses messages under a lower token.
     assert_eq!(m.launch_fence.token(), TERM + 7);
-    let mut launched = machine();
-    launched.slots.clear();
-    let slot = TaskSlot::new(1, 1, 0, &job_spec(), true);
-    launched.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    let mut launched = machine_with_unlaunched_task();
     let launch = launched.needed_commands(true, |_, _| true);
     send_answered_batch(&mut launched, &launch);
     apply(&mut launched, &unknown, HeartbeatSource::Periodic);
@@ -332,8 +329,7 @@
 fn end_of_an_earlier_attempt_does_not_end_the_placed_one() {
     let mut m = machine();
     m.slots.clear();
-    let slot = TaskSlot::new(2, 1, 0, &job_spec(), true);
-    m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    place_attempt(&mut m, 2);
     let ended = heartbeat(1, 2, TERM, &[(1, TaskState::Exited)]);
     assert_eq!(apply(&mut m, &ended, HeartbeatSource::Periodic), []);
     let both = [(1, TaskState::Exited), (2, TaskState::Running)];
@@ -361,7 +357,6 @@
         &heartbeat(2, 2, TERM, &[]),
         HeartbeatSource::Periodic,
     );
-    let slot = TaskSlot::new(1, 1, 0, &job_spec(), true);
-    m.add_task(task_key(), slot, (&Rc::from("img"), 1.0), 50.0);
+    place_attempt(&mut m, 1);
     assert_eq!(m.needed_commands(true, |_, _| true), []);
 }
