Admission: polls over the budget wait, longest unanswered job first, and are looked up together

Cause: a poll of a job that isn't cached needed a call of its own and was refused at once when the budget of the moment was used up. Polls of cached jobs are compared together, but whoever came while the budget sufficed got a comparison for one job alone.

Change: a request whose job must be looked up or compared waits until its user no longer does (1.5 s for polls, 4 s for others). The job that has been without an answer longest comes first, and refusals are remembered for that. Waiting jobs are looked up together: one transaction proves which of 96 jobs exist, one listing reads up to 1,000 of their records.

--- a/crates/controller/src/admission/ancestors.rs
+++ b/crates/controller/src/admission/ancestors.rs
@@ -18,9 +18,10 @@
 use crate::CallError;
 use crate::Config;
 use crate::calls::Context;
-use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
+use crate::continuations::{
+    AdmissionStep as Step, Continuation, JobRecordKind, PendingRequest, UserRequest,
+};
 use crate::job_cache::{CachedJobState, Dependencies, OpenProof};
-use crate::messages::RequestId;
 use crate::records::RecordedState;
 use crate::time::Micros;
 use dillcleat_wire::store::StoreResponse;
@@ -54,7 +55,7 @@
     state: CachedJobState,
     dependencies: Dependencies,
     /// The requests to be answered with the job's state.
-    waiting: Vec<RequestId>,
+    waiting: Vec<UserRequest>,
     started_at: Micros,
     /// When the latest lookups were sent.
     lookups_sent_at: Micros,
@@ -84,6 +85,17 @@
         }
     }
 
+    /// When the check of the ancestors of this job began.
+    pub fn started_at(&self, descendant: &str) -> Option<Micros> {
+        self.0.get(descendant).map(|check| check.started_at)
+    }
+
+    /// The time after which the check of the ancestors of this job is given up.
+    pub fn answer_by(&self, descendant: &str) -> Option<Micros> {
+        let started_at = self.started_at(descendant)?;
+        Some(started_at + RETRY_TIMEOUT)
+    }
+
     /// The ids of the jobs whose check waits for no response.
     fn idle(&self) -> Vec<String> {
         let idle = self.0.iter().filter(|(_, check)| check.in_flight == 0);
@@ -115,7 +127,7 @@
         ctx: &mut Context,
         id: &str,
         cached: CachedJobState,
-        request: RequestId,
+        request: UserRequest,
     ) {
         let now = ctx.now.monotonic;
         let oldest_valid = now.saturating_sub(fresh_proof_age(ctx.config) * VALID_PROOF_AGE_FACTOR);
@@ -238,19 +250,13 @@
         let Some(check) = self.ancestor_checks.0.get_mut(id) else {
             return;
         };
-        // Those that exceed a limit of this node fail at once, and are repeated at a later tick.
         check.in_flight = ancestors.len();
         check.lookups_sent_at = ctx.now.monotonic;
         for ancestor in ancestors {
             let descendant = id.to_string();
             let pending = PendingRequest::Ancestor { descendant };
-            if self.cache.open_proof(&ancestor).is_some() {
-                self.queue_verification(ctx, ancestor.to_string(), pending);
-            } else {
-                self.determine_state(ctx, ancestor.to_string(), pending);
-            }
+            self.determine_state(ctx, ancestor.to_string(), pending);
         }
-        self.send_verification(ctx);
     }
 
     /// Handles the state of an ancestor of `descendant`; None if it does not exist.
@@ -318,7 +324,7 @@
             Ok(StoreResponse::Conflict { .. }) => {
                 for request in self.take_waiting(id) {
                     let pending = PendingRequest::Status(request);
-                    self.read_state_record(ctx, id.to_string(), pending);
+                    self.queue_record_read(ctx, JobRecordKind::State, id.to_string(), pending);
                 }
             }
             Ok(StoreResponse::RateLimited) => {
@@ -347,11 +353,11 @@
     /// Ends a check without a result.
     fn refuse_waiting(&mut self, ctx: &mut Context, id: &str, reason: RetryReason) {
         for request in self.take_waiting(id) {
-            ctx.answer(request, reason.answer());
+            self.refuse_request(ctx, id, request, reason);
         }
     }
 
-    fn take_waiting(&mut self, id: &str) -> Vec<RequestId> {
+    fn take_waiting(&mut self, id: &str) -> Vec<UserRequest> {
         let check = self.ancestor_checks.0.remove(id);
         check.map(|check| check.waiting).unwrap_or_default()
     }
--- a/crates/controller/src/admission/cancellation.rs
+++ b/crates/controller/src/admission/cancellation.rs
@@ -5,11 +5,10 @@
 //! therefore sent again at short intervals for as long as its user waits, and is charged to the
 //! budget of the users' writes, so that many of them leave some of the limit to the leader.
 
-use super::{Admission, RETRY_TIMEOUT, RetryReason};
+use super::{Admission, RetryReason};
 use crate::calls::Context;
-use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
+use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest, UserRequest};
 use crate::job_cache::CachedJobState;
-use crate::messages::RequestId;
 use crate::records::{self, CancelledJob};
 use crate::request_budget::{RequestPriority, StoreCost};
 use crate::time::{MILLISECOND, Micros};
@@ -24,8 +23,7 @@
 #[derive(Debug)]
 pub(super) struct DelayedCancellation {
     id: String,
-    request: RequestId,
-    received_at: Micros,
+    request: UserRequest,
     retry_at: Micros,
 }
 
@@ -52,16 +50,14 @@
         ctx: &mut Context,
         id: &str,
         cached: CachedJobState,
-        request: RequestId,
-        received_at: Micros,
+        request: UserRequest,
     ) {
         if !self.take_cancellation_budget(ctx.now.monotonic) {
-            return self.delay_cancellation(ctx, id.to_string(), request, received_at);
+            return self.delay_cancellation(ctx, id.to_string(), request);
         }
         let step = Step::Cancel {
             id: id.to_string(),
             request,
-            received_at,
         };
         ctx.store_request(
             cancellation_request(ctx.now.wall, id, cached),
@@ -74,17 +70,15 @@
         &mut self,
         ctx: &mut Context,
         id: String,
-        request: RequestId,
-        received_at: Micros,
+        request: UserRequest,
     ) {
         let retry_at = ctx.now.monotonic + CANCELLATION_RETRY_INTERVAL;
-        if retry_at > received_at + RETRY_TIMEOUT {
-            return ctx.answer(request, RetryReason::TooManyRequests.answer());
+        if retry_at > request.answer_by {
+            return self.refuse_request(ctx, &id, request, RetryReason::TooManyRequests);
         }
         self.delayed_cancellations.push(DelayedCancellation {
             id,
             request,
-            received_at,
             retry_at,
         });
     }
@@ -96,12 +90,9 @@
             .into_iter()
             .partition(|cancellation| now >= cancellation.retry_at);
         self.delayed_cancellations = delayed;
-        due.sort_by_key(|cancellation| cancellation.received_at);
+        due.sort_by_key(|cancellation| cancellation.request.received_at);
         for cancellation in due {
-            let pending = PendingRequest::Cancel {
-                request: cancellation.request,
-                received_at: cancellation.received_at,
-            };
+            let pending = PendingRequest::Cancel(cancellation.request);
             self.determine_state(ctx, cancellation.id, pending);
         }
     }
--- a/crates/controller/src/admission/dependency_check.rs
+++ b/crates/controller/src/admission/dependency_check.rs
@@ -9,12 +9,13 @@
 use super::{Admission, MAX_IN_FLIGHT, RetryReason};
 use crate::CallError;
 use crate::calls::Context;
-use crate::continuations::{AdmissionStep as Step, Continuation, JobRecordKind, PendingRequest};
+use crate::continuations::{
+    AdmissionStep as Step, Continuation, JobRecordKind, PendingRequest, UserRequest,
+};
 use crate::job_cache::CachedJobState;
-use crate::messages::{Answer, RequestId};
+use crate::messages::Answer;
 use crate::records::{self, JobStateRecord, OpenJob, RecordedState};
 use crate::request_budget::{RequestPriority, StoreCost};
-use crate::time::Micros;
 use dillcleat_wire::store::{StoreRequest, StoreResponse};
 use dillcleat_wire::user::is_job_id;
 use std::rc::Rc;
@@ -54,10 +55,8 @@
 /// A submission whose dependencies are being read.
 #[derive(Debug)]
 pub(super) struct DependencyCheck {
-    request: RequestId,
+    request: UserRequest,
     job: OpenJob,
-    /// When the submission was received, on the monotonic clock.
-    received_at: Micros,
     /// The number of dependencies whose reads are in flight.
     pending_reads: usize,
     /// The invalid dependency that was found last.
@@ -69,11 +68,10 @@
 }
 
 impl DependencyCheck {
-    fn new(request: RequestId, job: OpenJob, received_at: Micros) -> DependencyCheck {
+    fn new(request: UserRequest, job: OpenJob) -> DependencyCheck {
         DependencyCheck {
             request,
             job,
-            received_at,
             pending_reads: 0,
             invalid: None,
             read_failed: false,
@@ -120,11 +118,11 @@
     pub(super) fn check_dependencies(
         &mut self,
         ctx: &mut Context,
-        request: RequestId,
+        request: UserRequest,
         job: OpenJob,
     ) {
         let now = ctx.now.monotonic;
-        let mut check = DependencyCheck::new(request, job, now);
+        let mut check = DependencyCheck::new(request, job);
         let uncached = self.add_cached_dependencies(&mut check);
         if check.invalid.is_some() {
             return self.finish_dependency_check(ctx, check);
@@ -137,7 +135,8 @@
         if self.in_flight + uncached.len() >= MAX_IN_FLIGHT
             || !self.take_budget(cost, RequestPriority::Change, now)
         {
-            return ctx.answer(request, RetryReason::TooManyRequests.answer());
+            let id = check.job.spec.id;
+            return self.refuse_request(ctx, &id, request, RetryReason::TooManyRequests);
         }
         if uncached.is_empty() {
             return self.finish_dependency_check(ctx, check);
@@ -227,13 +226,13 @@
 
     /// Stores the job or rejects the submission.
     fn finish_dependency_check(&mut self, ctx: &mut Context, check: DependencyCheck) {
-        let (request, received_at) = (check.request, check.received_at);
+        let request = check.request;
         let answer = match &check.invalid {
             Some(invalid) => Answer::refusal(422, invalid.to_string()),
             None if check.read_failed => RetryReason::StoreUnreachable.answer(),
             None => {
                 self.in_flight += 1;
-                return self.send_creation(ctx, request, Rc::new(check.into_job()), received_at);
+                return self.send_creation(ctx, request, Rc::new(check.into_job()));
             }
         };
         // If the job exists, this is a repeated submission and its state is the answer, even
--- a/crates/controller/src/admission/mod.rs
+++ b/crates/controller/src/admission/mod.rs
@@ -47,42 +47,51 @@
 //! # Limits
 //!
 //! Reads, submissions and verifications are charged to a `RequestBudget`, and a new read or
-//! submission is sent only while fewer than `MAX_IN_FLIGHT` are in flight. A request that
-//! exceeds a limit is rejected at once with 503 and `Retry-After`. Exceptions: the transaction
-//! that cancels an open job is charged and delayed for a while instead (see `cancellation.rs`),
-//! and the read of a state record, which continues a request that is already being handled, is
-//! charged but never rejected.
+//! submission is sent only while fewer than `MAX_IN_FLIGHT` are in flight. A poll that exceeds
+//! a limit, or another request whose job must be looked up, waits in a queue
+//! (`request_queue.rs`), which is served in batches (`dispatch.rs`, `lookups.rs`,
+//! `verification.rs`). It is rejected with 503 and `Retry-After` when its user no longer waits,
+//! and its job then keeps its place in the queue for the next request about it. The transaction
+//! that cancels an open job is charged and delayed for a while instead (see `cancellation.rs`).
+//! A submission that exceeds a limit is rejected at once.
 
 mod ancestors;
 mod cancellation;
 mod dependency_check;
+mod dispatch;
+mod lookups;
 mod replies;
+mod request_queue;
 mod schedulability;
 mod submission;
 mod verification;
 
+pub use self::request_queue::QueuedRequest;
 pub use self::schedulability::{Unschedulable, check_schedulable};
 
 use self::ancestors::AncestorChecks;
 use self::cancellation::DelayedCancellation;
 use self::dependency_check::DependencyCheck;
+use self::lookups::Lookups;
+use self::request_queue::RefusedJobs;
 use self::verification::Verifications;
 use crate::Config;
 use crate::calls::Context;
-use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
+use crate::continuations::{PendingRequest, UserRequest};
 use crate::job_cache::{CachedJobState, JobCache};
 use crate::messages::{Answer, RequestId};
 use crate::progress::{ProgressTable, TaskCounts};
-use crate::records::{self, JobStateRecord, OpenJob, RecordedState};
+use crate::records::{JobStateRecord, OpenJob, RecordedState};
 use crate::request_budget::{RequestBudget, RequestPriority, StoreCost};
-use crate::time::{Micros, SECOND, seconds};
-use dillcleat_wire::store::StoreRequest;
+use crate::time::{MILLISECOND, Micros, SECOND, seconds};
 use dillcleat_wire::user::{JobState, JobStatus, is_job_id};
 use std::collections::HashMap;
 
 /// How long a submission or cancellation is retried. This is shorter than the 5 s after which
 /// clients stop waiting.
 const RETRY_TIMEOUT: Micros = 4 * SECOND;
+/// How long a poll may wait. This is shorter than the 2 s after which clients stop waiting.
+const POLL_TIMEOUT: Micros = 1500 * MILLISECOND;
 /// The maximum number of reads and submissions in flight, above which no new ones are sent.
 const MAX_IN_FLIGHT: usize = 256;
 
@@ -115,6 +124,9 @@
     write_budget: RequestBudget,
     cache: JobCache,
     verifications: Verifications,
+    /// Requests about jobs that are not cached.
+    lookups: Lookups,
+    refused_jobs: RefusedJobs,
     /// The number of reads and submissions in flight, without verifications. The transaction of
     /// a cancellation does not count.
     in_flight: usize,
@@ -160,6 +172,8 @@
             write_budget: RequestBudget::new(config.store_write_rps, config),
             cache: JobCache::new(config),
             verifications: Verifications::default(),
+            lookups: Lookups::default(),
+            refused_jobs: RefusedJobs::default(),
             in_flight: 0,
             dependency_checks: HashMap::new(),
             last_check_id: 0,
@@ -236,20 +250,14 @@
 
     /// Handles a poll.
     pub fn poll(&mut self, ctx: &mut Context, request: RequestId, id: String) {
+        let request = UserRequest::received(request, ctx.now.monotonic, POLL_TIMEOUT);
         self.determine_state_by_id(ctx, id, PendingRequest::Status(request));
     }
 
     /// Handles a cancellation.
     pub fn cancel(&mut self, ctx: &mut Context, request: RequestId, id: String) {
-        let received_at = ctx.now.monotonic;
-        self.determine_state_by_id(
-            ctx,
-            id,
-            PendingRequest::Cancel {
-                request,
-                received_at,
-            },
-        );
+        let request = UserRequest::received(request, ctx.now.monotonic, RETRY_TIMEOUT);
+        self.determine_state_by_id(ctx, id, PendingRequest::Cancel(request));
     }
 
     fn determine_state_by_id(&mut self, ctx: &mut Context, id: String, pending: PendingRequest) {
@@ -258,68 +266,70 @@
             return self.answer_with_state(ctx, &id, None, pending);
         }
         self.determine_state(ctx, id, pending);
+        self.send_waiting(ctx);
     }
 
     /// Determines the state of a request's job and answers the request, by the cheapest
-    /// sufficient means: the cache, a verification of the cached state, or a read.
+    /// sufficient means: the cache, a verification of the cached state, or a lookup. The caller
+    /// calls [`send_waiting`](Self::send_waiting) afterwards.
     fn determine_state(&mut self, ctx: &mut Context, id: String, pending: PendingRequest) {
         match self.cache.get(&id) {
             Some(cached) if !cached.is_open() => {
                 self.answer_with_state(ctx, &id, Some(cached), pending)
             }
             // The transaction of the cancellation verifies the cached state itself.
-            Some(cached) if matches!(pending, PendingRequest::Cancel { .. }) => {
+            Some(cached) if matches!(pending, PendingRequest::Cancel(_)) => {
                 self.answer_with_state(ctx, &id, Some(cached), pending);
             }
-            Some(_) => self.verify(ctx, id, pending),
-            None => self.read_open_record(ctx, id, pending),
+            Some(_) => self.queue_verification(ctx, id, pending),
+            None => self.queue_lookup(ctx, id, pending),
         }
     }
 
-    fn read_open_record(&mut self, ctx: &mut Context, id: String, pending: PendingRequest) {
-        // Requests must not share a read: the store may have executed a read that is already
-        // in flight before this request was received.
-        let priority = RequestPriority::from(&pending);
-        if self.in_flight >= MAX_IN_FLIGHT
-            || !self
-                .request_budget
-                .try_take(1.0, priority, ctx.now.monotonic)
-        {
-            return self.refuse(ctx, pending, RetryReason::TooManyRequests);
-        }
-        self.in_flight += 1;
-        let call = StoreRequest::Get {
-            key: records::open_job_key(&id),
-        };
-        let step = Step::ReadOpenRecord { id, pending };
-        ctx.store_request(call, Continuation::Admission(step));
-    }
-
-    /// Reads the state record after the open record was not found, or after a transaction
-    /// found the state record changed. A job without either record did not exist when the
-    /// request was received.
-    fn read_state_record(&mut self, ctx: &mut Context, id: String, pending: PendingRequest) {
-        self.in_flight += 1;
-        self.request_budget.charge(1.0, ctx.now.monotonic);
-        let call = StoreRequest::Get {
-            key: records::job_state_key(&id),
-        };
-        let step = Step::ReadStateRecord { id, pending };
-        ctx.store_request(call, Continuation::Admission(step));
-    }
-
-    /// Answers a request with a refusal after which it may be repeated.
-    fn refuse(&mut self, ctx: &mut Context, pending: PendingRequest, reason: RetryReason) {
+    /// Answers a request about a job with a refusal after which it may be repeated.
+    fn refuse(
+        &mut self,
+        ctx: &mut Context,
+        id: &str,
+        pending: PendingRequest,
+        reason: RetryReason,
+    ) {
         match pending {
             PendingRequest::Status(request)
             | PendingRequest::RejectUnlessExists { request, .. }
-            | PendingRequest::Cancel { request, .. } => ctx.answer(request, reason.answer()),
+            | PendingRequest::Cancel(request) => self.refuse_request(ctx, id, request, reason),
             PendingRequest::Ancestor { descendant } => {
                 self.ancestor_checks.lookup_failed(&descendant, reason);
             }
         }
     }
 
+    /// As [`refuse`](Self::refuse), for a user's request.
+    fn refuse_request(
+        &mut self,
+        ctx: &mut Context,
+        id: &str,
+        request: UserRequest,
+        reason: RetryReason,
+    ) {
+        let now = ctx.now.monotonic;
+        self.refused_jobs
+            .record_refusal(id, request.received_at, now);
+        ctx.answer(request.id, reason.answer());
+    }
+
+    /// Answers a user's request about a job, other than by a refusal.
+    fn answer_request(
+        &mut self,
+        ctx: &mut Context,
+        id: &str,
+        request: UserRequest,
+        answer: Answer,
+    ) {
+        self.refused_jobs.record_answer(id);
+        ctx.answer(request.id, answer);
+    }
+
     /// Answers a request from the state of its job; `cached` is None if the job does not exist.
     /// For the cancellation of an open job, sends the transaction instead. An open job is
     /// reported only on proof that its ancestors are not cancelled.
@@ -338,25 +348,19 @@
                 if answer.status != 503 {
                     log::info!("job rejected job={id} status={}", answer.status);
                 }
-                ctx.answer(request, answer);
+                self.answer_request(ctx, id, request, answer);
             }
-            (None, PendingRequest::Status(request) | PendingRequest::Cancel { request, .. }) => {
-                ctx.answer(request, Answer::refusal(404, NO_SUCH_JOB));
+            (None, PendingRequest::Status(request) | PendingRequest::Cancel(request)) => {
+                self.answer_request(ctx, id, request, Answer::refusal(404, NO_SUCH_JOB));
             }
-            (
-                Some(cached),
-                PendingRequest::Cancel {
-                    request,
-                    received_at,
-                },
-            ) if cached.is_open() => {
-                self.send_cancellation(ctx, id, cached, request, received_at);
+            (Some(cached), PendingRequest::Cancel(request)) if cached.is_open() => {
+                self.send_cancellation(ctx, id, cached, request);
             }
             (
                 Some(cached),
                 PendingRequest::Status(request)
                 | PendingRequest::RejectUnlessExists { request, .. }
-                | PendingRequest::Cancel { request, .. },
+                | PendingRequest::Cancel(request),
             ) => {
                 if cached.is_open() {
                     self.report_open(ctx, id, cached, request);
@@ -368,8 +372,15 @@
     }
 
     /// Reports a state to a user.
-    fn report(&self, ctx: &mut Context, id: &str, record: JobStateRecord, request: RequestId) {
-        ctx.answer(request, Answer::body(200, &self.status(id, record)));
+    fn report(
+        &mut self,
+        ctx: &mut Context,
+        id: &str,
+        record: JobStateRecord,
+        request: UserRequest,
+    ) {
+        let answer = Answer::body(200, &self.status(id, record));
+        self.answer_request(ctx, id, request, answer);
     }
 
     fn status(&self, id: &str, record: JobStateRecord) -> JobStatus {
@@ -389,11 +400,12 @@
         }
     }
 
-    /// Sends delayed cancellations and a verification of queued requests, and continues checks of
-    /// ancestors, if the limits allow it. Called at every tick.
+    /// Sends delayed cancellations, continues checks of ancestors, and sends calls for waiting
+    /// requests, if the limits allow it. Called at every tick.
     pub fn tick(&mut self, ctx: &mut Context) {
+        self.refuse_expired(ctx);
         self.send_due_cancellations(ctx);
-        self.send_verification(ctx);
         self.advance_ancestor_checks(ctx);
+        self.send_waiting(ctx);
     }
 }
--- a/crates/controller/src/admission/replies.rs
+++ b/crates/controller/src/admission/replies.rs
@@ -1,11 +1,11 @@
 //! Handles the store's responses to users' requests.
 
-use super::{Admission, RETRY_TIMEOUT, RetryReason};
+use super::{Admission, RetryReason};
 use crate::CallError;
 use crate::calls::Context;
-use crate::continuations::{AdmissionStep as Step, PendingRequest};
+use crate::continuations::{AdmissionStep as Step, JobRecordKind, PendingRequest, UserRequest};
 use crate::job_cache::CachedJobState;
-use crate::messages::{Answer, RequestId};
+use crate::messages::Answer;
 use crate::records::{self, JobStateRecord, OpenJob, RecordedState};
 use crate::request_budget::{RequestPriority, StoreCost};
 use crate::time::Micros;
@@ -24,6 +24,7 @@
     ) {
         self.handle_reply(ctx, step, sent_at, reply);
         self.advance_ancestor_checks(ctx);
+        self.send_waiting(ctx);
     }
 
     fn handle_reply(
@@ -34,119 +35,50 @@
         reply: Result<StoreResponse, CallError>,
     ) {
         match step {
-            Step::ReadOpenRecord { id, pending } => {
+            Step::ReadRecord { id, kind, pending } => {
                 self.in_flight -= 1;
-                self.handle_open_record(ctx, id, pending, reply);
+                self.handle_record_read(ctx, kind, id, pending, reply);
             }
-            Step::ReadStateRecord { id, pending } => {
-                self.in_flight -= 1;
-                self.handle_state_record(ctx, &id, pending, reply);
+            Step::CheckExistence { requests } => self.handle_existence_check(ctx, requests, reply),
+            Step::ListRecords { kind, requests } => self.handle_listing(ctx, kind, requests, reply),
+            Step::VerifyOpen { requests } => {
+                self.handle_verification(ctx, requests, sent_at, reply);
             }
-            Step::VerifyOpen { jobs } => self.handle_verification(ctx, jobs, sent_at, &reply),
             Step::ReadDependency {
                 check_id,
                 dependency,
                 kind,
             } => self.handle_dependency_read(ctx, check_id, dependency, kind, &reply),
-            Step::Create {
-                request,
-                job,
-                received_at,
-            } => self.handle_create_reply(ctx, request, job, received_at, reply),
+            Step::Create { request, job } => self.handle_create_reply(ctx, request, job, reply),
             Step::CancelDescendant { id } => self.handle_descendant_cancelled(ctx, &id, reply),
-            Step::Cancel {
-                id,
-                request,
-                received_at,
-            } => {
-                self.handle_cancel_reply(ctx, id, request, received_at, reply);
-            }
-        }
-    }
-
-    fn handle_open_record(
-        &mut self,
-        ctx: &mut Context,
-        id: String,
-        pending: PendingRequest,
-        reply: Result<StoreResponse, CallError>,
-    ) {
-        match reply {
-            Ok(StoreResponse::Found(row)) => {
-                let Some(job) = row.decode_value::<OpenJob>() else {
-                    return self.refuse_unreadable(ctx, &row.key, pending);
-                };
-                self.cache
-                    .insert_open(&id, &job, job.state_version(row.version));
-                // The open record of a cancelled job exists until its tasks are gone, so its
-                // existence does not prove that the job is open.
-                self.determine_state(ctx, id, pending);
-            }
-            Ok(StoreResponse::NotFound { .. }) => self.read_state_record(ctx, id, pending),
-            _ => self.refuse(ctx, pending, RetryReason::StoreUnreachable),
-        }
-    }
-
-    fn handle_state_record(
-        &mut self,
-        ctx: &mut Context,
-        id: &str,
-        pending: PendingRequest,
-        reply: Result<StoreResponse, CallError>,
-    ) {
-        match reply {
-            Ok(StoreResponse::Found(row)) => {
-                let Some(record) = row.decode_value::<JobStateRecord>() else {
-                    return self.refuse_unreadable(ctx, &row.key, pending);
-                };
-                let cached = CachedJobState::from_state_record(record, row.version);
-                self.record_state(id, cached);
-                self.answer_with_state(ctx, id, Some(cached), pending);
-            }
-            // If the job is cached by now, it was stored after the read, and this node may
-            // have confirmed that to the user. The state is determined again instead of
-            // answering "no such job".
-            Ok(StoreResponse::NotFound { .. }) if self.is_cached_without_state_record(id) => {
-                self.determine_state(ctx, id.to_string(), pending);
-            }
-            Ok(StoreResponse::NotFound { .. }) => self.answer_with_state(ctx, id, None, pending),
-            _ => self.refuse(ctx, pending, RetryReason::StoreUnreachable),
+            Step::Cancel { id, request } => self.handle_cancel_reply(ctx, id, request, reply),
         }
     }
 
-    /// Whether the job is cached with a state that is consistent with the absence of a state
-    /// record.
-    fn is_cached_without_state_record(&self, id: &str) -> bool {
-        self.cache
-            .get(id)
-            .is_some_and(|cached| cached.version == 0 || !cached.is_open())
-    }
-
     fn handle_create_reply(
         &mut self,
         ctx: &mut Context,
-        request: RequestId,
+        request: UserRequest,
         job: Rc<OpenJob>,
-        received_at: Micros,
         reply: Result<StoreResponse, CallError>,
     ) {
         // Without a response the outcome is unknown, since the transaction may still be
         // executed. The same transaction is sent again: it either commits or finds the record
         // of the first one.
         if reply.is_err()
-            && ctx.now.monotonic < received_at + RETRY_TIMEOUT
+            && ctx.now.monotonic < request.answer_by
             && self.take_budget(
                 StoreCost::transaction(1.0),
                 RequestPriority::Change,
                 ctx.now.monotonic,
             )
         {
-            return self.send_creation(ctx, request, job, received_at);
+            return self.send_creation(ctx, request, job);
         }
         self.in_flight -= 1;
         match reply {
             Ok(StoreResponse::Committed { .. }) => {
-                self.answer_accepted(ctx, request, &job, received_at);
+                self.answer_accepted(ctx, request, &job);
             }
             Ok(StoreResponse::Conflict { failed, .. }) => {
                 self.answer_repeated_submission(ctx, request, &job, &failed);
@@ -163,19 +95,13 @@
                     PendingRequest::RejectUnlessExists { request, answer },
                 );
             }
-            _ => ctx.answer(request, RetryReason::StoreUnreachable.answer()),
+            _ => self.refuse_request(ctx, &job.spec.id, request, RetryReason::StoreUnreachable),
         }
     }
 
-    fn answer_accepted(
-        &mut self,
-        ctx: &mut Context,
-        request: RequestId,
-        job: &OpenJob,
-        received_at: Micros,
-    ) {
+    fn answer_accepted(&mut self, ctx: &mut Context, request: UserRequest, job: &OpenJob) {
         let id = job.spec.id.clone();
-        self.record_admission(job, received_at);
+        self.record_admission(job, request.received_at);
         log_accepted(job);
         // If the job has ended meanwhile, another request may already have reported that, so
         // the answer must not be `queued`.
@@ -188,7 +114,7 @@
             done: None,
             running: None,
         };
-        ctx.answer(request, Answer::body(201, &status));
+        self.answer_request(ctx, &status.id.clone(), request, Answer::body(201, &status));
     }
 
     /// Answers a submission whose job already exists. `failed` are the keys of the failed
@@ -196,7 +122,7 @@
     fn answer_repeated_submission(
         &mut self,
         ctx: &mut Context,
-        request: RequestId,
+        request: UserRequest,
         job: &OpenJob,
         failed: &[String],
     ) {
@@ -223,14 +149,10 @@
         &mut self,
         ctx: &mut Context,
         id: String,
-        request: RequestId,
-        received_at: Micros,
+        request: UserRequest,
         reply: Result<StoreResponse, CallError>,
     ) {
-        let pending = PendingRequest::Cancel {
-            request,
-            received_at,
-        };
+        let pending = PendingRequest::Cancel(request);
         match reply {
             Ok(StoreResponse::Committed { .. }) => {
                 let cached = self.cache.get(&id);
@@ -243,22 +165,19 @@
                 self.report(ctx, &id, record, request);
             }
             // The job had already ended, or an earlier attempt was committed.
-            Ok(StoreResponse::Conflict { .. }) => self.read_state_record(ctx, id, pending),
+            Ok(StoreResponse::Conflict { .. }) => {
+                self.queue_record_read(ctx, JobRecordKind::State, id, pending);
+            }
             Ok(StoreResponse::RateLimited) => {
                 self.return_cancellation_budget(ctx.now.monotonic);
-                self.delay_cancellation(ctx, id, request, received_at);
+                self.delay_cancellation(ctx, id, request);
             }
-            Err(_) if ctx.now.monotonic < received_at + RETRY_TIMEOUT => {
-                self.read_open_record(ctx, id, pending);
+            Err(_) if ctx.now.monotonic < request.answer_by => {
+                self.queue_record_read(ctx, JobRecordKind::Open, id, pending);
             }
-            _ => ctx.answer(request, RetryReason::StoreUnreachable.answer()),
+            _ => self.refuse_request(ctx, &id, request, RetryReason::StoreUnreachable),
         }
     }
-
-    fn refuse_unreadable(&mut self, ctx: &mut Context, key: &str, pending: PendingRequest) {
-        log::error!("unreadable job record key={key}");
-        self.refuse(ctx, pending, RetryReason::UnreadableRecord);
-    }
 }
 
 fn log_accepted(job: &OpenJob) {
--- a/crates/controller/src/admission/submission.rs
+++ b/crates/controller/src/admission/submission.rs
@@ -1,12 +1,11 @@
 //! Validates submissions and stores the submitted jobs.
 
-use super::{Admission, MAX_IN_FLIGHT, RetryReason, check_schedulable};
+use super::{Admission, MAX_IN_FLIGHT, RETRY_TIMEOUT, RetryReason, check_schedulable};
 use crate::calls::Context;
-use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest};
+use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest, UserRequest};
 use crate::messages::{Answer, RequestId};
 use crate::records::{self, OpenJob};
 use crate::request_budget::{RequestPriority, StoreCost};
-use crate::time::Micros;
 use dillcleat_wire::cloud::MachineType;
 use dillcleat_wire::store::{self, StoreRequest, Transaction};
 use dillcleat_wire::user::{JobSpec, SpecError, Submission, parse_submission};
@@ -22,15 +21,17 @@
         types: Option<&[MachineType]>,
     ) {
         self.count_request();
+        let request = UserRequest::received(request, ctx.now.monotonic, RETRY_TIMEOUT);
         let Submission { id, spec } = parse_submission(body);
         let Some(id) = id else {
             let cause = spec
                 .err()
                 .map_or_else(|| "ref is not in its form".into(), |e| e.to_string());
-            return ctx.answer(request, Answer::refusal(400, cause));
+            return ctx.answer(request.id, Answer::refusal(400, cause));
         };
         if self.cache.get(&id).is_some() {
-            return self.determine_state(ctx, id, PendingRequest::Status(request));
+            self.determine_state(ctx, id, PendingRequest::Status(request));
+            return self.send_waiting(ctx);
         }
         match validate(ctx, spec, types) {
             Ok(job) if job.spec.depends_on.is_empty() => {
@@ -43,28 +44,28 @@
                 PendingRequest::RejectUnlessExists { request, answer },
             ),
         }
+        self.send_waiting(ctx);
     }
 
-    fn submit_without_dependencies(&mut self, ctx: &mut Context, request: RequestId, job: OpenJob) {
+    fn submit_without_dependencies(
+        &mut self,
+        ctx: &mut Context,
+        request: UserRequest,
+        job: OpenJob,
+    ) {
         let now = ctx.now.monotonic;
         if self.in_flight >= MAX_IN_FLIGHT
             || !self.take_budget(StoreCost::transaction(1.0), RequestPriority::Change, now)
         {
-            return ctx.answer(request, RetryReason::TooManyRequests.answer());
+            return self.refuse_request(ctx, &job.spec.id, request, RetryReason::TooManyRequests);
         }
         self.in_flight += 1;
-        self.send_creation(ctx, request, Rc::new(job), now);
+        self.send_creation(ctx, request, Rc::new(job));
     }
 
     /// Sends the transaction that stores the job. The caller has charged the budget and
     /// incremented `in_flight`.
-    pub(super) fn send_creation(
-        &self,
-        ctx: &mut Context,
-        request: RequestId,
-        job: Rc<OpenJob>,
-        received_at: Micros,
-    ) {
+    pub(super) fn send_creation(&self, ctx: &mut Context, request: UserRequest, job: Rc<OpenJob>) {
         let id = &job.spec.id;
         // Only one key is written, since the store's write limit bounds the rate of
         // submissions. With a state record as well, a burst of small jobs waited for 10 s
@@ -73,11 +74,7 @@
             .compare(records::job_state_key(id), 0)
             .compare(records::open_job_key(id), 0)
             .put(records::open_job_key(id), &*job);
-        let step = Step::Create {
-            request,
-            job,
-            received_at,
-        };
+        let step = Step::Create { request, job };
         ctx.hedged_store_request(
             StoreRequest::Transaction(txn),
             Continuation::Admission(step),
--- a/crates/controller/src/config.rs
+++ b/crates/controller/src/config.rs
@@ -84,7 +84,16 @@
     pub tuning: Tuning,
 }
 
+/// The number of comparisons that the store accepts in a transaction for each operation
+/// (`txn_ops`).
+const COMPARISONS_PER_OP: usize = 4;
+
 impl Config {
+    /// The maximum number of comparisons in a transaction.
+    pub fn max_comparisons(&self) -> usize {
+        self.max_txn_ops * COMPARISONS_PER_OP
+    }
+
     /// Creates the configuration from the platform's and the operator's settings.
     pub fn new(platform: &PlatformSettings, tuning: Tuning) -> Config {
         let cluster = &platform.cluster;
--- a/crates/controller/src/continuations.rs
+++ b/crates/controller/src/continuations.rs
@@ -8,6 +8,7 @@
 //! [`election`]: crate::election
 //! [`leader`]: crate::leader
 
+use crate::admission::QueuedRequest;
 use crate::cloud_queue::CloudRequestKind;
 use crate::messages::{Answer, RequestId};
 use crate::records::OpenJob;
@@ -15,26 +16,43 @@
 use dillcleat_wire::store::LeaseId;
 use std::rc::Rc;
 
+/// A user's request that has not been answered yet. Times are on the monotonic clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UserRequest {
+    /// The id under which the answer is expected.
+    pub id: RequestId,
+    /// When the request was received.
+    pub received_at: Micros,
+    /// The time after which the user no longer waits for the answer.
+    pub answer_by: Micros,
+}
+
+impl UserRequest {
+    /// A request that is received at `now`, whose user waits for `patience`.
+    pub fn received(id: RequestId, now: Micros, patience: Micros) -> UserRequest {
+        UserRequest {
+            id,
+            received_at: now,
+            answer_by: now + patience,
+        }
+    }
+}
+
 /// A request that is answered once the state of its job is known.
 #[derive(Debug, Clone)]
 pub enum PendingRequest {
     /// Reports the job's state: a poll, or a submission of a known job.
-    Status(RequestId),
+    Status(UserRequest),
     /// Rejects a submission unless the job exists: then this is a repeated submission, and
     /// the job's state is reported.
     RejectUnlessExists {
         /// The request that waits for the answer.
-        request: RequestId,
+        request: UserRequest,
         /// The answer that rejects the submission.
         answer: Answer,
     },
     /// Cancels the job.
-    Cancel {
-        /// The request that waits for the answer.
-        request: RequestId,
-        /// When the request was received, on the monotonic clock.
-        received_at: Micros,
-    },
+    Cancel(UserRequest),
     /// Looks the job up for the check of the ancestors of a job that needs it.
     Ancestor {
         /// The id of the job that needs this one.
@@ -54,20 +72,26 @@
 /// The steps of handling users' requests.
 #[derive(Debug, Clone)]
 pub enum AdmissionStep {
-    /// Reads the open record of a job. Each request has a separate read, sent after the
-    /// request was received.
-    ReadOpenRecord {
+    /// Reads a record of a job for a single request.
+    ReadRecord {
         /// The id of the job.
         id: String,
+        /// Which record is read.
+        kind: JobRecordKind,
         /// The request that waits for the record.
         pending: PendingRequest,
     },
-    /// Reads the state record of a job without an open record, for a single request.
-    ReadStateRecord {
-        /// The id of the job.
-        id: String,
-        /// The request that waits for the record.
-        pending: PendingRequest,
+    /// Compares both records of many jobs with "does not exist".
+    CheckExistence {
+        /// The requests that wait for the result.
+        requests: Vec<QueuedRequest>,
+    },
+    /// Lists the records of many jobs.
+    ListRecords {
+        /// Which records are listed.
+        kind: JobRecordKind,
+        /// The requests that wait for one of the records.
+        requests: Vec<QueuedRequest>,
     },
     /// Reads a record of a job that a submission depends on.
     ReadDependency {
@@ -80,17 +104,15 @@
     },
     /// Verifies that the state records of jobs that are cached as open are unchanged.
     VerifyOpen {
-        /// The ids of the jobs.
-        jobs: Vec<String>,
+        /// The requests that wait for the result.
+        requests: Vec<QueuedRequest>,
     },
     /// Stores a submitted job.
     Create {
         /// The request that waits for the answer.
-        request: RequestId,
+        request: UserRequest,
         /// The job that is admitted.
         job: Rc<OpenJob>,
-        /// When the request was received, on the monotonic clock.
-        received_at: Micros,
     },
     /// Stores the cancellation of a job that needs a cancelled one.
     CancelDescendant {
@@ -102,9 +124,7 @@
         /// The id of the job.
         id: String,
         /// The request that waits for the answer.
-        request: RequestId,
-        /// When the request was received, on the monotonic clock.
-        received_at: Micros,
+        request: UserRequest,
     },
 }
 
--- a/crates/controller/src/request_budget.rs
+++ b/crates/controller/src/request_budget.rs
@@ -66,7 +66,7 @@
     fn from(pending: &PendingRequest) -> Self {
         match pending {
             PendingRequest::Status(_) | PendingRequest::Ancestor { .. } => RequestPriority::Poll,
-            PendingRequest::RejectUnlessExists { .. } | PendingRequest::Cancel { .. } => {
+            PendingRequest::RejectUnlessExists { .. } | PendingRequest::Cancel(_) => {
                 RequestPriority::Change
             }
         }
--- a/crates/controller/tests/common/stepped_node.rs
+++ b/crates/controller/tests/common/stepped_node.rs
@@ -1,12 +1,12 @@
 //! A node and an in-memory store. The test decides when each store call about a job is
-//! executed and answered; listings are answered at once, other calls never.
+//! executed and answered; other listings are answered at once, other calls never.
 
 use super::timestamp;
 use dillcleat_controller::records::{self, JobStateRecord, RecordedState};
 use dillcleat_controller::{CallError, CallId, Config, Input, Micros, Node, Output, RequestId};
 use dillcleat_wire::store::{
-    KeyValue, Mutation, Precondition, RangePage, StoreRequest, StoreResponse, Transaction, Value,
-    encode_value,
+    KeyValue, MAX_KEYS_PER_PAGE, Mutation, Precondition, RangePage, StoreRequest, StoreResponse,
+    Transaction, Value, encode_value,
 };
 use dillcleat_wire::user::{
     JOBS_PATH, JobKind, JobSpec, JobState, JobStatus, cancel_path, poll_path,
@@ -33,6 +33,20 @@
         })
     }
 
+    /// The first page of the keys with this prefix after `after`.
+    fn page(&self, prefix: &str, after: Option<&str>) -> RangePage {
+        let is_listed = |key: &&String| {
+            key.starts_with(prefix) && after.is_none_or(|after| key.as_str() > after)
+        };
+        let mut keys = self.rows.keys().filter(is_listed);
+        let rows = keys.by_ref().take(MAX_KEYS_PER_PAGE as usize);
+        RangePage {
+            rows: rows.filter_map(|key| self.row(key)).collect(),
+            more: keys.next().is_some(),
+            revision: self.revision,
+        }
+    }
+
     pub fn execute(&mut self, call: &StoreRequest) -> StoreResponse {
         let revision = self.revision;
         let txn = match call {
@@ -40,6 +54,9 @@
                 let absent = StoreResponse::NotFound { revision };
                 return self.row(key).map_or(absent, StoreResponse::Found);
             }
+            StoreRequest::List { prefix, after } => {
+                return StoreResponse::RangePage(self.page(prefix, after.as_deref()));
+            }
             StoreRequest::Transaction(txn) => txn,
             other => panic!("unexpected {other:?}"),
         };
@@ -112,7 +129,7 @@
     pub now: Micros,
     pub pending_calls: Vec<(CallId, StoreRequest)>,
     pub answers: Vec<UserAnswer>,
-    /// The row that every listing returns.
+    /// The row that every listing returns, other than those of jobs.
     pub machine_types_row: KeyValue,
     request_count: u64,
 }
@@ -148,6 +165,7 @@
                         state: decode::<JobStatus>(&answer.body).ok().map(|s| s.state),
                     }),
                     Output::Store { id, call, .. } => match call {
+                        _ if concerns_a_job(&call) => self.pending_calls.push((id, call)),
                         StoreRequest::List { .. } => inputs.push(Input::Store {
                             id,
                             reply: Ok(StoreResponse::RangePage(RangePage {
@@ -156,11 +174,6 @@
                                 revision: 1,
                             })),
                         }),
-                        StoreRequest::Get { .. } | StoreRequest::Transaction(_)
-                            if concerns_a_job(&call) =>
-                        {
-                            self.pending_calls.push((id, call));
-                        }
                         _ => {}
                     },
                     _ => {}
@@ -235,11 +248,13 @@
     }
 }
 
-fn concerns_a_job(call: &StoreRequest) -> bool {
+/// Whether the call reads or compares records of a job.
+pub fn concerns_a_job(call: &StoreRequest) -> bool {
     let is_job_key =
         |key: &str| key.starts_with("j/") || key.starts_with(records::OPEN_JOBS_PREFIX);
     match call {
         StoreRequest::Get { key } => is_job_key(key),
+        StoreRequest::List { prefix, .. } => is_job_key(prefix),
         StoreRequest::Transaction(txn) => txn.compare.iter().any(|c| is_job_key(&c.key)),
         _ => false,
     }
