Admission: submissions and cancellations over the budget wait in one queue

Change: the transactions of submissions and cancellations wait in one queue, ordered like the lookups; what the store itself refuses is still sent again after a pause. Dependencies are looked up like polls, in batches, instead of by reads of their own that were all charged at once. Single lookups are used while the budget suffices for all that wait, so nothing changes without a backlog.

--- a/crates/controller/src/admission/ancestors.rs
+++ b/crates/controller/src/admission/ancestors.rs
@@ -13,7 +13,8 @@
 //! cancellation of the job itself, as for a cancellation by the user, before it is reported. A
 //! job that is done needs no proof, nor do its ancestors, which are done as well.
 
-use super::cancellation::{CANCELLATION_RETRY_INTERVAL, cancellation_request};
+use super::dispatch::WaitingUser;
+use super::writes::{CANCELLATION_RETRY_INTERVAL, cancellation_request};
 use super::{Admission, RETRY_TIMEOUT, RetryReason};
 use crate::CallError;
 use crate::Config;
@@ -85,15 +86,14 @@
         }
     }
 
-    /// When the check of the ancestors of this job began.
-    pub fn started_at(&self, descendant: &str) -> Option<Micros> {
-        self.0.get(descendant).map(|check| check.started_at)
-    }
-
-    /// The time after which the check of the ancestors of this job is given up.
-    pub fn answer_by(&self, descendant: &str) -> Option<Micros> {
-        let started_at = self.started_at(descendant)?;
-        Some(started_at + RETRY_TIMEOUT)
+    /// The user who waits for the check of this job's ancestors.
+    pub fn waiting_user(&self, descendant: &str) -> Option<WaitingUser<'_>> {
+        let (job, check) = self.0.get_key_value(descendant)?;
+        Some(WaitingUser {
+            job,
+            received_at: check.started_at,
+            answer_by: check.started_at + RETRY_TIMEOUT,
+        })
     }
 
     /// The ids of the jobs whose check waits for no response.
--- a/crates/controller/src/admission/dependency_check.rs
+++ b/crates/controller/src/admission/dependency_check.rs
@@ -1,23 +1,19 @@
 //! Checks the dependencies of a submission: each must be an accepted job other than a
 //! service.
 //!
-//! An accepted job stays accepted, so a cached job needs no read. The records of the other
-//! jobs are read concurrently, for each job the open record first and then, if there is
-//! none, the state record. Dependencies that are already done are removed from the stored
-//! job.
+//! An accepted job stays accepted, so a cached job needs no call to the store. The other jobs
+//! are looked up as if they were polled. Dependencies that are already done are removed from
+//! the stored job.
 
-use super::{Admission, MAX_IN_FLIGHT, RetryReason};
-use crate::CallError;
+use super::dispatch::WaitingUser;
+use super::{Admission, RetryReason};
 use crate::calls::Context;
-use crate::continuations::{
-    AdmissionStep as Step, Continuation, JobRecordKind, PendingRequest, UserRequest,
-};
+use crate::continuations::{PendingRequest, UserRequest};
 use crate::job_cache::CachedJobState;
 use crate::messages::Answer;
-use crate::records::{self, JobStateRecord, OpenJob, RecordedState};
-use crate::request_budget::{RequestPriority, StoreCost};
-use dillcleat_wire::store::{StoreRequest, StoreResponse};
+use crate::records::{OpenJob, RecordedState};
 use dillcleat_wire::user::is_job_id;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 /// The maximum length of a dependency's name in an error message.
@@ -57,12 +53,12 @@
 pub(super) struct DependencyCheck {
     request: UserRequest,
     job: OpenJob,
-    /// The number of dependencies whose reads are in flight.
-    pending_reads: usize,
+    /// The number of dependencies that are being looked up.
+    pending_lookups: usize,
     /// The invalid dependency that was found last.
     invalid: Option<InvalidDependency>,
-    /// Whether the read of a dependency failed.
-    read_failed: bool,
+    /// Why a lookup failed.
+    failure: Option<RetryReason>,
     /// The dependencies that are already done.
     done: Vec<String>,
 }
@@ -72,9 +68,9 @@
         DependencyCheck {
             request,
             job,
-            pending_reads: 0,
+            pending_lookups: 0,
             invalid: None,
-            read_failed: false,
+            failure: None,
             done: Vec::new(),
         }
     }
@@ -100,17 +96,30 @@
     }
 }
 
-fn read_dependency(ctx: &mut Context, check_id: u64, dependency: String, kind: JobRecordKind) {
-    let key = match kind {
-        JobRecordKind::State => records::job_state_key(&dependency),
-        JobRecordKind::Open => records::open_job_key(&dependency),
-    };
-    let step = Step::ReadDependency {
-        check_id,
-        dependency,
-        kind,
-    };
-    ctx.hedged_store_request(StoreRequest::Get { key }, Continuation::Admission(step));
+/// The checks under way.
+#[derive(Debug, Default)]
+pub(super) struct DependencyChecks {
+    checks: HashMap<u64, DependencyCheck>,
+    last_id: u64,
+}
+
+impl DependencyChecks {
+    /// The user who waits for this check.
+    pub fn waiting_user(&self, check_id: u64) -> Option<WaitingUser<'_>> {
+        let check = self.checks.get(&check_id)?;
+        Some(WaitingUser {
+            job: &check.job.spec.id,
+            received_at: check.request.received_at,
+            answer_by: check.request.answer_by,
+        })
+    }
+
+    /// Adds a check and returns its id.
+    fn insert(&mut self, check: DependencyCheck) -> u64 {
+        self.last_id += 1;
+        self.checks.insert(self.last_id, check);
+        self.last_id
+    }
 }
 
 impl Admission {
@@ -121,33 +130,15 @@
         request: UserRequest,
         job: OpenJob,
     ) {
-        let now = ctx.now.monotonic;
         let mut check = DependencyCheck::new(request, job);
         let uncached = self.add_cached_dependencies(&mut check);
-        if check.invalid.is_some() {
+        if check.invalid.is_some() || uncached.is_empty() {
             return self.finish_dependency_check(ctx, check);
         }
-        // The cost includes the transaction that creates the job.
-        let cost = StoreCost {
-            calls: 1.0 + uncached.len() as f64,
-            writes: 1.0,
-        };
-        if self.in_flight + uncached.len() >= MAX_IN_FLIGHT
-            || !self.take_budget(cost, RequestPriority::Change, now)
-        {
-            let id = check.job.spec.id;
-            return self.refuse_request(ctx, &id, request, RetryReason::TooManyRequests);
-        }
-        if uncached.is_empty() {
-            return self.finish_dependency_check(ctx, check);
-        }
-        check.pending_reads = uncached.len();
-        self.in_flight += uncached.len();
-        self.last_check_id += 1;
-        let check_id = self.last_check_id;
-        self.dependency_checks.insert(check_id, check);
+        check.pending_lookups = uncached.len();
+        let check_id = self.dependency_checks.insert(check);
         for dependency in uncached {
-            read_dependency(ctx, check_id, dependency, JobRecordKind::Open);
+            self.queue_lookup(ctx, dependency, PendingRequest::Dependency { check_id });
         }
     }
 
@@ -166,74 +157,56 @@
         uncached
     }
 
-    /// Handles the response to a read of a dependency.
-    pub(super) fn handle_dependency_read(
+    /// Handles the state of a dependency; None if it does not exist.
+    pub(super) fn handle_dependency_state(
         &mut self,
         ctx: &mut Context,
         check_id: u64,
-        dependency: String,
-        kind: JobRecordKind,
-        reply: &Result<StoreResponse, CallError>,
+        dependency: &str,
+        cached: Option<CachedJobState>,
     ) {
-        let not_found = matches!(reply, Ok(StoreResponse::NotFound { .. }));
-        if not_found && kind == JobRecordKind::Open {
-            // The dependency has ended, or it never existed.
-            self.request_budget.charge(1.0, ctx.now.monotonic);
-            return read_dependency(ctx, check_id, dependency, JobRecordKind::State);
-        }
-        self.in_flight -= 1;
-        let Some(mut check) = self.dependency_checks.remove(&check_id) else {
-            return;
-        };
-        match self.cache_dependency(&dependency, kind, reply) {
-            Some(cached) => check.add_state(&dependency, cached),
-            None if not_found => check.reject(&dependency, InvalidReason::NeverAccepted),
-            None => check.read_failed = true,
-        }
-        check.pending_reads -= 1;
-        if check.pending_reads > 0 {
-            self.dependency_checks.insert(check_id, check);
-        } else {
-            self.finish_dependency_check(ctx, check);
-        }
+        self.advance_dependency_check(ctx, check_id, |check| match cached {
+            Some(cached) => check.add_state(dependency, cached),
+            None => check.reject(dependency, InvalidReason::NeverAccepted),
+        });
     }
 
-    /// Caches the state of a dependency according to the response to a read. Returns None if
-    /// the record was not found or the read failed.
-    fn cache_dependency(
+    /// Records that the state of a dependency could not be determined.
+    pub(super) fn dependency_lookup_failed(
         &mut self,
-        dependency: &str,
-        kind: JobRecordKind,
-        reply: &Result<StoreResponse, CallError>,
-    ) -> Option<CachedJobState> {
-        let Ok(StoreResponse::Found(row)) = reply else {
-            return None;
+        ctx: &mut Context,
+        check_id: u64,
+        reason: RetryReason,
+    ) {
+        self.advance_dependency_check(ctx, check_id, |check| check.failure = Some(reason));
+    }
+
+    /// Records the result of a lookup, and finishes the check after the last one.
+    fn advance_dependency_check(
+        &mut self,
+        ctx: &mut Context,
+        check_id: u64,
+        record: impl FnOnce(&mut DependencyCheck),
+    ) {
+        let Some(check) = self.dependency_checks.checks.get_mut(&check_id) else {
+            return;
         };
-        match kind {
-            JobRecordKind::State => {
-                let record = row.decode_value::<JobStateRecord>()?;
-                let state = CachedJobState::from_state_record(record, row.version);
-                self.cache.insert(dependency, state);
-                Some(state)
-            }
-            JobRecordKind::Open => {
-                let job = row.decode_value::<OpenJob>()?;
-                let version = job.state_version(row.version);
-                Some(self.cache.insert_open(dependency, &job, version))
-            }
+        record(check);
+        check.pending_lookups -= 1;
+        if check.pending_lookups == 0
+            && let Some(check) = self.dependency_checks.checks.remove(&check_id)
+        {
+            self.finish_dependency_check(ctx, check);
         }
     }
 
     /// Stores the job or rejects the submission.
     fn finish_dependency_check(&mut self, ctx: &mut Context, check: DependencyCheck) {
         let request = check.request;
-        let answer = match &check.invalid {
-            Some(invalid) => Answer::refusal(422, invalid.to_string()),
-            None if check.read_failed => RetryReason::StoreUnreachable.answer(),
-            None => {
-                self.in_flight += 1;
-                return self.send_creation(ctx, request, Rc::new(check.into_job()));
-            }
+        let answer = match (&check.invalid, check.failure) {
+            (Some(invalid), _) => Answer::refusal(422, invalid.to_string()),
+            (None, Some(reason)) => reason.answer(),
+            (None, None) => return self.queue_creation(ctx, request, Rc::new(check.into_job())),
         };
         // If the job exists, this is a repeated submission and its state is the answer, even
         // if the dependencies are invalid.
--- a/crates/controller/src/admission/dispatch.rs
+++ b/crates/controller/src/admission/dispatch.rs
@@ -3,11 +3,14 @@
 //! Calls are sent while the budget and the limits of calls in flight allow it. The job that
 //! has been without an answer for the longest time comes first, whatever its request needs.
 
+use super::ancestors::AncestorChecks;
+use super::dependency_check::DependencyChecks;
 use super::request_queue::{QueuedRequest, RequestQueue};
+use super::writes::WRITE_COST;
 use super::{Admission, RetryReason};
 use crate::calls::Context;
 use crate::continuations::{JobRecordKind, PendingRequest};
-use crate::request_budget::RequestPriority;
+use crate::request_budget::{RequestPriority, StoreCost};
 use crate::time::{MILLISECOND, Micros};
 
 /// How long a poll leaves the part of the budget that is reserved for other requests to them.
@@ -16,13 +19,90 @@
 
 /// What a call to the store is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Batch {
-    /// Jobs of which nothing is known.
-    Unknown,
-    /// Jobs with a record of this kind.
-    Records(JobRecordKind),
+pub(super) enum Batch {
+    /// One job of which nothing is known.
+    Lookup,
+    /// Many jobs of which nothing is known.
+    ExistenceCheck,
+    /// One job with a record of this kind.
+    RecordRead(JobRecordKind),
+    /// Many jobs with a record of this kind.
+    Listing(JobRecordKind),
     /// Jobs that are cached as open.
     Verification,
+    /// A submission or a cancellation.
+    Write,
+}
+
+impl Batch {
+    fn cost(self) -> StoreCost {
+        match self {
+            Batch::Write => WRITE_COST,
+            _ => StoreCost::READ,
+        }
+    }
+}
+
+/// What a call may be sent for now.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    batch: Batch,
+    /// The place of the first of its requests.
+    unanswered_since: Micros,
+    priority: RequestPriority,
+}
+
+impl Candidate {
+    /// None if the queue is empty.
+    fn new<T>(
+        batch: Batch,
+        queue: &RequestQueue<T>,
+        now: Micros,
+        priority: impl Fn(&T) -> RequestPriority,
+    ) -> Option<Candidate> {
+        let unanswered_since = queue.first_unanswered_since()?;
+        let priorities = queue.iter().map(|(_, pending)| priority(pending));
+        let priority = match now >= unanswered_since + MAX_RESERVE_WAIT {
+            true => RequestPriority::Change,
+            false => priorities.min().unwrap_or(RequestPriority::Poll),
+        };
+        Some(Candidate {
+            batch,
+            unanswered_since,
+            priority,
+        })
+    }
+}
+
+/// A user who waits for the result of a lookup. Times are on the monotonic clock.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WaitingUser<'a> {
+    /// The job that the user's request is about.
+    pub job: &'a str,
+    /// When the request was received.
+    pub received_at: Micros,
+    /// The time after which the user no longer waits.
+    pub answer_by: Micros,
+}
+
+/// The user who waits for the lookup of this job; None if nobody waits any more.
+fn waiting_user<'a>(
+    ancestors: &'a AncestorChecks,
+    dependencies: &'a DependencyChecks,
+    id: &'a str,
+    pending: &PendingRequest,
+) -> Option<WaitingUser<'a>> {
+    match pending {
+        PendingRequest::Ancestor { descendant } => ancestors.waiting_user(descendant),
+        PendingRequest::Dependency { check_id } => dependencies.waiting_user(*check_id),
+        PendingRequest::Status(request)
+        | PendingRequest::RejectUnlessExists { request, .. }
+        | PendingRequest::Cancel(request) => Some(WaitingUser {
+            job: id,
+            received_at: request.received_at,
+            answer_by: request.answer_by,
+        }),
+    }
 }
 
 impl Admission {
@@ -30,9 +110,12 @@
     pub(super) fn send_waiting(&mut self, ctx: &mut Context) {
         while let Some(batch) = self.take_budget_for_batch(ctx) {
             match batch {
-                Batch::Unknown => self.send_lookup(ctx),
-                Batch::Records(kind) => self.send_record_read(ctx, kind),
+                Batch::Lookup => self.send_lookup(ctx),
+                Batch::ExistenceCheck => self.send_existence_check(ctx),
+                Batch::RecordRead(kind) => self.send_record_read(ctx, kind),
+                Batch::Listing(kind) => self.send_listing(ctx, kind),
                 Batch::Verification => self.send_verification(ctx),
+                Batch::Write => self.send_write(ctx),
             }
         }
     }
@@ -40,32 +123,32 @@
     /// The first batch for which the budget suffices. Charges the budget for its call.
     fn take_budget_for_batch(&mut self, ctx: &Context) -> Option<Batch> {
         let now = ctx.now.monotonic;
-        let mut candidates: Vec<_> = [
-            (
-                Batch::Unknown,
-                self.lookups.sendable_unknown(self.in_flight),
-            ),
-            self.records_candidate(JobRecordKind::Open),
-            self.records_candidate(JobRecordKind::State),
-            (Batch::Verification, self.verifications.sendable()),
-        ]
-        .into_iter()
-        .filter_map(|(batch, queue)| {
-            let queue = queue?;
-            let since = queue.first_unanswered_since()?;
-            Some((since, batch, batch_priority(batch, queue, since, now)))
-        })
-        .collect();
-        candidates.sort_by_key(|(since, ..)| *since);
-        candidates
-            .into_iter()
-            .find(|(_, _, priority)| self.request_budget.try_take(1.0, *priority, now))
-            .map(|(_, batch, _)| batch)
+        let mut candidates = self.candidates(now);
+        candidates.sort_by_key(|candidate| candidate.unanswered_since);
+        let mut batches = candidates.into_iter();
+        let affordable = |c: &Candidate| self.take_budget(c.batch.cost(), c.priority, now);
+        batches.find(affordable).map(|candidate| candidate.batch)
     }
 
-    fn records_candidate(&self, kind: JobRecordKind) -> (Batch, Option<&RequestQueue>) {
-        let queue = self.lookups.sendable_records(kind, self.in_flight);
-        (Batch::Records(kind), queue)
+    fn candidates(&mut self, now: Micros) -> Vec<Candidate> {
+        let calls = self.request_budget.available(now);
+        let lookup = self.lookups.next_lookup(calls, self.in_flight);
+        let lookup = lookup
+            .and_then(|(batch, queue)| Candidate::new(batch, queue, now, |pending| pending.into()));
+        let reads = [JobRecordKind::Open, JobRecordKind::State].map(|kind| {
+            let (batch, queue) = self.lookups.next_record_read(kind, calls, self.in_flight)?;
+            // The read continues a request for which a call was already sent.
+            Candidate::new(batch, queue, now, |_| RequestPriority::Change)
+        });
+        let verification = self.verifications.sendable().and_then(|queue| {
+            Candidate::new(Batch::Verification, queue, now, |pending| pending.into())
+        });
+        let write = self.writes.sendable(self.in_flight).and_then(|queue| {
+            Candidate::new(Batch::Write, queue, now, |_| RequestPriority::Change)
+        });
+        let [open, state] = reads;
+        let candidates = [lookup, open, state, verification, write];
+        candidates.into_iter().flatten().collect()
     }
 
     /// A request with its place in the queues.
@@ -75,15 +158,15 @@
         id: String,
         pending: PendingRequest,
     ) -> QueuedRequest {
-        // A lookup of an ancestor is for the request about its descendant.
-        let (job, received_at) = match &pending {
-            PendingRequest::Ancestor { descendant } => {
-                let started_at = self.ancestor_checks.started_at(descendant);
-                (descendant, started_at.unwrap_or(ctx.now.monotonic))
-            }
-            PendingRequest::Status(request)
-            | PendingRequest::RejectUnlessExists { request, .. }
-            | PendingRequest::Cancel(request) => (&id, request.received_at),
+        let user = waiting_user(
+            &self.ancestor_checks,
+            &self.dependency_checks,
+            &id,
+            &pending,
+        );
+        let (job, received_at) = match user {
+            Some(user) => (user.job, user.received_at),
+            None => (id.as_str(), ctx.now.monotonic),
         };
         let priority = RequestPriority::from(&pending);
         let position = self.refused_jobs.position(job, received_at, priority);
@@ -96,21 +179,17 @@
 
     /// Refuses the requests whose users no longer wait for an answer. Called at every tick.
     pub(super) fn refuse_expired(&mut self, ctx: &mut Context) {
+        self.refuse_expired_writes(ctx);
         let now = ctx.now.monotonic;
-        let checks = &self.ancestor_checks;
-        let answer_by = |pending: &PendingRequest| match pending {
-            PendingRequest::Ancestor { descendant } => checks.answer_by(descendant),
-            PendingRequest::Status(request)
-            | PendingRequest::RejectUnlessExists { request, .. }
-            | PendingRequest::Cancel(request) => Some(request.answer_by),
+        let (ancestors, dependencies) = (&self.ancestor_checks, &self.dependency_checks);
+        let is_expired = |id: &str, pending: &PendingRequest| {
+            let user = waiting_user(ancestors, dependencies, id, pending);
+            user.is_none_or(|user| now > user.answer_by)
         };
-        let is_expired = |pending: &PendingRequest| answer_by(pending).is_none_or(|at| now > at);
-        let mut expired = Vec::new();
+        let mut expired = self.verifications.queue().take_if(is_expired);
         for queue in self.lookups.queues() {
-            expired.extend(queue.take_if(|_, pending| is_expired(pending)));
+            expired.extend(queue.take_if(is_expired));
         }
-        let queue = self.verifications.queue();
-        expired.extend(queue.take_if(|_, pending| is_expired(pending)));
         self.refuse_all(ctx, expired, RetryReason::TooManyRequests);
     }
 
@@ -131,18 +210,3 @@
         }
     }
 }
-
-/// The priority of a call for the first requests of a queue, which has waited since `since`.
-fn batch_priority(
-    batch: Batch,
-    queue: &RequestQueue,
-    since: Micros,
-    now: Micros,
-) -> RequestPriority {
-    // The read of a record continues a request for which a call was already sent.
-    if matches!(batch, Batch::Records(_)) || now >= since + MAX_RESERVE_WAIT {
-        return RequestPriority::Change;
-    }
-    let priorities = queue.iter().map(|(_, pending)| pending.into());
-    priorities.min().unwrap_or(RequestPriority::Poll)
-}
--- a/crates/controller/src/admission/lookups.rs
+++ b/crates/controller/src/admission/lookups.rs
@@ -14,6 +14,7 @@
 //! A request is only answered by calls that were sent after it was received. Requests must
 //! not join a call in flight: the store may have executed it before.
 
+use super::dispatch::Batch;
 use super::request_queue::{QueuedRequest, RequestQueue};
 use super::{Admission, MAX_IN_FLIGHT, RetryReason};
 use crate::CallError;
@@ -56,8 +57,9 @@
 }
 
 impl RecordReads {
-    fn uses_listing(&self) -> bool {
-        self.queue.len() >= MIN_LISTED_REQUESTS
+    /// Whether the records are listed. `calls` is the number of calls in the budget.
+    fn uses_listing(&self, calls: f64) -> bool {
+        self.queue.len() >= MIN_LISTED_REQUESTS && self.queue.len() as f64 > calls
     }
 
     /// The first of the waiting jobs, by id, after the latest listing.
@@ -85,26 +87,36 @@
         }
     }
 
-    /// The queue of jobs of which nothing is known, unless no call for it may be sent now.
-    pub fn sendable_unknown(&self, in_flight: usize) -> Option<&RequestQueue> {
-        let may_send = match self.unknown.len() < MIN_COMPARED_REQUESTS {
-            true => in_flight < MAX_IN_FLIGHT,
-            false => self.comparisons_in_flight < MAX_COMPARISONS_IN_FLIGHT,
+    /// The next call about jobs of which nothing is known, with their queue. None if it may not
+    /// be sent now. `calls` is the number of calls in the budget.
+    pub fn next_lookup(&self, calls: f64, in_flight: usize) -> Option<(Batch, &RequestQueue)> {
+        let waiting = self.unknown.len();
+        let (batch, may_send) = match waiting >= MIN_COMPARED_REQUESTS && waiting as f64 > calls {
+            true => {
+                let may_send = self.comparisons_in_flight < MAX_COMPARISONS_IN_FLIGHT;
+                (Batch::ExistenceCheck, may_send)
+            }
+            false => (Batch::Lookup, in_flight < MAX_IN_FLIGHT),
         };
-        Some(&self.unknown).filter(|_| may_send)
+        may_send.then_some((batch, &self.unknown))
     }
 
-    /// The queue of records of this kind, unless no call for it may be sent now.
-    pub fn sendable_records(&self, kind: JobRecordKind, in_flight: usize) -> Option<&RequestQueue> {
+    /// The next call for records of this kind, as [`next_lookup`](Self::next_lookup).
+    pub fn next_record_read(
+        &self,
+        kind: JobRecordKind,
+        calls: f64,
+        in_flight: usize,
+    ) -> Option<(Batch, &RequestQueue)> {
         let reads = match kind {
             JobRecordKind::Open => &self.open_records,
             JobRecordKind::State => &self.state_records,
         };
-        let may_send = match reads.uses_listing() {
-            true => !reads.is_listing_in_flight,
-            false => in_flight < MAX_IN_FLIGHT,
+        let (batch, may_send) = match reads.uses_listing(calls) {
+            true => (Batch::Listing(kind), !reads.is_listing_in_flight),
+            false => (Batch::RecordRead(kind), in_flight < MAX_IN_FLIGHT),
         };
-        Some(&reads.queue).filter(|_| may_send)
+        may_send.then_some((batch, &reads.queue))
     }
 
     /// All queues.
@@ -162,25 +174,17 @@
         self.refuse_displaced(ctx, refused);
     }
 
-    /// Sends a call for the first of the jobs of which nothing is known. The caller has charged
-    /// the budget.
+    /// Reads the open record of the first of the jobs of which nothing is known. The caller has
+    /// charged the budget.
     pub(super) fn send_lookup(&mut self, ctx: &mut Context) {
-        if self.lookups.unknown.len() >= MIN_COMPARED_REQUESTS {
-            return self.send_existence_check(ctx);
-        }
         if let Some(request) = self.lookups.unknown.pop_first() {
             self.send_read(ctx, JobRecordKind::Open, request);
         }
     }
 
-    /// Sends a call for the first of the records that have to be read. The caller has charged
-    /// the budget.
+    /// Reads the first of the records that have to be read. The caller has charged the budget.
     pub(super) fn send_record_read(&mut self, ctx: &mut Context, kind: JobRecordKind) {
-        let reads = self.lookups.reads(kind);
-        if reads.uses_listing() {
-            return self.send_listing(ctx, kind);
-        }
-        if let Some(request) = reads.queue.pop_first() {
+        if let Some(request) = self.lookups.reads(kind).queue.pop_first() {
             self.send_read(ctx, kind, request);
         }
     }
@@ -198,8 +202,8 @@
     }
 
     /// Compares the records of the first jobs with "does not exist", as many as fit in a
-    /// transaction.
-    fn send_existence_check(&mut self, ctx: &mut Context) {
+    /// transaction. The caller has charged the budget.
+    pub(super) fn send_existence_check(&mut self, ctx: &mut Context) {
         let max_jobs = ctx.config.max_comparisons() / COMPARISONS_PER_JOB;
         let mut jobs: BTreeSet<String> = BTreeSet::new();
         let requests = self.lookups.unknown.take_if(|id, _| {
@@ -249,8 +253,8 @@
         }
     }
 
-    /// Lists the records of waiting jobs.
-    fn send_listing(&mut self, ctx: &mut Context, kind: JobRecordKind) {
+    /// Lists the records of waiting jobs. The caller has charged the budget.
+    pub(super) fn send_listing(&mut self, ctx: &mut Context, kind: JobRecordKind) {
         let reads = self.lookups.reads(kind);
         let Some(first) = reads.listing_start(kind).map(str::to_string) else {
             return;
--- a/crates/controller/src/admission/mod.rs
+++ b/crates/controller/src/admission/mod.rs
@@ -46,17 +46,14 @@
 //!
 //! # Limits
 //!
-//! Reads, submissions and verifications are charged to a `RequestBudget`, and a new read or
-//! submission is sent only while fewer than `MAX_IN_FLIGHT` are in flight. A poll that exceeds
-//! a limit, or another request whose job must be looked up, waits in a queue
-//! (`request_queue.rs`), which is served in batches (`dispatch.rs`, `lookups.rs`,
-//! `verification.rs`). It is rejected with 503 and `Retry-After` when its user no longer waits,
-//! and its job then keeps its place in the queue for the next request about it. The transaction
-//! that cancels an open job is charged and delayed for a while instead (see `cancellation.rs`).
-//! A submission that exceeds a limit is rejected at once.
+//! Calls to the store are charged to a `RequestBudget`, and reads and submissions are sent only
+//! while fewer than `MAX_IN_FLIGHT` are in flight. A request that exceeds a limit waits in a
+//! queue (`request_queue.rs`). The job that has been without an answer longest comes first
+//! (`dispatch.rs`), and lookups and verifications are sent in batches (`lookups.rs`,
+//! `verification.rs`, `writes.rs`). A request is rejected with 503 and `Retry-After` when its
+//! user no longer waits; its job then keeps its place for the next request about it.
 
 mod ancestors;
-mod cancellation;
 mod dependency_check;
 mod dispatch;
 mod lookups;
@@ -65,16 +62,17 @@
 mod schedulability;
 mod submission;
 mod verification;
+mod writes;
 
 pub use self::request_queue::QueuedRequest;
 pub use self::schedulability::{Unschedulable, check_schedulable};
 
 use self::ancestors::AncestorChecks;
-use self::cancellation::DelayedCancellation;
-use self::dependency_check::DependencyCheck;
+use self::dependency_check::DependencyChecks;
 use self::lookups::Lookups;
 use self::request_queue::RefusedJobs;
 use self::verification::Verifications;
+use self::writes::Writes;
 use crate::Config;
 use crate::calls::Context;
 use crate::continuations::{PendingRequest, UserRequest};
@@ -85,7 +83,6 @@
 use crate::request_budget::{RequestBudget, RequestPriority, StoreCost};
 use crate::time::{MILLISECOND, Micros, SECOND, seconds};
 use dillcleat_wire::user::{JobState, JobStatus, is_job_id};
-use std::collections::HashMap;
 
 /// How long a submission or cancellation is retried. This is shorter than the 5 s after which
 /// clients stop waiting.
@@ -130,13 +127,12 @@
     /// The number of reads and submissions in flight, without verifications. The transaction of
     /// a cancellation does not count.
     in_flight: usize,
-    /// Submissions whose dependencies are being read, by the id of the check.
-    dependency_checks: HashMap<u64, DependencyCheck>,
-    last_check_id: u64,
+    /// Submissions whose dependencies are being looked up.
+    dependency_checks: DependencyChecks,
     /// Checks of the ancestors of jobs that are to be reported as open.
     ancestor_checks: AncestorChecks,
-    /// Cancellations that exceeded a limit and are sent again.
-    delayed_cancellations: Vec<DelayedCancellation>,
+    /// Submissions and cancellations whose transactions are to be sent.
+    writes: Writes,
     request_rate: RequestRate,
     /// Jobs that were observed to be cancelled and not yet reported to the leader in this
     /// process.
@@ -175,10 +171,9 @@
             lookups: Lookups::default(),
             refused_jobs: RefusedJobs::default(),
             in_flight: 0,
-            dependency_checks: HashMap::new(),
-            last_check_id: 0,
+            dependency_checks: DependencyChecks::default(),
             ancestor_checks: AncestorChecks::default(),
-            delayed_cancellations: Vec::new(),
+            writes: Writes::default(),
             request_rate: RequestRate::default(),
             cancelled: Vec::new(),
             progress: ProgressTable::default(),
@@ -219,6 +214,12 @@
         available
     }
 
+    /// Returns the cost of a call that was not sent.
+    fn return_budget(&mut self, cost: StoreCost, now: Micros) {
+        self.request_budget.put_back(cost.calls, now);
+        self.write_budget.put_back(cost.writes, now);
+    }
+
     /// Records that an open job was stored, by a request sent at `sent_at`.
     pub fn record_admission(&mut self, job: &OpenJob, sent_at: Micros) {
         let id = &job.spec.id;
@@ -277,8 +278,14 @@
             Some(cached) if !cached.is_open() => {
                 self.answer_with_state(ctx, &id, Some(cached), pending)
             }
-            // The transaction of the cancellation verifies the cached state itself.
-            Some(cached) if matches!(pending, PendingRequest::Cancel(_)) => {
+            // The transaction of the cancellation verifies the cached state itself, and an
+            // accepted job stays accepted.
+            Some(cached)
+                if matches!(
+                    pending,
+                    PendingRequest::Cancel(_) | PendingRequest::Dependency { .. }
+                ) =>
+            {
                 self.answer_with_state(ctx, &id, Some(cached), pending);
             }
             Some(_) => self.queue_verification(ctx, id, pending),
@@ -301,6 +308,9 @@
             PendingRequest::Ancestor { descendant } => {
                 self.ancestor_checks.lookup_failed(&descendant, reason);
             }
+            PendingRequest::Dependency { check_id } => {
+                self.dependency_lookup_failed(ctx, check_id, reason);
+            }
         }
     }
 
@@ -313,6 +323,8 @@
         reason: RetryReason,
     ) {
         let now = ctx.now.monotonic;
+        let waited_us = now - request.received_at;
+        log::debug!("request refused job={id} reason={reason:?} waited_us={waited_us}");
         self.refused_jobs
             .record_refusal(id, request.received_at, now);
         ctx.answer(request.id, reason.answer());
@@ -344,6 +356,9 @@
             (cached, PendingRequest::Ancestor { descendant }) => {
                 self.handle_ancestor_state(&descendant, id, cached);
             }
+            (cached, PendingRequest::Dependency { check_id }) => {
+                self.handle_dependency_state(ctx, check_id, id, cached);
+            }
             (None, PendingRequest::RejectUnlessExists { request, answer }) => {
                 if answer.status != 503 {
                     log::info!("job rejected job={id} status={}", answer.status);
@@ -354,7 +369,7 @@
                 self.answer_request(ctx, id, request, Answer::refusal(404, NO_SUCH_JOB));
             }
             (Some(cached), PendingRequest::Cancel(request)) if cached.is_open() => {
-                self.send_cancellation(ctx, id, cached, request);
+                self.queue_cancellation(ctx, id, request);
             }
             (
                 Some(cached),
@@ -400,11 +415,11 @@
         }
     }
 
-    /// Sends delayed cancellations, continues checks of ancestors, and sends calls for waiting
+    /// Repeats delayed cancellations, continues checks of ancestors, and sends calls for waiting
     /// requests, if the limits allow it. Called at every tick.
     pub fn tick(&mut self, ctx: &mut Context) {
         self.refuse_expired(ctx);
-        self.send_due_cancellations(ctx);
+        self.queue_due_cancellations(ctx);
         self.advance_ancestor_checks(ctx);
         self.send_waiting(ctx);
     }
--- a/crates/controller/src/admission/replies.rs
+++ b/crates/controller/src/admission/replies.rs
@@ -1,5 +1,6 @@
 //! Handles the store's responses to users' requests.
 
+use super::writes::WRITE_COST;
 use super::{Admission, RetryReason};
 use crate::CallError;
 use crate::calls::Context;
@@ -7,7 +8,7 @@
 use crate::job_cache::CachedJobState;
 use crate::messages::Answer;
 use crate::records::{self, JobStateRecord, OpenJob, RecordedState};
-use crate::request_budget::{RequestPriority, StoreCost};
+use crate::request_budget::RequestPriority;
 use crate::time::Micros;
 use dillcleat_wire::store::StoreResponse;
 use dillcleat_wire::user::{JobState, JobStatus};
@@ -44,11 +45,6 @@
             Step::VerifyOpen { requests } => {
                 self.handle_verification(ctx, requests, sent_at, reply);
             }
-            Step::ReadDependency {
-                check_id,
-                dependency,
-                kind,
-            } => self.handle_dependency_read(ctx, check_id, dependency, kind, &reply),
             Step::Create { request, job } => self.handle_create_reply(ctx, request, job, reply),
             Step::CancelDescendant { id } => self.handle_descendant_cancelled(ctx, &id, reply),
             Step::Cancel { id, request } => self.handle_cancel_reply(ctx, id, request, reply),
@@ -65,13 +61,10 @@
         // Without a response the outcome is unknown, since the transaction may still be
         // executed. The same transaction is sent again: it either commits or finds the record
         // of the first one.
+        let now = ctx.now.monotonic;
         if reply.is_err()
-            && ctx.now.monotonic < request.answer_by
-            && self.take_budget(
-                StoreCost::transaction(1.0),
-                RequestPriority::Change,
-                ctx.now.monotonic,
-            )
+            && now < request.answer_by
+            && self.take_budget(WRITE_COST, RequestPriority::Change, now)
         {
             return self.send_creation(ctx, request, job);
         }
--- a/crates/controller/src/admission/request_queue.rs
+++ b/crates/controller/src/admission/request_queue.rs
@@ -34,21 +34,40 @@
 
 /// A request that waits for a call to the store about a job.
 #[derive(Debug, Clone)]
-pub struct QueuedRequest {
-    /// The place of the request in every queue that it passes through.
+pub struct QueuedRequest<T = PendingRequest> {
+    /// The place of the request in a queue.
     pub(super) position: QueuePosition,
     /// The id of the job.
     pub(super) id: String,
-    pub(super) pending: PendingRequest,
+    /// What is requested.
+    pub(super) pending: T,
+}
+
+impl<T> QueuedRequest<T> {
+    fn from_entry((position, (id, pending)): (QueuePosition, (String, T))) -> QueuedRequest<T> {
+        QueuedRequest {
+            position,
+            id,
+            pending,
+        }
+    }
 }
 
 /// A bounded queue of requests.
-#[derive(Debug, Default)]
-pub(super) struct RequestQueue {
-    requests: BTreeMap<QueuePosition, (String, PendingRequest)>,
+#[derive(Debug)]
+pub(super) struct RequestQueue<T = PendingRequest> {
+    requests: BTreeMap<QueuePosition, (String, T)>,
 }
 
-impl RequestQueue {
+impl<T> Default for RequestQueue<T> {
+    fn default() -> RequestQueue<T> {
+        RequestQueue {
+            requests: BTreeMap::new(),
+        }
+    }
+}
+
+impl<T> RequestQueue<T> {
     /// The number of requests.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -61,13 +80,13 @@
     }
 
     /// The requests in their order.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, &PendingRequest)> {
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
         let requests = self.requests.values();
         requests.map(|(id, pending)| (id.as_str(), pending))
     }
 
     /// Adds a request. Returns the last one if there are too many.
-    pub fn push(&mut self, request: QueuedRequest) -> Option<QueuedRequest> {
+    pub fn push(&mut self, request: QueuedRequest<T>) -> Option<QueuedRequest<T>> {
         let QueuedRequest {
             position,
             id,
@@ -77,32 +96,20 @@
         if self.requests.len() <= MAX_QUEUED_REQUESTS {
             return None;
         }
-        self.requests.pop_last().map(queued_request)
+        self.requests.pop_last().map(QueuedRequest::from_entry)
     }
 
     /// Removes and returns the first request.
-    pub fn pop_first(&mut self) -> Option<QueuedRequest> {
-        self.requests.pop_first().map(queued_request)
+    pub fn pop_first(&mut self) -> Option<QueuedRequest<T>> {
+        self.requests.pop_first().map(QueuedRequest::from_entry)
     }
 
     /// Removes and returns the requests for which `is_taken` holds, in their order.
-    pub fn take_if(
-        &mut self,
-        mut is_taken: impl FnMut(&str, &PendingRequest) -> bool,
-    ) -> Vec<QueuedRequest> {
+    pub fn take_if(&mut self, mut is_taken: impl FnMut(&str, &T) -> bool) -> Vec<QueuedRequest<T>> {
         let taken = self
             .requests
             .extract_if(.., |_, (id, pending)| is_taken(id, pending));
-        taken.map(queued_request).collect()
-    }
-}
-
-fn queued_request((position, entry): (QueuePosition, (String, PendingRequest))) -> QueuedRequest {
-    let (id, pending) = entry;
-    QueuedRequest {
-        position,
-        id,
-        pending,
+        taken.map(QueuedRequest::from_entry).collect()
     }
 }
 
--- a/crates/controller/src/admission/submission.rs
+++ b/crates/controller/src/admission/submission.rs
@@ -1,13 +1,12 @@
-//! Validates submissions and stores the submitted jobs.
+//! Validates submissions.
 
-use super::{Admission, MAX_IN_FLIGHT, RETRY_TIMEOUT, RetryReason, check_schedulable};
+use super::{Admission, RETRY_TIMEOUT, check_schedulable};
 use crate::calls::Context;
-use crate::continuations::{AdmissionStep as Step, Continuation, PendingRequest, UserRequest};
+use crate::continuations::{PendingRequest, UserRequest};
 use crate::messages::{Answer, RequestId};
-use crate::records::{self, OpenJob};
-use crate::request_budget::{RequestPriority, StoreCost};
+use crate::records::OpenJob;
 use dillcleat_wire::cloud::MachineType;
-use dillcleat_wire::store::{self, StoreRequest, Transaction};
+use dillcleat_wire::store;
 use dillcleat_wire::user::{JobSpec, SpecError, Submission, parse_submission};
 use std::rc::Rc;
 
@@ -35,7 +34,7 @@
         }
         match validate(ctx, spec, types) {
             Ok(job) if job.spec.depends_on.is_empty() => {
-                self.submit_without_dependencies(ctx, request, job)
+                self.queue_creation(ctx, request, Rc::new(job));
             }
             Ok(job) => self.check_dependencies(ctx, request, job),
             Err(answer) => self.determine_state(
@@ -46,40 +45,6 @@
         }
         self.send_waiting(ctx);
     }
-
-    fn submit_without_dependencies(
-        &mut self,
-        ctx: &mut Context,
-        request: UserRequest,
-        job: OpenJob,
-    ) {
-        let now = ctx.now.monotonic;
-        if self.in_flight >= MAX_IN_FLIGHT
-            || !self.take_budget(StoreCost::transaction(1.0), RequestPriority::Change, now)
-        {
-            return self.refuse_request(ctx, &job.spec.id, request, RetryReason::TooManyRequests);
-        }
-        self.in_flight += 1;
-        self.send_creation(ctx, request, Rc::new(job));
-    }
-
-    /// Sends the transaction that stores the job. The caller has charged the budget and
-    /// incremented `in_flight`.
-    pub(super) fn send_creation(&self, ctx: &mut Context, request: UserRequest, job: Rc<OpenJob>) {
-        let id = &job.spec.id;
-        // Only one key is written, since the store's write limit bounds the rate of
-        // submissions. With a state record as well, a burst of small jobs waited for 10 s
-        // (docs/incidents, inc-1846 and inc-bdf3).
-        let txn = Transaction::default()
-            .compare(records::job_state_key(id), 0)
-            .compare(records::open_job_key(id), 0)
-            .put(records::open_job_key(id), &*job);
-        let step = Step::Create { request, job };
-        ctx.hedged_store_request(
-            StoreRequest::Transaction(txn),
-            Continuation::Admission(step),
-        );
-    }
 }
 
 /// The open record of a submitted job, or the answer that rejects the submission.
--- a/crates/controller/src/admission/verification.rs
+++ b/crates/controller/src/admission/verification.rs
@@ -10,6 +10,7 @@
 use crate::calls::Context;
 use crate::continuations::{AdmissionStep, Continuation, JobRecordKind, PendingRequest};
 use crate::records;
+use crate::request_budget::StoreCost;
 use crate::time::Micros;
 use dillcleat_wire::store::{StoreRequest, StoreResponse, Transaction};
 use std::collections::{BTreeSet, HashSet};
@@ -64,7 +65,7 @@
     pub(super) fn send_verification(&mut self, ctx: &mut Context) {
         let (txn, requests) = self.collect_comparisons(ctx);
         if requests.is_empty() {
-            self.request_budget.put_back(1.0, ctx.now.monotonic);
+            self.return_budget(StoreCost::READ, ctx.now.monotonic);
             return;
         }
         self.verifications.transactions_in_flight += 1;
--- a/crates/controller/src/continuations.rs
+++ b/crates/controller/src/continuations.rs
@@ -58,6 +58,11 @@
         /// The id of the job that needs this one.
         descendant: String,
     },
+    /// Looks the job up for a submission that depends on it.
+    Dependency {
+        /// The check of the submission's dependencies.
+        check_id: u64,
+    },
 }
 
 /// One of the two records of a job.
@@ -93,15 +98,6 @@
         /// The requests that wait for one of the records.
         requests: Vec<QueuedRequest>,
     },
-    /// Reads a record of a job that a submission depends on.
-    ReadDependency {
-        /// The check of the submission's dependencies.
-        check_id: u64,
-        /// The id of the job that it depends on.
-        dependency: String,
-        /// Which record is read.
-        kind: JobRecordKind,
-    },
     /// Verifies that the state records of jobs that are cached as open are unchanged.
     VerifyOpen {
         /// The requests that wait for the result.
--- a/crates/controller/src/request_budget.rs
+++ b/crates/controller/src/request_budget.rs
@@ -66,9 +66,9 @@
     fn from(pending: &PendingRequest) -> Self {
         match pending {
             PendingRequest::Status(_) | PendingRequest::Ancestor { .. } => RequestPriority::Poll,
-            PendingRequest::RejectUnlessExists { .. } | PendingRequest::Cancel(_) => {
-                RequestPriority::Change
-            }
+            PendingRequest::RejectUnlessExists { .. }
+            | PendingRequest::Cancel(_)
+            | PendingRequest::Dependency { .. } => RequestPriority::Change,
         }
     }
 }
@@ -109,13 +109,10 @@
         self.bucket.put_back(count);
     }
 
-    /// Takes `count` if it is available to this priority; returns whether it was.
-    pub fn try_take(&mut self, count: f64, priority: RequestPriority, now: Micros) -> bool {
-        let available = self.is_available(count, priority, now);
-        if available {
-            self.bucket.take(count);
-        }
-        available
+    /// The number of calls or writes that are available to requests other than polls.
+    pub fn available(&mut self, now: Micros) -> f64 {
+        self.refill(now);
+        self.bucket.available()
     }
 
     /// Whether `count` is available to this priority.
--- a/crates/controller/tests/unanswered_jobs.rs
+++ b/crates/controller/tests/unanswered_jobs.rs
@@ -1,5 +1,5 @@
-//! Users poll at regular intervals, more often than the node's budget allows to look up one
-//! job after another, and the node knows none of their jobs: its process has just started.
+//! Users ask more often than the node's budget allows, at regular intervals, and the node knows
+//! none of their jobs: its process has just started.
 
 mod common;
 
@@ -17,18 +17,43 @@
 const POLL_INTERVAL: Micros = 5 * SECOND;
 /// How long a user waits for the answer to a poll.
 const POLL_TIMEOUT: Micros = 2 * SECOND;
+/// How long a user waits for the answer to a submission or cancellation.
+const CHANGE_TIMEOUT: Micros = 5 * SECOND;
+/// How long after a refusal a user repeats a submission or cancellation.
+const RETRY_PAUSE: Micros = SECOND;
+/// For how long a user repeats a submission.
+const SUBMISSION_RETRY_TIME: Micros = 60 * SECOND;
 /// How long the store takes to answer.
 const STEP: Micros = 10 * MILLISECOND;
 const TICK_INTERVAL: Micros = 50 * MILLISECOND;
 
 type Answered = (u16, Option<JobState>);
 
-/// A user who polls one job.
+/// What a user requests, until it is answered.
+#[derive(Debug, Clone)]
+enum Action {
+    /// Polls, also after the first answer.
+    Poll,
+    Submit(Box<JobSpec>),
+    Cancel,
+}
+
+impl Action {
+    fn timeout(&self) -> Micros {
+        match self {
+            Action::Poll => POLL_TIMEOUT,
+            Action::Submit(_) | Action::Cancel => CHANGE_TIMEOUT,
+        }
+    }
+}
+
+/// A user with requests about one job.
 struct User {
     job: String,
+    action: Action,
     expected: Answered,
-    poll_at: Micros,
-    /// When the user first polled.
+    request_at: Micros,
+    /// When the user first sent the request.
     since: Option<Micros>,
     answered_at: Option<Micros>,
 }
@@ -38,8 +63,8 @@
     node: SteppedNode,
     store: MemoryStore,
     users: Vec<User>,
-    /// The polls without an answer, with their users and the time of sending.
-    polls: BTreeMap<u64, (usize, Micros)>,
+    /// The requests without an answer, with their users and the time of sending.
+    requests: BTreeMap<u64, (usize, Micros)>,
     rng: Rng,
     /// By how much the interval between two polls may differ from the usual one.
     variation: Micros,
@@ -51,7 +76,7 @@
             node: SteppedNode::with_machine_types(common::config_with_team(), START),
             store: MemoryStore::default(),
             users: Vec::new(),
-            polls: BTreeMap::new(),
+            requests: BTreeMap::new(),
             rng: Rng::with_seed(6),
             variation: 0,
         }
@@ -80,16 +105,35 @@
 
     /// Adds a user who first polls within the next interval.
     fn add_user(&mut self, job: &str, expected: Answered) {
-        let poll_at = self.node.now + self.rng.u64(..POLL_INTERVAL);
+        let request_at = self.node.now + self.rng.u64(..POLL_INTERVAL);
         self.users.push(User {
             job: job.into(),
+            action: Action::Poll,
             expected,
-            poll_at,
+            request_at,
             since: None,
             answered_at: None,
         });
     }
 
+    /// Adds a user who submits this job within the next second.
+    fn add_submission(&mut self, spec: JobSpec) {
+        self.add_user(&spec.id, (201, Some(JobState::Queued)));
+        self.set_last_action(Action::Submit(Box::new(spec)));
+    }
+
+    /// Adds a user who cancels this job within the next second.
+    fn add_cancellation(&mut self, job: &str) {
+        self.add_user(job, (200, Some(JobState::Cancelled)));
+        self.set_last_action(Action::Cancel);
+    }
+
+    fn set_last_action(&mut self, action: Action) {
+        let request_at = self.node.now + self.rng.u64(..SECOND);
+        let user = self.users.last_mut().expect("a user was added");
+        (user.action, user.request_at) = (action, request_at);
+    }
+
     fn add_open_job(&mut self, number: usize) {
         let id = job_id(number);
         self.store_open_job(&job_spec(&id));
@@ -106,24 +150,41 @@
         }
         let now = self.node.now;
         for index in 0..self.users.len() {
-            if self.users[index].poll_at > now {
+            let user = &mut self.users[index];
+            if user.request_at > now {
                 continue;
             }
-            let variation = self.rng.u64(..=2 * self.variation);
-            self.users[index].poll_at += POLL_INTERVAL + variation - self.variation;
-            self.users[index].since.get_or_insert(now);
-            let job = self.users[index].job.clone();
-            let request = self.node.poll(&job);
-            self.polls.insert(request, (index, now));
+            user.since.get_or_insert(now);
+            let request = match &user.action {
+                Action::Poll => {
+                    let variation = self.rng.u64(..=2 * self.variation);
+                    user.request_at += POLL_INTERVAL + variation - self.variation;
+                    self.node.poll(&user.job)
+                }
+                Action::Submit(spec) => {
+                    user.request_at = Micros::MAX;
+                    self.node.submit(spec)
+                }
+                Action::Cancel => {
+                    user.request_at = Micros::MAX;
+                    self.node.cancel(&user.job)
+                }
+            };
+            self.requests.insert(request, (index, now));
         }
         self.take_answers();
     }
 
     fn take_answers(&mut self) {
         for answer in std::mem::take(&mut self.node.answers) {
-            let (index, asked_at) = self.polls.remove(&answer.request).expect("a poll");
+            let request = self.requests.remove(&answer.request);
+            let (index, asked_at) = request.expect("one answer to each request");
             let user = &mut self.users[index];
-            if answer.status == 503 || self.node.now > asked_at + POLL_TIMEOUT {
+            let is_late = self.node.now > asked_at + user.action.timeout();
+            if answer.status == 503 || is_late {
+                if !matches!(user.action, Action::Poll) {
+                    user.request_at = self.node.now + RETRY_PAUSE;
+                }
                 continue;
             }
             assert_eq!((answer.status, answer.state), user.expected, "{}", user.job);
@@ -249,3 +310,80 @@
     }
     fixture.assert_all_answered(MAX_UNANSWERED);
 }
+
+/// Guards against submissions that are refused for as long as their users repeat them, since
+/// others always come when there is a write in the budget.
+#[test]
+fn submissions_are_accepted_while_the_write_budget_is_used_up() {
+    let mut fixture = Fixture::new();
+    for number in 0..100 {
+        fixture.add_submission(job_spec(&job_id(number)));
+    }
+    // The budget is 18.7 writes a second.
+    for second in 0..90 {
+        for number in 0..18 {
+            fixture.add_submission(job_spec(&job_id(10_000 + second * 18 + number)));
+        }
+        fixture.longest_unanswered(SECOND);
+    }
+    fixture.assert_all_answered(SUBMISSION_RETRY_TIME);
+}
+
+/// Guards against cancellations of unknown jobs that wait for ever beside polls and submissions.
+#[test]
+fn cancellations_are_stored_while_the_budgets_are_used_up() {
+    let mut fixture = Fixture::new();
+    for number in 0..1000 {
+        fixture.add_open_job(number);
+    }
+    for number in 2000..2100 {
+        fixture.store_open_job(&job_spec(&job_id(number)));
+        fixture.add_cancellation(&job_id(number));
+    }
+    for second in 0..90 {
+        for number in 0..18 {
+            fixture.add_submission(job_spec(&job_id(10_000 + second * 18 + number)));
+        }
+        fixture.longest_unanswered(SECOND);
+    }
+    // Cancellations write two keys, and they come before the submissions that follow them.
+    fixture.assert_all_answered(SUBMISSION_RETRY_TIME);
+}
+
+/// Guards against a submission that is refused until the budget suffices for reading all of its
+/// dependencies at once, which polls prevent.
+#[test]
+fn submissions_with_many_unknown_dependencies_are_accepted() {
+    for dependencies in [40, 300] {
+        let mut fixture = Fixture::new();
+        for number in 0..1000 {
+            fixture.add_open_job(number);
+        }
+        let names: Vec<String> = (5000..5000 + dependencies).map(job_id).collect();
+        for name in &names {
+            fixture.store_open_job(&job_spec(name));
+        }
+        fixture.longest_unanswered(POLL_INTERVAL);
+        fixture.add_submission(JobSpec {
+            depends_on: names,
+            ..job_spec("req-9")
+        });
+        fixture.assert_all_answered(SUBMISSION_RETRY_TIME);
+    }
+}
+
+/// Guards against repeated submissions that a node which doesn't know their jobs refuses.
+#[test]
+fn repeated_submissions_are_answered_after_a_restart() {
+    let mut fixture = Fixture::new();
+    for number in 0..400 {
+        let spec = job_spec(&job_id(number));
+        fixture.store_open_job(&spec);
+        let mut unschedulable = spec.clone();
+        unschedulable.cpus = 1000.0;
+        // A job that exists is not rejected, whatever the repeated submission contains.
+        fixture.add_submission(if number % 2 == 0 { spec } else { unschedulable });
+        fixture.users[number].expected = (200, Some(JobState::Queued));
+    }
+    fixture.assert_all_answered(SUBMISSION_RETRY_TIME);
+}
