--- a/crates/controller/src/admission/lookups.rs
+++ b/crates/controller/src/admission/lookups.rs
@@ -146,9 +146,8 @@
 /// Keys of jobs end with a digit.
 fn key_before(key: &str) -> String {
     let mut bytes = key.as_bytes().to_vec();
-    match bytes.pop() {
-        Some(digit @ b'1'..=b'9') => bytes.push(digit - 1),
-        _ => {}
+    if let Some(digit @ b'1'..=b'9') = bytes.pop() {
+        bytes.push(digit - 1);
     }
     String::from_utf8(bytes).unwrap_or_default()
 }
--- a/crates/controller/src/admission/mod.rs
+++ b/crates/controller/src/admission/mod.rs
@@ -6,7 +6,7 @@
 //! A submitted job has an *open record* (`q/o/`) with its description, which exists until
 //! the job's tasks are gone. The *state record* (`j/`) says that the job is done or
 //! cancelled. It is written once, by compare-and-swap: a second writer fails and reads the
-//! final state. (For jobs of earlier versions, see [`records`].)
+//! final state. (For jobs of earlier versions, see [`records`](crate::records).)
 //!
 //! # Requests
 //!
--- a/crates/simulator/examples/fault_search.rs
+++ b/crates/simulator/examples/fault_search.rs
@@ -58,6 +58,9 @@
     /// As `lowered-write-rate`, but the store's other limits are lowered as well
     #[value(name = "lowered-limits")]
     LoweredLimits,
+    /// Controllers crash while many users poll at regular intervals
+    #[value(name = "regular-polls")]
+    RegularPolls,
     /// A process crashes at a call to the store: three seeds for each call
     #[value(name = "calls")]
     StoreCallCrash,
@@ -120,6 +123,7 @@
                         }
                         Faults::LoweredWriteRate => Scenario::lowered_write_rate(seed),
                         Faults::LoweredLimits => Scenario::lowered_limits(seed),
+                        Faults::RegularPolls => Scenario::regular_polls(seed),
                         Faults::StoreCallCrash => Scenario::crash_at_call(seed),
                     };
                     let scenario = Scenario { form, ..scenario };
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod objects;
 pub mod output_digest;
 pub mod processes;
+mod regular_polls;
 pub mod rules;
 pub mod scenario;
 pub mod service_shares;
@@ -29,7 +30,8 @@
 pub use fleet::{Fleet, FleetMeasurements, FleetSettings};
 pub use rules::{Checker, LateLaunches, Rule, Violation};
 pub use scenario::{
-    CrashPoint, Fault, LEADER, LoweredWriteRate, PartitionMode, Scenario, SubmissionForm,
+    CrashPoint, Fault, LEADER, LoweredWriteRate, PartitionMode, RegularPolls, Scenario,
+    SubmissionForm,
 };
 pub use service_shares::ServiceShares;
 pub use simulation::{Outcome, Simulation};
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -226,6 +226,17 @@
     pub after_per_s: f64,
 }
 
+/// Users who poll at a fixed interval, each with a job of one task.
+#[derive(Debug, Clone, Copy)]
+pub struct RegularPolls {
+    /// The number of the users.
+    pub jobs: usize,
+    /// When the last of the jobs are submitted.
+    pub submitted_until: Micros,
+    /// By how much the time between two polls may differ from the interval.
+    pub variation: Micros,
+}
+
 /// The workload, environment and faults of a simulation.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -275,6 +286,8 @@
     pub limits_lowered_at: Option<Micros>,
     /// The limit of the store's writes per second; `None` if there is none.
     pub lowered_write_rate: Option<LoweredWriteRate>,
+    /// Users who poll at a fixed interval; `None` if there are none.
+    pub regular_polls: Option<RegularPolls>,
     /// End of the submissions and faults. The remaining time is for the jobs to finish.
     pub activity_end: Micros,
     /// End of the simulation.
@@ -486,6 +499,7 @@
             upgrade: None,
             limits_lowered_at: None,
             lowered_write_rate: None,
+            regular_polls: None,
             activity_end,
             end: activity_end + 500 * SECOND,
         }
--- a/crates/simulator/src/simulation/configuration.rs
+++ b/crates/simulator/src/simulation/configuration.rs
@@ -70,6 +70,9 @@
             config.tasks_per_chunk = PREVIOUS_TASKS_PER_CHUNK;
         }
     }
+    if scenario.regular_polls.is_some() {
+        config.max_txn_ops = INITIAL_STORE_LIMITS.max_txn_ops;
+    }
     if scenario.tight_quotas {
         let scale = f64::from(scenario.scale);
         for team in &mut config.teams {
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -8,6 +8,7 @@
 mod late_copies;
 mod network;
 mod pipelines;
+mod regular_users;
 mod requester;
 mod store_and_cloud;
 mod users;
@@ -274,6 +275,8 @@
     ended_at: Option<Micros>,
     /// Counts answers, to alternate between kinds of requests.
     answer_count: u32,
+    /// The user keeps its connection to a node and polls at a fixed interval.
+    is_regular: bool,
     /// The Kubernetes Job as which the job is submitted.
     kube_job: Option<KubernetesJob>,
     pipeline_stage: PipelineStage,
@@ -291,6 +294,7 @@
             accepted_at: None,
             ended_at: None,
             answer_count: 0,
+            is_regular: false,
             kube_job: None,
             pipeline_stage: PipelineStage::default(),
         }
@@ -507,6 +511,7 @@
         }
         simulation.add_pipelines();
         simulation.add_short_jobs();
+        simulation.add_regular_users();
         if let Some((first, every)) = simulation.scenario.upgrade {
             for node in 0..simulation.scenario.nodes {
                 simulation.schedule(first + every * node as u64, Event::UpgradeNode { node });
--- a/crates/simulator/src/simulation/users.rs
+++ b/crates/simulator/src/simulation/users.rs
@@ -240,7 +240,7 @@
     }
 
     pub(super) fn user_request(&mut self, job: usize) {
-        let mut node = self.rng.usize(..self.nodes.len());
+        let mut node = self.preferred_node(job);
         // The load balancer skips nodes that are paused or partitioned.
         let mut all_unreachable = true;
         for _ in 0..self.nodes.len() {
@@ -321,6 +321,10 @@
         status: u16,
         state: Option<JobState>,
     ) {
+        let (status, state) = match self.is_poll_abandoned(&requester, sent_at) {
+            true => (0, None),
+            false => (status, state),
+        };
         let first_result = self.first_result(&requester, status, state);
         self.apply_user_answer(requester, sent_at, status, state);
         if let Some((job, accepted)) = first_result {
@@ -434,15 +438,16 @@
                     u.final_state = ended;
                     u.stage = UserState::Ended;
                 }
-                let delay = match u.stage {
+                let next_at = match u.stage {
                     UserState::Ended => {
                         u.answer_count += 1;
-                        20 * SECOND
+                        now + 20 * SECOND
                     }
-                    _ if now < self.frequent_polls_until => 5 * SECOND / 8,
-                    _ => 5 * SECOND,
+                    _ if u.is_regular => self.next_regular_poll(sent_at),
+                    _ if now < self.frequent_polls_until => now + 5 * SECOND / 8,
+                    _ => now + 5 * SECOND,
                 };
-                self.schedule_user_request(now + delay, job);
+                self.schedule_user_request(next_at, job);
                 self.checker.poll_answered(&id, status, state, sent_at, now);
             }
         }
