--- a/crates/simulator/src/processes.rs
+++ b/crates/simulator/src/processes.rs
@@ -5,7 +5,8 @@
 use dillcleat_wire::cloud::MachineType;
 use std::fmt::Write;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -13,6 +14,11 @@
 /// How long [`until`] waits for its condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Ports below those that the system assigns to outgoing connections (from 32,768 on by default).
+const FIXED_PORTS: Range<u16> = 10_000..32_000;
+/// The number of ports that are tried for one address.
+const MAX_BIND_ATTEMPTS: u32 = 100;
+
 /// A child process that is killed when its owner is dropped.
 #[derive(Debug)]
 pub struct Process(Child);
@@ -47,14 +53,29 @@
 }
 
 /// `n` unused loopback addresses. The returned listeners reserve them: dropping one
-/// listener before the next is bound could return the same port twice.
+/// listener before the next is bound could return the same port twice. The ports are not
+/// ephemeral, so that no outgoing connection takes one of them while no process listens on it.
 pub fn free_addrs(n: usize) -> io::Result<(Vec<SocketAddr>, Vec<TcpListener>)> {
-    let listeners = (0..n).map(|_| TcpListener::bind("127.0.0.1:0"));
+    let listeners = (0..n).map(|_| bind_below_ephemeral_ports());
     let listeners = listeners.collect::<io::Result<Vec<_>>>()?;
     let addrs = listeners.iter().map(TcpListener::local_addr);
     Ok((addrs.collect::<io::Result<_>>()?, listeners))
 }
 
+/// Binds a random unused port of [`FIXED_PORTS`]. It is random so that tests in other processes
+/// are unlikely to choose it while it is not reserved.
+fn bind_below_ephemeral_ports() -> io::Result<TcpListener> {
+    let mut result = Err(io::ErrorKind::AddrInUse.into());
+    for _ in 0..MAX_BIND_ATTEMPTS {
+        let port = fastrand::u16(FIXED_PORTS);
+        result = TcpListener::bind((Ipv4Addr::LOCALHOST, port));
+        if result.is_ok() {
+            break;
+        }
+    }
+    result
+}
+
 /// Polls the condition until it is true. Panics if that takes over a minute.
 pub fn until(what: &str, mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
