Admission: at most 600 submissions and cancellations wait

A waiting submission holds its description, up to 16 KiB; 2,000 of them would be half of the memory of the smallest controllers. 600 are 10 MB, and more could hardly be sent within the 4 s that their users wait. Found by reading again, not by a run; waiting_submissions_are_bounded holds it (with the bound of 2,000 none would be refused).

--- a/crates/controller/src/admission/request_queue.rs
+++ b/crates/controller/src/admission/request_queue.rs
@@ -11,7 +11,7 @@
 use crate::time::{Micros, SECOND};
 use std::collections::{BTreeMap, HashMap};
 
-/// The maximum number of requests in a queue.
+/// The default maximum number of requests in a queue.
 const MAX_QUEUED_REQUESTS: usize = 2000;
 /// The maximum number of jobs whose refusals are remembered.
 const MAX_REFUSED_JOBS: usize = 10_000;
@@ -57,17 +57,24 @@
 #[derive(Debug)]
 pub(super) struct RequestQueue<T = PendingRequest> {
     requests: BTreeMap<QueuePosition, (String, T)>,
+    max_requests: usize,
 }
 
 impl<T> Default for RequestQueue<T> {
     fn default() -> RequestQueue<T> {
+        RequestQueue::bounded(MAX_QUEUED_REQUESTS)
+    }
+}
+
+impl<T> RequestQueue<T> {
+    /// An empty queue of at most this many requests.
+    pub fn bounded(max_requests: usize) -> RequestQueue<T> {
         RequestQueue {
             requests: BTreeMap::new(),
+            max_requests,
         }
     }
-}
 
-impl<T> RequestQueue<T> {
     /// The number of requests.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -93,7 +100,7 @@
             pending,
         } = request;
         self.requests.insert(position, (id, pending));
-        if self.requests.len() <= MAX_QUEUED_REQUESTS {
+        if self.requests.len() <= self.max_requests {
             return None;
         }
         self.requests.pop_last().map(QueuedRequest::from_entry)
--- a/crates/controller/src/admission/writes.rs
+++ b/crates/controller/src/admission/writes.rs
@@ -27,6 +27,10 @@
 /// The interval at which a cancellation that exceeds a limit of the store is sent again.
 pub(super) const CANCELLATION_RETRY_INTERVAL: Micros = 200 * MILLISECOND;
 
+/// The maximum number of submissions and cancellations that wait. Each may hold a description of
+/// the size of a value in the store, and more could hardly be sent before their users give up.
+const MAX_QUEUED_WRITES: usize = 600;
+
 /// A request whose transaction waits for the budget.
 #[derive(Debug, Clone)]
 pub(super) enum WriteRequest {
@@ -56,12 +60,21 @@
 }
 
 /// The submissions and cancellations that wait.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Writes {
     queue: RequestQueue<WriteRequest>,
     delayed_cancellations: Vec<DelayedCancellation>,
 }
 
+impl Default for Writes {
+    fn default() -> Writes {
+        Writes {
+            queue: RequestQueue::bounded(MAX_QUEUED_WRITES),
+            delayed_cancellations: Vec::new(),
+        }
+    }
+}
+
 impl Writes {
     /// The queue, unless no transaction may be sent now.
     pub fn sendable(&self, in_flight: usize) -> Option<&RequestQueue<WriteRequest>> {
--- a/crates/controller/tests/request_budget.rs
+++ b/crates/controller/tests/request_budget.rs
@@ -173,3 +173,16 @@
     // Polls stop when 23 of the 46 calls are left for other requests; submissions have used 18.
     assert_eq!(node.pending_calls.len(), 5);
 }
+
+/// Guards against submissions that use up the node's memory while they wait.
+#[test]
+fn waiting_submissions_are_bounded() {
+    let mut node = SteppedNode::with_machine_types(common::config_with_team(), 1000 * SECOND);
+    for i in 0..REQUESTS {
+        node.submit(&job_spec(&format!("req-{i}")));
+    }
+    // 18 are sent, 600 wait, and those that came last are refused at once.
+    assert_eq!(node.answers.len(), 1000 - 18 - 600);
+    let is_refused = |i: &u64| node.answer(*i).is_some_and(|(status, _)| status == 503);
+    assert!((619..=REQUESTS).all(|i| is_refused(&i)));
+}
