--- a/crates/simulator/tests/regular_polls.rs
+++ b/crates/simulator/tests/regular_polls.rs
@@ -18,3 +18,14 @@
         }
     });
 }
+
+/// In this seed, arrays of a team at its limit wait for more than 90 s beside hundreds of jobs
+/// of one task.
+const STARVED_ARRAY_SEED: u64 = 24;
+
+/// Guards against arrays that are passed over while a machine has room and their team is below
+/// its limit.
+#[test]
+fn arrays_start_beside_many_one_task_jobs_of_their_team() {
+    run_clean(Scenario::regular_polls(STARVED_ARRAY_SEED));
+}
