Admission: second reading, without a change of behaviour

- The priority of a call followed from a walk over the whole queue for each call.
It follows from the place of the first request: submissions and cancellations have a head start of 2 s, so a queue with one of them is past the time for which the reserve is kept.
- Queued requests carried their place through every step, where nobody read it: the place is the key of the queue alone.
- The requests of the first jobs were chosen in the same way for existence checks and for verifications: RequestQueue::take_first_jobs.
- What a cancellation writes beyond a submission was charged in two places; WRITE_COST repeated StoreCost::transaction.

--- a/crates/controller/src/admission/dependency_check.rs
+++ b/crates/controller/src/admission/dependency_check.rs
@@ -107,11 +107,7 @@
     /// The user who waits for this check.
     pub fn waiting_user(&self, check_id: u64) -> Option<WaitingUser<'_>> {
         let check = self.checks.get(&check_id)?;
-        Some(WaitingUser {
-            job: &check.job.spec.id,
-            received_at: check.request.received_at,
-            answer_by: check.request.answer_by,
-        })
+        Some(WaitingUser::new(&check.job.spec.id, &check.request))
     }
 
     /// Adds a check and returns its id.
--- a/crates/controller/src/admission/dispatch.rs
+++ b/crates/controller/src/admission/dispatch.rs
@@ -5,11 +5,11 @@
 
 use super::ancestors::AncestorChecks;
 use super::dependency_check::DependencyChecks;
-use super::request_queue::{QueuedRequest, RequestQueue};
+use super::request_queue::{QueuePosition, QueuedRequest, RequestQueue};
 use super::writes::WRITE_COST;
 use super::{Admission, RetryReason};
 use crate::calls::Context;
-use crate::continuations::{JobRecordKind, PendingRequest};
+use crate::continuations::{JobRecordKind, PendingRequest, UserRequest};
 use crate::request_budget::{RequestPriority, StoreCost};
 use crate::time::{MILLISECOND, Micros};
 
@@ -45,33 +45,32 @@
 
 /// What a call may be sent for now.
 #[derive(Debug, Clone, Copy)]
-struct Candidate {
+pub(super) struct Candidate {
     batch: Batch,
     /// The place of the first of its requests.
     unanswered_since: Micros,
-    priority: RequestPriority,
 }
 
 impl Candidate {
-    /// None if the queue is empty.
-    fn new<T>(
-        batch: Batch,
-        queue: &RequestQueue<T>,
-        now: Micros,
-        priority: impl Fn(&T) -> RequestPriority,
-    ) -> Option<Candidate> {
+    /// A call for the first requests of this queue; None if it is empty.
+    pub fn new<T>(batch: Batch, queue: &RequestQueue<T>) -> Option<Candidate> {
         let unanswered_since = queue.first_unanswered_since()?;
-        let priorities = queue.iter().map(|(_, pending)| priority(pending));
-        let priority = match now >= unanswered_since + MAX_RESERVE_WAIT {
-            true => RequestPriority::Change,
-            false => priorities.min().unwrap_or(RequestPriority::Poll),
-        };
         Some(Candidate {
             batch,
             unanswered_since,
-            priority,
         })
     }
+
+    /// The priority of the call. A queue with a submission or a cancellation has one that has
+    /// waited for long, by their head start.
+    fn priority(&self, now: Micros) -> RequestPriority {
+        match self.batch {
+            // The read continues a request for which a call was already sent.
+            Batch::RecordRead(_) | Batch::Listing(_) => RequestPriority::Change,
+            _ if now >= self.unanswered_since + MAX_RESERVE_WAIT => RequestPriority::Change,
+            _ => RequestPriority::Poll,
+        }
+    }
 }
 
 /// A user who waits for the result of a lookup. Times are on the monotonic clock.
@@ -85,6 +84,17 @@
     pub answer_by: Micros,
 }
 
+impl<'a> WaitingUser<'a> {
+    /// The user who sent this request about this job.
+    pub fn new(job: &'a str, request: &UserRequest) -> WaitingUser<'a> {
+        WaitingUser {
+            job,
+            received_at: request.received_at,
+            answer_by: request.answer_by,
+        }
+    }
+}
+
 /// The user who waits for the lookup of this job; None if nobody waits any more.
 fn waiting_user<'a>(
     ancestors: &'a AncestorChecks,
@@ -97,11 +107,7 @@
         PendingRequest::Dependency { check_id } => dependencies.waiting_user(*check_id),
         PendingRequest::Status(request)
         | PendingRequest::RejectUnlessExists { request, .. }
-        | PendingRequest::Cancel(request) => Some(WaitingUser {
-            job: id,
-            received_at: request.received_at,
-            answer_by: request.answer_by,
-        }),
+        | PendingRequest::Cancel(request) => Some(WaitingUser::new(id, request)),
     }
 }
 
@@ -126,55 +132,37 @@
         let mut candidates = self.candidates(now);
         candidates.sort_by_key(|candidate| candidate.unanswered_since);
         let mut batches = candidates.into_iter();
-        let affordable = |c: &Candidate| self.take_budget(c.batch.cost(), c.priority, now);
+        let affordable = |c: &Candidate| self.take_budget(c.batch.cost(), c.priority(now), now);
         batches.find(affordable).map(|candidate| candidate.batch)
     }
 
     fn candidates(&mut self, now: Micros) -> Vec<Candidate> {
-        let calls = self.request_budget.available(now);
-        let lookup = self.lookups.next_lookup(calls, self.in_flight);
-        let lookup = lookup
-            .and_then(|(batch, queue)| Candidate::new(batch, queue, now, |pending| pending.into()));
-        let reads = [JobRecordKind::Open, JobRecordKind::State].map(|kind| {
-            let (batch, queue) = self.lookups.next_record_read(kind, calls, self.in_flight)?;
-            // The read continues a request for which a call was already sent.
-            Candidate::new(batch, queue, now, |_| RequestPriority::Change)
-        });
-        let verification = self.verifications.sendable().and_then(|queue| {
-            Candidate::new(Batch::Verification, queue, now, |pending| pending.into())
-        });
-        let write = self.writes.sendable(self.in_flight).and_then(|queue| {
-            Candidate::new(Batch::Write, queue, now, |_| RequestPriority::Change)
-        });
-        let [open, state] = reads;
-        let candidates = [lookup, open, state, verification, write];
+        let (calls, in_flight) = (self.request_budget.available(now), self.in_flight);
+        let record_read = |kind| self.lookups.next_record_read(kind, calls, in_flight);
+        let candidates = [
+            self.lookups.next_lookup(calls, in_flight),
+            record_read(JobRecordKind::Open),
+            record_read(JobRecordKind::State),
+            self.verifications.next_verification(),
+            self.writes.next_write(in_flight),
+        ];
         candidates.into_iter().flatten().collect()
     }
 
-    /// A request with its place in the queues.
-    pub(super) fn queued_request(
+    /// The place of a request in the queues.
+    pub(super) fn queue_position(
         &mut self,
         ctx: &Context,
-        id: String,
-        pending: PendingRequest,
-    ) -> QueuedRequest {
-        let user = waiting_user(
-            &self.ancestor_checks,
-            &self.dependency_checks,
-            &id,
-            &pending,
-        );
+        id: &str,
+        pending: &PendingRequest,
+    ) -> QueuePosition {
+        let user = waiting_user(&self.ancestor_checks, &self.dependency_checks, id, pending);
         let (job, received_at) = match user {
             Some(user) => (user.job, user.received_at),
-            None => (id.as_str(), ctx.now.monotonic),
+            None => (id, ctx.now.monotonic),
         };
-        let priority = RequestPriority::from(&pending);
-        let position = self.refused_jobs.position(job, received_at, priority);
-        QueuedRequest {
-            position,
-            id,
-            pending,
-        }
+        self.refused_jobs
+            .position(job, received_at, RequestPriority::from(pending))
     }
 
     /// Refuses the requests whose users no longer wait for an answer. Called at every tick.
@@ -182,8 +170,8 @@
         self.refuse_expired_writes(ctx);
         let now = ctx.now.monotonic;
         let (ancestors, dependencies) = (&self.ancestor_checks, &self.dependency_checks);
-        let is_expired = |id: &str, pending: &PendingRequest| {
-            let user = waiting_user(ancestors, dependencies, id, pending);
+        let is_expired = |request: &QueuedRequest| {
+            let user = waiting_user(ancestors, dependencies, &request.id, &request.pending);
             user.is_none_or(|user| now > user.answer_by)
         };
         let mut expired = self.verifications.queue().take_if(is_expired);
--- a/crates/controller/src/admission/lookups.rs
+++ b/crates/controller/src/admission/lookups.rs
@@ -14,7 +14,7 @@
 //! A request is only answered by calls that were sent after it was received. Requests must
 //! not join a call in flight: the store may have executed it before.
 
-use super::dispatch::Batch;
+use super::dispatch::{Batch, Candidate};
 use super::request_queue::{QueuedRequest, RequestQueue};
 use super::{Admission, MAX_IN_FLIGHT, RetryReason};
 use crate::CallError;
@@ -64,17 +64,16 @@
 
     /// The first of the waiting jobs, by id, after the latest listing.
     fn next_in_round(&self) -> Option<&str> {
-        let ids = || self.queue.iter().map(|(id, _)| id);
         let listed_to = self.listed_to.as_str();
-        let next = ids().filter(|id| *id > listed_to).min();
-        next.or_else(|| ids().min())
+        let next = self.queue.ids().filter(|id| *id > listed_to).min();
+        next.or_else(|| self.queue.ids().min())
     }
 
     /// The waiting job with whose record the next listing begins.
     fn listing_start(&self, kind: JobRecordKind) -> Option<&str> {
         match kind {
             JobRecordKind::Open => self.next_in_round(),
-            JobRecordKind::State => self.queue.iter().next().map(|(id, _)| id),
+            JobRecordKind::State => self.queue.ids().next(),
         }
     }
 }
@@ -87,9 +86,9 @@
         }
     }
 
-    /// The next call about jobs of which nothing is known, with their queue. None if it may not
-    /// be sent now. `calls` is the number of calls in the budget.
-    pub fn next_lookup(&self, calls: f64, in_flight: usize) -> Option<(Batch, &RequestQueue)> {
+    /// The next call about jobs of which nothing is known. None if it may not be sent now.
+    /// `calls` is the number of calls in the budget.
+    pub fn next_lookup(&self, calls: f64, in_flight: usize) -> Option<Candidate> {
         let waiting = self.unknown.len();
         let (batch, may_send) = match waiting >= MIN_COMPARED_REQUESTS && waiting as f64 > calls {
             true => {
@@ -98,7 +97,7 @@
             }
             false => (Batch::Lookup, in_flight < MAX_IN_FLIGHT),
         };
-        may_send.then_some((batch, &self.unknown))
+        Candidate::new(batch, &self.unknown).filter(|_| may_send)
     }
 
     /// The next call for records of this kind, as [`next_lookup`](Self::next_lookup).
@@ -107,7 +106,7 @@
         kind: JobRecordKind,
         calls: f64,
         in_flight: usize,
-    ) -> Option<(Batch, &RequestQueue)> {
+    ) -> Option<Candidate> {
         let reads = match kind {
             JobRecordKind::Open => &self.open_records,
             JobRecordKind::State => &self.state_records,
@@ -116,7 +115,7 @@
             true => (Batch::Listing(kind), !reads.is_listing_in_flight),
             false => (Batch::RecordRead(kind), in_flight < MAX_IN_FLIGHT),
         };
-        may_send.then_some((batch, &reads.queue))
+        Candidate::new(batch, &reads.queue).filter(|_| may_send)
     }
 
     /// All queues.
@@ -155,9 +154,10 @@
 impl Admission {
     /// Queues a request about a job that is not cached.
     pub(super) fn queue_lookup(&mut self, ctx: &mut Context, id: String, pending: PendingRequest) {
-        let request = self.queued_request(ctx, id, pending);
-        let refused = self.lookups.unknown.push(request);
-        self.refuse_displaced(ctx, refused);
+        let position = self.queue_position(ctx, &id, &pending);
+        let request = QueuedRequest { id, pending };
+        let displaced = self.lookups.unknown.push(position, request);
+        self.refuse_displaced(ctx, displaced);
     }
 
     /// Queues a request that needs a record of its job.
@@ -168,9 +168,10 @@
         id: String,
         pending: PendingRequest,
     ) {
-        let request = self.queued_request(ctx, id, pending);
-        let refused = self.lookups.reads(kind).queue.push(request);
-        self.refuse_displaced(ctx, refused);
+        let position = self.queue_position(ctx, &id, &pending);
+        let request = QueuedRequest { id, pending };
+        let displaced = self.lookups.reads(kind).queue.push(position, request);
+        self.refuse_displaced(ctx, displaced);
     }
 
     /// Reads the open record of the first of the jobs of which nothing is known. The caller has
@@ -190,7 +191,7 @@
 
     fn send_read(&mut self, ctx: &mut Context, kind: JobRecordKind, request: QueuedRequest) {
         self.in_flight += 1;
-        let QueuedRequest { id, pending, .. } = request;
+        let QueuedRequest { id, pending } = request;
         let call = StoreRequest::Get {
             key: record_key(kind, &id),
         };
@@ -204,15 +205,10 @@
     /// transaction. The caller has charged the budget.
     pub(super) fn send_existence_check(&mut self, ctx: &mut Context) {
         let max_jobs = ctx.config.max_comparisons() / COMPARISONS_PER_JOB;
-        let mut jobs: BTreeSet<String> = BTreeSet::new();
-        let requests = self.lookups.unknown.take_if(|id, _| {
-            if jobs.len() < max_jobs {
-                jobs.insert(id.to_string());
-            }
-            jobs.contains(id)
-        });
+        let requests = self.lookups.unknown.take_first_jobs(max_jobs, |_| true);
+        let jobs: BTreeSet<&str> = requests.iter().map(|request| &*request.id).collect();
         let mut txn = Transaction::default();
-        for id in &jobs {
+        for id in jobs {
             txn = txn
                 .compare(records::open_job_key(id), 0)
                 .compare(records::job_state_key(id), 0);
@@ -239,7 +235,7 @@
             _ => return self.refuse_all(ctx, requests, RetryReason::StoreUnreachable),
         };
         for request in requests {
-            let QueuedRequest { id, pending, .. } = request;
+            let QueuedRequest { id, pending } = request;
             // The open record names the jobs that this one needs, so it is read first. It may
             // still exist although the job has ended.
             if existing.contains(&records::open_job_key(&id)) {
@@ -258,7 +254,7 @@
         let Some(first) = reads.listing_start(kind).map(str::to_string) else {
             return;
         };
-        let requests = reads.queue.take_if(|id, _| id >= first.as_str());
+        let requests = reads.queue.take_if(|request| request.id >= first);
         reads.is_listing_in_flight = true;
         let call = StoreRequest::List {
             prefix: record_key(kind, ""),
@@ -287,7 +283,7 @@
         self.lookups.reads(kind).listed_to = listed_to.to_string();
         let rows = self.cache_page(kind, page, &requests);
         for request in requests {
-            let QueuedRequest { id, pending, .. } = request;
+            let QueuedRequest { id, pending } = request;
             let key = record_key(kind, &id);
             if let Some(row) = rows.get(&key) {
                 self.handle_record(ctx, kind, id, pending, row);
--- a/crates/controller/src/admission/mod.rs
+++ b/crates/controller/src/admission/mod.rs
@@ -84,8 +84,8 @@
 use crate::time::{MILLISECOND, Micros, SECOND, seconds};
 use dillcleat_wire::user::{JobState, JobStatus, is_job_id};
 
-/// How long a submission or cancellation is retried. This is shorter than the 5 s after which
-/// clients stop waiting.
+/// How long a submission or cancellation may wait and is retried. This is shorter than the 5 s
+/// after which clients stop waiting.
 const RETRY_TIMEOUT: Micros = 4 * SECOND;
 /// How long a poll may wait. This is shorter than the 2 s after which clients stop waiting.
 const POLL_TIMEOUT: Micros = 1500 * MILLISECOND;
--- a/crates/controller/src/admission/request_queue.rs
+++ b/crates/controller/src/admission/request_queue.rs
@@ -9,7 +9,7 @@
 use crate::continuations::PendingRequest;
 use crate::request_budget::RequestPriority;
 use crate::time::{Micros, SECOND};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// The default maximum number of requests in a queue.
 const MAX_QUEUED_REQUESTS: usize = 2000;
@@ -32,31 +32,19 @@
     sequence: u64,
 }
 
-/// A request that waits for a call to the store about a job.
+/// A request that waits for a call to the store about a job, or for the response.
 #[derive(Debug, Clone)]
 pub struct QueuedRequest<T = PendingRequest> {
-    /// The place of the request in a queue.
-    pub(super) position: QueuePosition,
     /// The id of the job.
     pub(super) id: String,
     /// What is requested.
     pub(super) pending: T,
 }
 
-impl<T> QueuedRequest<T> {
-    fn from_entry((position, (id, pending)): (QueuePosition, (String, T))) -> QueuedRequest<T> {
-        QueuedRequest {
-            position,
-            id,
-            pending,
-        }
-    }
-}
-
 /// A bounded queue of requests.
 #[derive(Debug)]
 pub(super) struct RequestQueue<T = PendingRequest> {
-    requests: BTreeMap<QueuePosition, (String, T)>,
+    requests: BTreeMap<QueuePosition, QueuedRequest<T>>,
     max_requests: usize,
 }
 
@@ -80,43 +68,59 @@
         self.requests.len()
     }
 
-    /// The time since which the first request's job has been without an answer.
+    /// The time since which the first request's job has been without an answer, less the head
+    /// start.
     pub fn first_unanswered_since(&self) -> Option<Micros> {
         let (position, _) = self.requests.first_key_value()?;
         Some(position.unanswered_since)
     }
 
-    /// The requests in their order.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, &T)> {
-        let requests = self.requests.values();
-        requests.map(|(id, pending)| (id.as_str(), pending))
+    /// The ids of the requests' jobs, in the order of the requests.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.requests.values().map(|request| request.id.as_str())
     }
 
     /// Adds a request. Returns the last one if there are too many.
-    pub fn push(&mut self, request: QueuedRequest<T>) -> Option<QueuedRequest<T>> {
-        let QueuedRequest {
-            position,
-            id,
-            pending,
-        } = request;
-        self.requests.insert(position, (id, pending));
+    pub fn push(
+        &mut self,
+        position: QueuePosition,
+        request: QueuedRequest<T>,
+    ) -> Option<QueuedRequest<T>> {
+        self.requests.insert(position, request);
         if self.requests.len() <= self.max_requests {
             return None;
         }
-        self.requests.pop_last().map(QueuedRequest::from_entry)
+        self.requests.pop_last().map(|(_, request)| request)
     }
 
     /// Removes and returns the first request.
     pub fn pop_first(&mut self) -> Option<QueuedRequest<T>> {
-        self.requests.pop_first().map(QueuedRequest::from_entry)
+        self.requests.pop_first().map(|(_, request)| request)
     }
 
     /// Removes and returns the requests for which `is_taken` holds, in their order.
-    pub fn take_if(&mut self, mut is_taken: impl FnMut(&str, &T) -> bool) -> Vec<QueuedRequest<T>> {
-        let taken = self
-            .requests
-            .extract_if(.., |_, (id, pending)| is_taken(id, pending));
-        taken.map(QueuedRequest::from_entry).collect()
+    pub fn take_if(
+        &mut self,
+        mut is_taken: impl FnMut(&QueuedRequest<T>) -> bool,
+    ) -> Vec<QueuedRequest<T>> {
+        let taken = self.requests.extract_if(.., |_, request| is_taken(request));
+        taken.map(|(_, request)| request).collect()
+    }
+
+    /// Removes and returns the requests of the first `max_jobs` jobs for which `is_eligible`
+    /// holds, in their order.
+    pub fn take_first_jobs(
+        &mut self,
+        max_jobs: usize,
+        is_eligible: impl Fn(&str) -> bool,
+    ) -> Vec<QueuedRequest<T>> {
+        let mut jobs: HashSet<String> = HashSet::new();
+        self.take_if(|QueuedRequest { id, .. }| {
+            if jobs.len() < max_jobs && is_eligible(id) {
+                jobs.insert(id.clone());
+            }
+            jobs.contains(id)
+        })
     }
 }
 
--- a/crates/controller/src/admission/verification.rs
+++ b/crates/controller/src/admission/verification.rs
@@ -4,6 +4,7 @@
 //! a transaction is in flight must wait for a later one, since only a comparison that is
 //! sent after the request was received may answer it.
 
+use super::dispatch::{Batch, Candidate};
 use super::request_queue::{QueuedRequest, RequestQueue};
 use super::{Admission, RetryReason};
 use crate::CallError;
@@ -32,12 +33,12 @@
 }
 
 impl Verifications {
-    /// The queue, unless no transaction may be sent now.
-    pub fn sendable(&self) -> Option<&RequestQueue> {
-        let is_sendable = |(id, _)| !self.jobs_in_flight.contains(id);
+    /// The next transaction. None if it may not be sent now.
+    pub fn next_verification(&self) -> Option<Candidate> {
+        let is_sendable = |id| !self.jobs_in_flight.contains(id);
         let may_send =
-            self.transactions_in_flight < MAX_TRANSACTIONS && self.queue.iter().any(is_sendable);
-        Some(&self.queue).filter(|_| may_send)
+            self.transactions_in_flight < MAX_TRANSACTIONS && self.queue.ids().any(is_sendable);
+        Candidate::new(Batch::Verification, &self.queue).filter(|_| may_send)
     }
 
     /// The requests for the next transaction.
@@ -55,8 +56,9 @@
         id: String,
         pending: PendingRequest,
     ) {
-        let request = self.queued_request(ctx, id, pending);
-        let displaced = self.verifications.queue.push(request);
+        let position = self.queue_position(ctx, &id, &pending);
+        let request = QueuedRequest { id, pending };
+        let displaced = self.verifications.queue.push(position, request);
         self.refuse_displaced(ctx, displaced);
     }
 
@@ -82,19 +84,13 @@
     /// answered, and one whose job is no longer cached is looked up.
     fn collect_comparisons(&mut self, ctx: &mut Context) -> (Transaction, Vec<QueuedRequest>) {
         let max_jobs = ctx.config.max_comparisons();
-        let mut jobs: BTreeSet<String> = BTreeSet::new();
         let Verifications {
             queue,
             jobs_in_flight,
             ..
         } = &mut self.verifications;
-        let requests = queue.take_if(|id, _| {
-            if jobs.len() < max_jobs && !jobs_in_flight.contains(id) {
-                jobs.insert(id.to_string());
-            }
-            jobs.contains(id)
-        });
-        jobs.clear();
+        let requests = queue.take_first_jobs(max_jobs, |id| !jobs_in_flight.contains(id));
+        let mut jobs: BTreeSet<String> = BTreeSet::new();
         let mut txn = Transaction::default();
         let mut compared = Vec::new();
         for request in requests {
@@ -149,7 +145,7 @@
         request: QueuedRequest,
         is_changed: bool,
     ) {
-        let QueuedRequest { id, pending, .. } = request;
+        let QueuedRequest { id, pending } = request;
         match self.cache.get(&id) {
             Some(cached) if !is_changed || !cached.is_open() => {
                 self.answer_with_state(ctx, &id, Some(cached), pending);
--- a/crates/controller/src/admission/writes.rs
+++ b/crates/controller/src/admission/writes.rs
@@ -6,6 +6,7 @@
 //! most of the store's limit, the store may still refuse a cancellation; it is then sent again
 //! at short intervals for as long as its user waits.
 
+use super::dispatch::{Batch, Candidate};
 use super::request_queue::{QueuedRequest, RequestQueue};
 use super::{Admission, MAX_IN_FLIGHT, RetryReason};
 use crate::calls::Context;
@@ -20,10 +21,7 @@
 /// The number of keys that a cancellation writes: the state record and the cancellation record.
 const CANCELLATION_WRITES: f64 = 2.0;
 /// The cost that must be available for a submission or a cancellation to be sent.
-pub(super) const WRITE_COST: StoreCost = StoreCost {
-    calls: 1.0,
-    writes: 1.0,
-};
+pub(super) const WRITE_COST: StoreCost = StoreCost::transaction(1.0);
 /// The interval at which a cancellation that exceeds a limit of the store is sent again.
 pub(super) const CANCELLATION_RETRY_INTERVAL: Micros = 200 * MILLISECOND;
 
@@ -76,9 +74,9 @@
 }
 
 impl Writes {
-    /// The queue, unless no transaction may be sent now.
-    pub fn sendable(&self, in_flight: usize) -> Option<&RequestQueue<WriteRequest>> {
-        Some(&self.queue).filter(|_| in_flight < MAX_IN_FLIGHT)
+    /// The next transaction. None if it may not be sent now.
+    pub fn next_write(&self, in_flight: usize) -> Option<Candidate> {
+        Candidate::new(Batch::Write, &self.queue).filter(|_| in_flight < MAX_IN_FLIGHT)
     }
 }
 
@@ -102,12 +100,9 @@
     fn queue_write(&mut self, ctx: &mut Context, id: String, pending: WriteRequest) {
         let received_at = pending.user_request().received_at;
         let priority = RequestPriority::Change;
-        let request = QueuedRequest {
-            position: self.refused_jobs.position(&id, received_at, priority),
-            id,
-            pending,
-        };
-        if let Some(displaced) = self.writes.queue.push(request) {
+        let position = self.refused_jobs.position(&id, received_at, priority);
+        let request = QueuedRequest { id, pending };
+        if let Some(displaced) = self.writes.queue.push(position, request) {
             self.refuse_write(ctx, displaced);
         }
     }
@@ -120,7 +115,7 @@
     /// Sends the first transaction of the queue. The caller has charged the budget with
     /// [`WRITE_COST`].
     pub(super) fn send_write(&mut self, ctx: &mut Context) {
-        let Some(QueuedRequest { id, pending, .. }) = self.writes.queue.pop_first() else {
+        let Some(QueuedRequest { id, pending }) = self.writes.queue.pop_first() else {
             return;
         };
         match pending {
@@ -165,9 +160,7 @@
         cached: CachedJobState,
         request: UserRequest,
     ) {
-        let now = ctx.now.monotonic;
-        self.write_budget
-            .charge(CANCELLATION_WRITES - WRITE_COST.writes, now);
+        self.charge_cancellation_overdraft(ctx.now.monotonic);
         let step = Step::Cancel {
             id: id.to_string(),
             request,
@@ -182,12 +175,17 @@
     pub(super) fn take_cancellation_budget(&mut self, now: Micros) -> bool {
         let available = self.take_budget(WRITE_COST, RequestPriority::Change, now);
         if available {
-            self.write_budget
-                .charge(CANCELLATION_WRITES - WRITE_COST.writes, now);
+            self.charge_cancellation_overdraft(now);
         }
         available
     }
 
+    /// Charges what a cancellation writes beyond [`WRITE_COST`].
+    fn charge_cancellation_overdraft(&mut self, now: Micros) {
+        self.write_budget
+            .charge(CANCELLATION_WRITES - WRITE_COST.writes, now);
+    }
+
     /// Returns the writes of a cancellation that the store refused to the budget.
     pub(super) fn return_cancellation_budget(&mut self, now: Micros) {
         self.write_budget.put_back(CANCELLATION_WRITES, now);
@@ -230,8 +228,9 @@
     /// tick.
     pub(super) fn refuse_expired_writes(&mut self, ctx: &mut Context) {
         let now = ctx.now.monotonic;
-        let is_expired = |write: &WriteRequest| now > write.user_request().answer_by;
-        for write in self.writes.queue.take_if(|_, write| is_expired(write)) {
+        let is_expired =
+            |write: &QueuedRequest<_>| now > WriteRequest::user_request(&write.pending).answer_by;
+        for write in self.writes.queue.take_if(is_expired) {
             self.refuse_write(ctx, write);
         }
     }
--- a/crates/controller/src/request_budget.rs
+++ b/crates/controller/src/request_budget.rs
@@ -43,7 +43,7 @@
     };
 
     /// The cost of one transaction that writes this number of keys.
-    pub fn transaction(writes: f64) -> StoreCost {
+    pub const fn transaction(writes: f64) -> StoreCost {
         StoreCost { calls: 1.0, writes }
     }
 }
--- a/crates/controller/tests/common/stepped_node.rs
+++ b/crates/controller/tests/common/stepped_node.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Stores a record, whatever is there.
+    pub fn put<T: serde::Serialize>(&mut self, key: String, record: &T) {
+        let txn = Transaction::default().put(key, record);
+        self.execute(&StoreRequest::Transaction(txn));
+    }
+
     /// The state in the job's state record, if it has one.
     pub fn recorded_state(&self, id: &str) -> Option<RecordedState> {
         let row = self.row(&records::job_state_key(id))?;
--- a/crates/controller/tests/unanswered_jobs.rs
+++ b/crates/controller/tests/unanswered_jobs.rs
@@ -6,7 +6,6 @@
 use common::stepped_node::{MemoryStore, SteppedNode, job_spec};
 use dillcleat_controller::records::{self, JobStateRecord, RecordedState};
 use dillcleat_controller::{MILLISECOND, Micros, SECOND};
-use dillcleat_wire::store::Transaction;
 use dillcleat_wire::user::{JobSpec, JobState};
 use fastrand::Rng;
 use std::collections::BTreeMap;
@@ -88,9 +87,7 @@
             self.node
                 .node
                 .build_open_record(spec.clone(), None, common::timestamp(self.node.now));
-        let txn = Transaction::default().put(records::open_job_key(&spec.id), &job);
-        self.store
-            .execute(&dillcleat_wire::store::StoreRequest::Transaction(txn));
+        self.store.put(records::open_job_key(&spec.id), &job);
     }
 
     fn store_end(&mut self, id: &str, state: RecordedState) {
@@ -98,9 +95,7 @@
             state,
             task_count: 2,
         };
-        let txn = Transaction::default().put(records::job_state_key(id), &record);
-        self.store
-            .execute(&dillcleat_wire::store::StoreRequest::Transaction(txn));
+        self.store.put(records::job_state_key(id), &record);
     }
 
     /// Adds a user who first polls within the next interval.
@@ -134,6 +129,15 @@
         (user.action, user.request_at) = (action, request_at);
     }
 
+    /// Users who poll this many open jobs.
+    fn with_open_jobs(jobs: usize) -> Fixture {
+        let mut fixture = Fixture::new();
+        for number in 0..jobs {
+            fixture.add_open_job(number);
+        }
+        fixture
+    }
+
     fn add_open_job(&mut self, number: usize) {
         let id = job_id(number);
         self.store_open_job(&job_spec(&id));
@@ -205,6 +209,16 @@
         self.users.iter().map(unanswered).max().unwrap_or(0)
     }
 
+    /// Lets 90 s pass in which users submit 18 jobs a second. The budget is 18.7 writes a second.
+    fn submit_at_the_write_budget(&mut self) {
+        for second in 0..90 {
+            for number in 0..18 {
+                self.add_submission(job_spec(&job_id(10_000 + second * 18 + number)));
+            }
+            self.longest_unanswered(SECOND);
+        }
+    }
+
     fn assert_all_answered(&mut self, limit: Micros) {
         let longest = self.longest_unanswered(MAX_UNANSWERED + 2 * POLL_INTERVAL);
         assert!(longest <= limit, "a job had no answer for {longest} us");
@@ -221,11 +235,8 @@
 fn every_open_job_is_answered_after_a_restart() {
     // From a few jobs more than the budget suffices for to several pages of a listing.
     for (jobs, variation) in [(300, 0), (1000, 0), (1000, 500 * MILLISECOND), (3000, 0)] {
-        let mut fixture = Fixture::new();
+        let mut fixture = Fixture::with_open_jobs(jobs);
         fixture.variation = variation;
-        for number in 0..jobs {
-            fixture.add_open_job(number);
-        }
         // docs/scale.md: an open job is answered at its first or second poll.
         fixture.assert_all_answered(POLL_INTERVAL + POLL_TIMEOUT);
     }
@@ -273,10 +284,7 @@
 /// Guards against new users who take the budget from those who wait.
 #[test]
 fn jobs_are_answered_while_new_users_arrive() {
-    let mut fixture = Fixture::new();
-    for number in 0..600 {
-        fixture.add_open_job(number);
-    }
+    let mut fixture = Fixture::with_open_jobs(600);
     for second in 0..40 {
         for number in 0..60 {
             fixture.add_open_job(10_000 + second * 60 + number);
@@ -290,10 +298,7 @@
 /// use up the budget.
 #[test]
 fn jobs_with_ancestors_are_answered_after_a_restart() {
-    let mut fixture = Fixture::new();
-    for number in 0..500 {
-        fixture.add_open_job(number);
-    }
+    let mut fixture = Fixture::with_open_jobs(500);
     for number in 0..100 {
         let names = (0..20).map(|ancestor| job_id(20_000 + number * 20 + ancestor));
         let names: Vec<String> = names.collect();
@@ -319,33 +324,19 @@
     for number in 0..100 {
         fixture.add_submission(job_spec(&job_id(number)));
     }
-    // The budget is 18.7 writes a second.
-    for second in 0..90 {
-        for number in 0..18 {
-            fixture.add_submission(job_spec(&job_id(10_000 + second * 18 + number)));
-        }
-        fixture.longest_unanswered(SECOND);
-    }
+    fixture.submit_at_the_write_budget();
     fixture.assert_all_answered(SUBMISSION_RETRY_TIME);
 }
 
 /// Guards against cancellations of unknown jobs that wait for ever beside polls and submissions.
 #[test]
 fn cancellations_are_stored_while_the_budgets_are_used_up() {
-    let mut fixture = Fixture::new();
-    for number in 0..1000 {
-        fixture.add_open_job(number);
-    }
+    let mut fixture = Fixture::with_open_jobs(1000);
     for number in 2000..2100 {
         fixture.store_open_job(&job_spec(&job_id(number)));
         fixture.add_cancellation(&job_id(number));
     }
-    for second in 0..90 {
-        for number in 0..18 {
-            fixture.add_submission(job_spec(&job_id(10_000 + second * 18 + number)));
-        }
-        fixture.longest_unanswered(SECOND);
-    }
+    fixture.submit_at_the_write_budget();
     // Cancellations write two keys, and they come before the submissions that follow them.
     fixture.assert_all_answered(SUBMISSION_RETRY_TIME);
 }
@@ -355,10 +346,7 @@
 #[test]
 fn submissions_with_many_unknown_dependencies_are_accepted() {
     for dependencies in [40, 300] {
-        let mut fixture = Fixture::new();
-        for number in 0..1000 {
-            fixture.add_open_job(number);
-        }
+        let mut fixture = Fixture::with_open_jobs(1000);
         let names: Vec<String> = (5000..5000 + dependencies).map(job_id).collect();
         for name in &names {
             fixture.store_open_job(&job_spec(name));
