--- a/crates/simulator/src/simulation/extra_requests.rs
+++ b/crates/simulator/src/simulation/extra_requests.rs
@@ -170,24 +170,16 @@
             return;
         };
         for n in 0..SHORT_JOBS_PER_SECOND * time / SECOND {
-            let job = self.users.len();
             let at = from + n * SECOND / SHORT_JOBS_PER_SECOND;
             let cancels = self.auxiliary_rng.u8(..4) == 0;
             let cancel_at = cancels.then(|| at + self.auxiliary_rng.u64(..8 * SECOND));
-            let id = format!("req-{:06}", 1000 + job * 7);
             let spec = JobSpec {
                 class: "stream".into(),
                 team: if n % 3 == 0 { "bound" } else { "free" }.into(),
-                ..JobSpec::plain(&id, JobKind::Batch, 1, 1.0)
+                ..JobSpec::plain(&self.next_job_id(), JobKind::Batch, 1, 1.0)
             };
-            let behaviour = TaskBehaviour {
-                run_time: self.auxiliary_rng.u64(SECOND..8 * SECOND),
-                fails: false,
-                spec: spec.clone(),
-            };
-            self.task_behaviours.insert(id, behaviour);
-            self.users.push(User::new(spec, cancel_at));
-            self.schedule(at, Event::UserRequest { job });
+            let run_time = self.auxiliary_rng.u64(SECOND..8 * SECOND);
+            self.schedule_user(at, User::new(spec, cancel_at), run_time);
         }
     }
 }
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -26,7 +26,7 @@
 use crate::rules::{Checker, LateLaunches, Limit, MachineAttributes, Violation};
 use crate::scenario::{Fault, PartitionMode, Scenario, SubmissionForm};
 use crate::service_shares::ServiceShares;
-use crate::store::{SimulatedStore, Watches};
+use crate::store::{PageLimit, SimulatedStore, Watches};
 use crate::worker::{HEARTBEAT_TIMEOUT, TaskBehaviour, Worker, WorkerEvent};
 use dillcleat_controller::fencing_tokens::TOKENS_PER_TERM;
 use dillcleat_controller::{
@@ -413,6 +413,10 @@
             .map(|t| (t.name.clone(), Limit::of(t)))
             .filter(|(_, limit)| limit.cpus > 0.0 || limit.gpus > 0.0)
             .collect();
+        let page_limit = match scenario.regular_polls {
+            Some(_) => PageLimit::FULL,
+            None => PageLimit::SMALL,
+        };
         let mut simulation = Simulation {
             now: 0,
             last_event_id: 0,
@@ -440,7 +444,8 @@
                 )
             } else {
                 SimulatedStore::new(config.max_value_bytes, config.max_txn_ops)
-            },
+            }
+            .with_page_limit(page_limit),
             cloud: Cloud::new(
                 machine_types(scenario.tight_quotas),
                 4 * scenario.scale,
--- a/crates/simulator/src/simulation/pipelines.rs
+++ b/crates/simulator/src/simulation/pipelines.rs
@@ -75,7 +75,6 @@
         pipeline_stage: PipelineStage,
         cancel_at: Option<Micros>,
     ) {
-        let job = self.users.len();
         let spec = JobSpec {
             class: "stage".into(),
             team: if rng.bool() { "bound" } else { "free" }.into(),
@@ -87,24 +86,13 @@
                 .map(|n| self.users[*n].spec.id.clone())
                 .collect(),
             image: format!("img-{}", rng.u8(..4)),
-            ..JobSpec::plain(
-                &format!("req-{:06}", 1000 + job * 7),
-                JobKind::Batch,
-                tasks,
-                1.0,
-            )
+            ..JobSpec::plain(&self.next_job_id(), JobKind::Batch, tasks, 1.0)
         };
-        let behaviour = TaskBehaviour {
-            run_time: rng.u64(2 * SECOND..15 * SECOND),
-            fails: false,
-            spec: spec.clone(),
-        };
-        self.task_behaviours.insert(spec.id.clone(), behaviour);
-        self.users.push(User {
+        let user = User {
             pipeline_stage,
             ..User::new(spec, cancel_at)
-        });
-        self.schedule(at, Event::UserRequest { job });
+        };
+        self.schedule_user(at, user, rng.u64(2 * SECOND..15 * SECOND));
     }
 
     /// Whether a job may be submitted: its dependencies have been accepted or have ended.
--- a/crates/simulator/src/simulation/regular_users.rs
+++ b/crates/simulator/src/simulation/regular_users.rs
@@ -1,7 +1,6 @@
 //! Users who keep their connections to a node and poll at a fixed interval.
 
 use super::*;
-use crate::store::PageLimit;
 
 /// Time between two polls of a user.
 const POLL_INTERVAL: Micros = 5 * SECOND;
@@ -16,31 +15,23 @@
         let Some(polls) = self.scenario.regular_polls else {
             return;
         };
-        self.store.set_page_limit(PageLimit::FULL);
         for _ in 0..polls.jobs {
             let rng = &mut self.auxiliary_rng;
-            let job = self.users.len();
             let at = rng.u64(SUBMITTED_FROM..polls.submitted_until);
             let cancels = rng.u8(..10) == 0;
             let cancel_at = cancels.then(|| at + rng.u64(..self.scenario.activity_end));
-            let id = format!("req-{:06}", 1000 + job * 7);
+            let run_time = rng.u64(SECOND..4 * SECOND);
             let spec = JobSpec {
                 class: "regular".into(),
                 // At the team's limit most of the jobs wait.
                 team: "bound".into(),
-                ..JobSpec::plain(&id, JobKind::Batch, 1, 1.0)
+                ..JobSpec::plain(&self.next_job_id(), JobKind::Batch, 1, 1.0)
             };
-            let behaviour = TaskBehaviour {
-                run_time: rng.u64(SECOND..4 * SECOND),
-                fails: false,
-                spec: spec.clone(),
-            };
-            self.task_behaviours.insert(id, behaviour);
-            self.users.push(User {
+            let user = User {
                 is_regular: true,
                 ..User::new(spec, cancel_at)
-            });
-            self.schedule(at, Event::UserRequest { job });
+            };
+            self.schedule_user(at, user, run_time);
         }
     }
 
--- a/crates/simulator/src/simulation/users.rs
+++ b/crates/simulator/src/simulation/users.rs
@@ -12,6 +12,7 @@
 
 impl Simulation {
     pub(super) fn add_user(&mut self, job: usize) {
+        let id = self.next_job_id();
         let rng = &mut self.rng;
         let service = rng.u8(..3) == 0;
         let tasks = if service {
@@ -21,7 +22,7 @@
         };
         let one_zone = rng.u8(..6) == 0;
         let spec = JobSpec {
-            id: format!("req-{:06}", 1000 + job * 7),
+            id,
             class: if service { "web" } else { "merge" }.into(),
             team: if rng.bool() { "bound" } else { "free" }.into(),
             kind: if service {
@@ -89,6 +90,24 @@
         self.schedule(at, Event::UserRequest { job });
     }
 
+    /// The id of the job of the user that is added next.
+    pub(super) fn next_job_id(&self) -> String {
+        format!("req-{:06}", 1000 + self.users.len() * 7)
+    }
+
+    /// Adds a user who sends the first request at `at`, and whose tasks run for `run_time`.
+    pub(super) fn schedule_user(&mut self, at: Micros, user: User, run_time: Micros) {
+        let behaviour = TaskBehaviour {
+            run_time,
+            fails: false,
+            spec: user.spec.clone(),
+        };
+        self.task_behaviours.insert(user.spec.id.clone(), behaviour);
+        let job = self.users.len();
+        self.users.push(user);
+        self.schedule(at, Event::UserRequest { job });
+    }
+
     /// In scenarios with varied jobs, binds some jobs to a zone and makes some native
     /// batch jobs request accelerators where machines have them. Returns the time to add
     /// to the run time of the job's tasks.
--- a/crates/simulator/src/store.rs
+++ b/crates/simulator/src/store.rs
@@ -106,11 +106,6 @@
         }
     }
 
-    /// Sets the page size of range listings.
-    pub fn set_page_limit(&mut self, page: PageLimit) {
-        self.page = page;
-    }
-
     /// Sets the page size of range listings.
     pub fn with_page_limit(mut self, page: PageLimit) -> Self {
         self.page = page;
